--- /dev/null
+++ b/cmd/wirehost/main.go
@@ -0,0 +1,16 @@
+// Command wirehost runs gateways' decisions on the simulator's wire: batches in, replies out.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"larchwick/internal/wire"
+)
+
+func main() {
+	if err := wire.Host(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "wirehost:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,118 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"larchwick/logic"
+)
+
+// facts mirrors the settings object; keys that are not here are skipped.
+type facts struct {
+	Me           int         `json:"me"`
+	Replicas     int         `json:"replicasOfMe"`
+	MyZone       string      `json:"myZone"`
+	RegistryMode string      `json:"registryMode"`
+	Classes      []classFact `json:"classes"`
+	Contracts    []planFact  `json:"contracts"`
+	FamilyInfo   struct {
+		CostAfter        bool    `json:"costAfter"`
+		CounterTimeoutUs float64 `json:"counterTimeoutUs"`
+		MaxUnits         float64 `json:"maxUnits"`
+		SharedCounter    bool    `json:"sharedCounter"`
+	} `json:"familyInfo"`
+	Permissions struct {
+		MaxAttempts     int     `json:"maxAttempts"`
+		MaxRetryAfterUs float64 `json:"maxRetryAfterUs"`
+		MayCancel       bool    `json:"mayCancel"`
+		Probing         bool    `json:"probing"`
+		ParallelTries   bool    `json:"parallelTries"`
+		RetryAfter      bool    `json:"retryAfter"`
+	} `json:"permissions"`
+	Prices struct {
+		CrossZone float64 `json:"crossZone"`
+	} `json:"prices"`
+	Invariants struct {
+		ColdFrom     float64 `json:"coldFrom"`
+		WarmAfterUs  float64 `json:"warmAfterUs"`
+		FallMultiple float64 `json:"fallMultiple"`
+		FallUs       float64 `json:"fallUs"`
+		DrainGraceUs float64 `json:"drainGraceUs"`
+	} `json:"invariants"`
+}
+
+type classFact struct {
+	Name        string  `json:"name"`
+	Value       float64 `json:"value"`
+	ObjectiveUs float64 `json:"objectiveUs"`
+	DeadlineUs  float64 `json:"deadlineUs"`
+	LateShare   float64 `json:"lateShare"`
+	Effect      string  `json:"effect"`
+	Group       string  `json:"group"`
+	WindowUs    float64 `json:"windowUs"`
+}
+
+type planFact struct {
+	Name        string  `json:"name"`
+	Price       float64 `json:"price"`
+	Refill      float64 `json:"refill"`
+	Burst       float64 `json:"burst"`
+	Concurrency int     `json:"concurrency"`
+	ExcessWorth float64 `json:"excessWorth"`
+	ExcessCost  float64 `json:"excessCost"`
+	HardRate    float64 `json:"hardRate"`
+	CapDepth    float64 `json:"capDepth"`
+	Tolerance   float64 `json:"tolerance"`
+}
+
+func us(v float64) time.Duration { return time.Duration(v) * time.Microsecond }
+
+func parseSettings(text string) (*logic.Settings, error) {
+	var f facts
+	if err := json.Unmarshal([]byte(text), &f); err != nil {
+		return nil, fmt.Errorf("field facts: %w", err)
+	}
+	s := &logic.Settings{Me: f.Me, Gateways: f.Replicas, Zone: f.MyZone,
+		MaxUnits: f.FamilyInfo.MaxUnits, Counter: f.FamilyInfo.SharedCounter,
+		CounterTimeout: us(f.FamilyInfo.CounterTimeoutUs), MaxAttempts: f.Permissions.MaxAttempts,
+		MayCancel: f.Permissions.MayCancel, MayProbe: f.Permissions.Probing,
+		SecondCopies: f.Permissions.ParallelTries, AskForFleet: f.RegistryMode == "subscribe",
+		CrossZonePrice: f.Prices.CrossZone, ColdShare: f.Invariants.ColdFrom,
+		WarmAfter: us(f.Invariants.WarmAfterUs), FallMultiple: f.Invariants.FallMultiple,
+		FallSpan: us(f.Invariants.FallUs), DrainGrace: us(f.Invariants.DrainGraceUs)}
+	if f.Permissions.RetryAfter {
+		s.MaxRetryAfter = us(f.Permissions.MaxRetryAfterUs)
+	}
+	for _, c := range f.Classes {
+		s.Classes = append(s.Classes, logic.Class{Name: c.Name, Worth: c.Value, Aim: us(c.ObjectiveUs),
+			Deadline: us(c.DeadlineUs), LateShare: c.LateShare, Effect: effect(c.Effect), Group: group(c.Group),
+			RepeatWindow: us(c.WindowUs)})
+	}
+	for _, c := range f.Contracts {
+		s.Plans = append(s.Plans, logic.Plan{Name: c.Name, Price: c.Price, Rate: c.Refill, Burst: c.Burst,
+			Open: c.Concurrency, ExcessWorth: c.ExcessWorth, ExcessCost: c.ExcessCost, CeilingRate: c.HardRate,
+			CeilingBurst: c.CapDepth, CeilingSlack: c.Tolerance, SettledByReply: f.FamilyInfo.CostAfter})
+	}
+	return s, nil
+}
+
+func effect(s string) logic.Effect {
+	switch s {
+	case "read_like":
+		return logic.Safe
+	case "idempotency_key":
+		return logic.Keyed
+	}
+	return logic.Unsafe
+}
+
+func group(s string) logic.Group {
+	switch s {
+	case "all":
+		return logic.GroupAll
+	case "zone":
+		return logic.GroupZone
+	}
+	return logic.GroupCell
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,91 @@
+package wire
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"larchwick/logic"
+)
+
+const begin = "BEGIN\ti=3\tnonce64=18446744073709551615\tfacts={\"me\":0,\"replicasOfMe\":2,\"unknown\":{\"a\":1}," +
+	"\"classes\":[{\"name\":\"read\",\"value\":1,\"objectiveUs\":500000,\"deadlineUs\":2000000,\"effect\":\"odd\"}]}\n"
+
+func host(t *testing.T, in string) (string, error) {
+	t.Helper()
+	var out bytes.Buffer
+	err := Host(strings.NewReader(in), &out)
+	return out.String(), err
+}
+
+func TestEmptyBatchAndCleanEnd(t *testing.T) {
+	out, err := host(t, "SYNC\twallUs=8\nYOUR_TURN\nSYNC\twallUs=9\nYOUR_TURN\n")
+	if err != nil || out != "NEXT\nNEXT\n" {
+		t.Fatalf("out %q, err %v", out, err)
+	}
+}
+
+func TestRequestIsSentToAListedServer(t *testing.T) {
+	out, err := host(t, "SYNC\twallUs=1000000\n"+begin+
+		"MEMBERSHIP\ti=3\tform=cached\tgeneration=1\tmembers=1\nM\tbackend=10.0.0.1:80\taz=a\tlifecycle=on\n"+
+		"SOMETHING_NEW\ti=3\tx=1\n"+
+		"ARRIVAL\ti=3\tcall=4294967295\tqos=read\tterms=none\tholder=aa\tgiveUpAtUs=3000000\tnew=1\nYOUR_TURN\n")
+	if err != nil || !strings.Contains(out, "TRANSMIT\ti=3\tcall=4294967295\tbackend=10.0.0.1:80\n") {
+		t.Fatalf("out %q, err %v", out, err)
+	}
+}
+
+func TestManyRestartsInOneBatch(t *testing.T) {
+	in := "SYNC\twallUs=1\n" + strings.Repeat(begin+"DESTROY\ti=3\n", 50) + "DROPPED\ti=3\tcall=1\nYOUR_TURN\n"
+	if out, err := host(t, in); err != nil || out != "NEXT\n" {
+		t.Fatalf("out %q, err %v", out, err)
+	}
+}
+
+func TestMalformedInputNamesLineAndField(t *testing.T) {
+	for in, want := range map[string]string{
+		"SYNC\twallUs=x\n": "line 1: field wallUs",
+		"SYNC\twallUs=1\nDROPPED\tcall=1\nYOUR_TURN\n":                               "line 2: DROPPED: field i: missing",
+		"SYNC\twallUs=1\nDROPPED\ti=1\tcall=99999999999\nYOUR_TURN\n":                "field call",
+		"SYNC\twallUs=1\nCOUNTER_REPLY\ti=1\tcounter=a\tstateCode=done\ttotal=NaN\n": "field total",
+		"SYNC\twallUs=1\nMEMBERSHIP\ti=1\tform=full\tmembers=2\nM\tbackend=a\n":      "members",
+		"SYNC\twallUs=1\nBEGIN\ti=1\tfacts={\n":                                      "field facts",
+		"SYNC\twallUs=1\nTICK_DUE\ti=1\n":                                            "inside a batch",
+		"SYNC\twallUs=1\nTICK_DUE\ti=1":                                              "cut off",
+		"TICK_DUE\ti=1\n":                                                            "before a batch",
+	} {
+		if _, err := host(t, in); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: error %v, want %q", in, err, want)
+		}
+	}
+}
+
+func TestUnusableSettingsBecomeAFault(t *testing.T) {
+	out, err := host(t, "SYNC\twallUs=1\nBEGIN\ti=3\tnonce64=1\tfacts={}\nYOUR_TURN\n")
+	if err != nil || !strings.HasPrefix(out, "PANIC\ti=3\ttext=") {
+		t.Fatalf("out %q, err %v", out, err)
+	}
+}
+
+func TestActionsBecomeLines(t *testing.T) {
+	for want, a := range map[string]logic.Action{
+		"TRANSMIT\ti=1\tcall=2\tbackend=b\tstopAtUs=7\n":   logic.Send{ID: 2, Server: "b", StopAt: 7 * time.Microsecond},
+		"REVOKE\ti=1\tcall=2\ttry=1\n":                     logic.Cancel{ID: 2, Attempt: 1},
+		"BUSY\ti=1\tcall=2\n":                              logic.Refuse{ID: 2},
+		"DROP_REQUEST\ti=1\tcall=2\n":                      logic.Fail{ID: 2},
+		"INCR\ti=1\tcounter=c\tadd=-1.5\tkeepForUs=1000\n": logic.Count{Name: "c", Add: -1.5, Keep: time.Millisecond},
+		"NOTIFY\ti=1\tdest=all\tmsg=aGkgNw==\n":            logic.Tell{To: -1, Body: []byte("hi 7")},
+		"NOTIFY\ti=1\tdest=2\tmsg=-\n":                     logic.Tell{To: 2},
+		"EMIT\ti=1\ttext=a b\n":                            logic.Log{Text: "a\nb"},
+		"TEST\ti=1\tbackend=b\n":                           logic.Probe{Server: "b"},
+		"LET_GO\ti=1\tbackend=b\n":                         logic.CloseIdle{Server: "b"},
+		"KEEP_INFORMED\ti=1\ton=1\n":                       logic.Watch{},
+		"QUERY_ALL\ti=1\n":                                 logic.Fetch{},
+		"TIMER\ti=1\tspanUs=10\tref=t\n":                   logic.SetTimer{After: 10 * time.Microsecond},
+	} {
+		if got := string(AppendAction(nil, 1, a)); got != want {
+			t.Errorf("%T: %q, want %q", a, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/logic/api.go
@@ -0,0 +1,257 @@
+package logic
+
+import "time"
+
+// RequestID names one try of a client; it is never reused.
+type RequestID uint32
+
+// ServerID names a server of the back end; it tells nothing but identity.
+type ServerID string
+
+// Effect says whether a class of requests may be repeated.
+type Effect uint8
+
+// Effects; anything unknown is Unsafe.
+const (
+	Unsafe Effect = iota // may never run twice
+	Safe                 // may run any number of times
+	Keyed                // servers of one group drop repeats for a while
+)
+
+// Group says which servers share the keys that they have seen.
+type Group uint8
+
+// Groups; anything unknown is one cell.
+const (
+	GroupCell Group = iota
+	GroupZone
+	GroupAll
+)
+
+// Outcome tells how an attempt, a probe or a counter call ended.
+type Outcome uint8
+
+// Outcomes; anything unknown is Failed, which may have run.
+const (
+	Failed    Outcome = iota // the server answered with an error
+	Done                     // served
+	Full                     // turned away unseen: never ran
+	TimedOut                 // no answer in time
+	NoConnect                // no connection: never ran
+	Reset                    // the connection dropped
+	Cancelled                // called off
+	Moot                     // never sent: never ran
+)
+
+// NeverRan reports whether the outcome proves that the attempt did not run.
+func (o Outcome) NeverRan() bool { return o == Full || o == NoConnect || o == Moot }
+
+// Class is a kind of request.
+type Class struct {
+	Name         string
+	Worth        float64
+	Aim          time.Duration // an answer within it earns the full worth
+	Deadline     time.Duration
+	LateShare    float64 // share of the worth earned after the aim
+	Effect       Effect
+	Group        Group         // keyed classes: who drops repeats
+	RepeatWindow time.Duration // keyed classes: for how long
+}
+
+// Plan sets the quotas of each of its customers, over all gateways together.
+type Plan struct {
+	Name           string
+	Price          float64
+	Rate           float64 // units a second; 0: no such quota
+	Burst          float64 // units the store holds
+	Open           int     // attempts out at once; 0: no such quota
+	ExcessWorth    float64 // share of the worth earned beyond the quota
+	ExcessCost     float64 // share of the worth paid for each try beyond it
+	CeilingRate    float64 // units a second; 0: no ceiling
+	CeilingBurst   float64
+	CeilingSlack   float64
+	SettledByReply bool // the true units come with the answer
+}
+
+// Settings are what a gateway is told once, at its start.
+type Settings struct {
+	Me, Gateways   int // this gateway's number, and how many there are
+	Zone           string
+	Classes        []Class
+	Plans          []Plan
+	MaxUnits       float64 // most units of one request
+	MaxAttempts    int
+	MaxRetryAfter  time.Duration
+	MayCancel      bool
+	MayProbe       bool
+	SecondCopies   bool // two attempts of a request may be out at once
+	Counter        bool // the shared counter may be called
+	CounterTimeout time.Duration
+	AskForFleet    bool // the fleet list comes only when asked for
+	CrossZonePrice float64
+	ColdShare      float64 // a server starts with this share of its capacity or more
+	WarmAfter      time.Duration
+	FallMultiple   float64
+	FallSpan       time.Duration
+	DrainGrace     time.Duration
+}
+
+// Request is one try of a client.
+type Request struct {
+	ID       RequestID
+	Class    string
+	Plan     string
+	Customer string
+	GiveUpAt time.Duration
+	Units    float64
+	Spread   int // gateways this customer comes through
+	First    int // number of the first of them
+}
+
+// Load is what a server last said of itself; absent values are not in it.
+type Load map[string]float64
+
+// Server is an entry of the fleet list.
+type Server struct {
+	ID      ServerID
+	Zone    string
+	Kind    string
+	Cell    int
+	State   ServerState
+	Size    float64
+	Started time.Duration // clock time of its last start; 0: long ago
+}
+
+// ServerState is what the fleet list knows of a server.
+type ServerState uint8
+
+// States; an unknown one counts as draining.
+const (
+	Draining ServerState = iota
+	Running
+	Gone
+)
+
+// Event is something a gateway is told.
+type Event interface{ event() }
+
+// The events.
+type (
+	// Arrival brings a request; the gateway owes it one final answer.
+	Arrival struct{ Request }
+	// AttemptEnded comes once for each Send.
+	AttemptEnded struct {
+		ID       RequestID
+		Attempt  int
+		Server   ServerID
+		Outcome  Outcome
+		Took     time.Duration
+		Finished bool // the request has had its final answer
+		Settled  float64
+		Load     Load
+	}
+	// StreamStarted hands an attempt over to the client.
+	StreamStarted struct {
+		ID      RequestID
+		Attempt int
+	}
+	// Abandoned tells that the client has left.
+	Abandoned struct{ ID RequestID }
+	// FleetChanged brings the fleet list or changes to it.
+	FleetChanged struct {
+		Whole   bool // the entire list, else changes
+		Failed  bool // asking failed; the old list holds
+		Servers []Server
+	}
+	// TimerFired answers a SetTimer.
+	TimerFired struct{}
+	// ProbeEnded answers a Probe.
+	ProbeEnded struct {
+		Server  ServerID
+		Outcome Outcome
+		Took    time.Duration
+		Load    Load
+	}
+	// PeerMessage comes from another gateway.
+	PeerMessage struct {
+		From int
+		Body []byte
+	}
+	// CountReply answers a Count; for one name replies come in order.
+	CountReply struct {
+		Name    string
+		Outcome Outcome
+		Total   float64
+	}
+)
+
+func (Arrival) event()       {}
+func (AttemptEnded) event()  {}
+func (StreamStarted) event() {}
+func (Abandoned) event()     {}
+func (FleetChanged) event()  {}
+func (TimerFired) event()    {}
+func (ProbeEnded) event()    {}
+func (PeerMessage) event()   {}
+func (CountReply) event()    {}
+
+// Action is something a gateway wants done.
+type Action interface{ action() }
+
+// The actions.
+type (
+	// Send starts an attempt; attempts of a request are numbered from 0 in this order.
+	Send struct {
+		ID     RequestID
+		Server ServerID
+		StopAt time.Duration // 0: when the client gives up
+	}
+	// Cancel stops waiting for an attempt.
+	Cancel struct {
+		ID      RequestID
+		Attempt int
+	}
+	// Refuse is a final answer: trying again is harmless.
+	Refuse struct {
+		ID         RequestID
+		RetryAfter time.Duration // 0: no advice
+	}
+	// Fail is a final answer that promises nothing.
+	Fail struct{ ID RequestID }
+	// SetTimer asks for a TimerFired after a while.
+	SetTimer struct{ After time.Duration }
+	// Probe asks a server how it is.
+	Probe struct{ Server ServerID }
+	// Tell sends a message to one gateway, or to all.
+	Tell struct {
+		To   int // below 0: all
+		Body []byte
+	}
+	// Count adds to a named number of the shared counter, kept from its first call on.
+	Count struct {
+		Name string
+		Add  float64
+		Keep time.Duration
+	}
+	// Watch subscribes to changes of the fleet list.
+	Watch struct{}
+	// Fetch asks for the whole fleet list once.
+	Fetch struct{}
+	// CloseIdle shuts idle connections to a server.
+	CloseIdle struct{ Server ServerID }
+	// Log adds a line for people.
+	Log struct{ Text string }
+)
+
+func (Send) action()      {}
+func (Cancel) action()    {}
+func (Refuse) action()    {}
+func (Fail) action()      {}
+func (SetTimer) action()  {}
+func (Probe) action()     {}
+func (Tell) action()      {}
+func (Count) action()     {}
+func (Watch) action()     {}
+func (Fetch) action()     {}
+func (CloseIdle) action() {}
+func (Log) action()       {}
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,190 @@
+package logic
+
+import (
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func settings() Settings {
+	return Settings{Me: 0, Gateways: 2, Zone: "a", MaxUnits: 1, MaxAttempts: 3, MaxRetryAfter: time.Second,
+		MayCancel: true, SecondCopies: true, Counter: true, CounterTimeout: 50 * ms,
+		ColdShare: 0.2, WarmAfter: 10 * time.Second, FallMultiple: 4, FallSpan: 3 * time.Second,
+		Classes: []Class{
+			{Name: "read", Worth: 1, Aim: 500 * ms, Deadline: 2 * time.Second, Effect: Safe},
+			{Name: "book", Worth: 5, Aim: 500 * ms, Deadline: 2 * time.Second, Effect: Keyed, RepeatWindow: 4 * time.Second},
+			{Name: "pay", Worth: 5, Aim: 500 * ms, Deadline: 2 * time.Second},
+		},
+		Plans: []Plan{{Name: "free", Price: 1}, {Name: "dear", Price: 2},
+			{Name: "small", Price: 1, Rate: 2, Burst: 8, ExcessCost: 0.5},
+			{Name: "capped", Price: 1, Rate: 10, Burst: 20, CeilingRate: 20, CeilingBurst: 40, CeilingSlack: 4}},
+	}
+}
+
+type rig struct {
+	*testing.T
+	g   *Gateway
+	now time.Duration
+}
+
+func newRig(t *testing.T, set Settings, servers ...Server) *rig {
+	t.Helper()
+	g, err := New(set, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{T: t, g: g, now: time.Minute}
+	r.tell(FleetChanged{Whole: true, Servers: servers})
+	return r
+}
+
+func (r *rig) tell(ev Event) []Action { return r.g.Handle(r.now, ev, nil) }
+
+func (r *rig) arrive(id RequestID, class, plan string) []Action {
+	return r.tell(Arrival{Request{ID: id, Class: class, Plan: plan, Customer: "c", Units: 1,
+		GiveUpAt: r.now + 2*time.Second, Spread: 2}})
+}
+
+// pass lets time go by in sweeps.
+func (r *rig) pass(d time.Duration) (out []Action) {
+	for end := r.now + d; r.now < end; {
+		r.now += 10 * ms
+		out = append(out, r.tell(TimerFired{})...)
+	}
+	return out
+}
+
+func only[A Action](acts []Action) (out []A) {
+	for _, a := range acts {
+		if a, ok := a.(A); ok {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func TestSendsAtOnceWhileTheWindowHasRoom(t *testing.T) {
+	r := newRig(t, settings(), Server{ID: "s", State: Running})
+	if got := only[Send](r.arrive(1, "read", "free")); len(got) != 1 || got[0].Server != "s" {
+		t.Fatalf("sends %v", got)
+	}
+}
+
+func TestFreedSlotTakesTheHighestWorth(t *testing.T) {
+	r := newRig(t, settings(), Server{ID: "s", State: Running})
+	r.arrive(1, "read", "free")
+	r.arrive(2, "read", "free")
+	r.arrive(3, "read", "free")
+	r.arrive(4, "read", "dear")
+	got := only[Send](r.tell(AttemptEnded{ID: 1, Server: "s", Outcome: Done, Took: 20 * ms, Finished: true}))
+	if len(got) == 0 || got[0].ID != 4 {
+		t.Fatalf("sends %v, want request 4 first", got)
+	}
+}
+
+func TestHeldWithLessTimeThanASweepIsAnsweredAtOnce(t *testing.T) {
+	r := newRig(t, settings()) // no servers: nothing can leave
+	got := r.tell(Arrival{Request{ID: 1, Class: "read", Plan: "free", Customer: "c", Units: 1, GiveUpAt: r.now + ms}})
+	if len(only[Refuse](got)) != 1 {
+		t.Fatalf("actions %v, want a refusal", got)
+	}
+}
+
+func TestRefusedRequestsGiveNoUnitsBack(t *testing.T) {
+	r := newRig(t, settings(), Server{ID: "s", State: Running}, Server{ID: "u", State: Running})
+	sent := 0
+	for id := RequestID(1); id < 60; id++ { // no counter answers: this gateway's share of the burst is 4
+		sent += len(only[Send](r.arrive(id, "read", "small")))
+		r.tell(AttemptEnded{ID: id, Outcome: Done, Took: ms, Finished: true})
+	}
+	if sent < 4 || sent > 8 {
+		t.Fatalf("sent %d of 59, the whole burst is 8", sent)
+	}
+}
+
+// A server that restarts keeps what is still out to it, and survives that work's end.
+func TestRestartedServerKeepsItsOutstandingAttempts(t *testing.T) {
+	r := newRig(t, settings(), Server{ID: "s", State: Running})
+	r.arrive(1, "read", "free")
+	r.arrive(2, "read", "free")
+	before := len(r.g.servers["s"].out)
+	r.tell(FleetChanged{Servers: []Server{{ID: "s", State: Running, Started: r.now}}})
+	if now := len(r.g.servers["s"].out); now != before || before == 0 {
+		t.Fatalf("%d attempts out before the restart, %d after", before, now)
+	}
+	r.tell(AttemptEnded{ID: 1, Server: "s", Outcome: Reset})
+	r.tell(AttemptEnded{ID: 2, Server: "s", Outcome: Reset})
+	r.pass(time.Second)
+	for _, a := range r.g.servers["s"].out {
+		if a == nil || a.ended {
+			t.Fatalf("out to the server: %v", a)
+		}
+	}
+}
+
+// After a long silence of the counter its customers are not refused for what others took in the meantime.
+func TestCounterSilenceLeavesNoDebt(t *testing.T) {
+	r := newRig(t, settings(), Server{ID: "s", State: Running})
+	c := r.silence()
+	r.pass(20 * time.Second)
+	r.g.lease(c)
+	r.tell(CountReply{Name: c.name(), Outcome: Done, Total: c.adding + c.total + 30})
+	if room := r.g.room(c) + c.block; room < 1 {
+		t.Fatalf("room %v after a silence in which others kept to their share", room)
+	}
+}
+
+// silence uses one customer until a call is out and lets it time out.
+func (r *rig) silence() *customer {
+	id := RequestID(1000)
+	for {
+		id++
+		r.arrive(id, "read", "small")
+		r.tell(AttemptEnded{ID: id, Outcome: Done, Took: ms, Finished: true})
+		if c := r.g.customers["c"]; c.calling {
+			r.tell(CountReply{Name: c.name(), Outcome: TimedOut})
+			return c
+		}
+	}
+}
+
+// A burst that gives each gateway less than one request is asked for at the counter, request by request: what all
+// gateways send stays within it, whatever each has seen, and also after all have restarted.
+func TestSmallBurstOverManyGatewaysIsAskedFor(t *testing.T) {
+	for _, n := range []int{4, 100, 340} {
+		set := settings()
+		set.Gateways = n
+		set.Plans = append(set.Plans, Plan{Name: "tiny", Price: 1, Rate: 0.5, Burst: 2, ExcessCost: 1})
+		totals, sent := map[string]float64{}, 0
+		for i := range 2 * n { // each gateway twice, the second time as one that has just started
+			set.Me = i % n
+			r := newRig(t, set, Server{ID: "s", State: Running})
+			acts := r.tell(Arrival{Request{ID: 1, Class: "read", Plan: "tiny", Customer: "c", Units: 1,
+				GiveUpAt: r.now + time.Second, Spread: n}})
+			for _, c := range only[Count](acts) {
+				totals[c.Name] += c.Add
+				acts = append(acts, r.tell(CountReply{Name: c.Name, Outcome: Done, Total: totals[c.Name]})...)
+			}
+			sent += len(only[Send](acts))
+		}
+		if sent != 2 {
+			t.Errorf("%d gateways sent %d at once, the burst is 2", n, sent)
+		}
+	}
+}
+
+// A counter that comes back empty tells nothing new, and gives no second burst.
+func TestCounterBackEmptyGivesNoSecondBurst(t *testing.T) {
+	r := newRig(t, settings(), Server{ID: "s", State: Running})
+	c := r.g.customer(&request{Request: Request{Customer: "c", Spread: 2}, plan: r.g.plans["small"]})
+	c.block, c.owed, c.level = 0, 0, 0
+	r.g.call(c, 0)
+	r.tell(CountReply{Name: c.name(), Outcome: Done, Total: 1000})
+	c.nextCall, c.level, c.block = 0, 0, 0
+	r.g.call(c, 0)
+	r.tell(CountReply{Name: c.name(), Outcome: Done, Total: c.adding})
+	if room := r.g.room(c); room > 1 {
+		t.Fatalf("room %v after the counter lost its numbers", room)
+	}
+}
--- /dev/null
+++ b/logic/many_test.go
@@ -0,0 +1,247 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// crowd is many gateways over one fleet and one counter, driven by one table of events.
+type crowd struct {
+	rigs   []*rig
+	totals map[string]float64
+	silent bool // the counter answers nothing
+}
+
+func newCrowd(t *testing.T, n int, set Settings, servers ...Server) *crowd {
+	t.Helper()
+	c := &crowd{totals: map[string]float64{}}
+	for i := range n {
+		set.Me, set.Gateways = i, n
+		g, err := New(set, uint64(i+1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := &rig{T: t, g: g, now: time.Minute}
+		r.tell(FleetChanged{Whole: true, Servers: servers})
+		c.rigs = append(c.rigs, r)
+	}
+	return c
+}
+
+// tell gives one gateway an event, answers its calls, and returns what it sent.
+func (c *crowd) tell(r *rig, ev Event) []Send {
+	acts := r.tell(ev)
+	sends := only[Send](acts)
+	for _, call := range only[Count](acts) {
+		reply := CountReply{Name: call.Name, Outcome: TimedOut}
+		if !c.silent {
+			c.totals[call.Name] += call.Add
+			reply.Outcome, reply.Total = Done, c.totals[call.Name]
+		}
+		sends = append(sends, c.tell(r, reply)...)
+	}
+	return sends
+}
+
+// arrive brings one request to a gateway.
+func (c *crowd) arrive(r *rig, id int, class, plan string) []Send {
+	return c.tell(r, Arrival{Request{ID: RequestID(id), Class: class, Plan: plan, Customer: "c", Units: 1,
+		GiveUpAt: r.now + 2*time.Second, Spread: len(c.rigs)}})
+}
+
+// What all gateways send on for a customer within a window is its burst, and with the counter silent its fair
+// shares, however many the gateways are.
+func TestFirstSightsOfAllGatewaysSumToTheBurst(t *testing.T) {
+	for _, n := range []int{1, 3, 100, 340} {
+		for _, silent := range []bool{false, true} {
+			c := newCrowd(t, n, settings(), Server{ID: "s", State: Running}, Server{ID: "u", State: Running})
+			c.silent = silent
+			sent := 0
+			for i := range 2 * max(n, 20) { // everyone twice at one moment, the few more often
+				r := c.rigs[i%n]
+				for _, s := range c.arrive(r, i, "read", "small") {
+					sent++
+					c.tell(r, AttemptEnded{ID: s.ID, Outcome: Done, Took: ms, Finished: true})
+				}
+			}
+			most := 2 * 8 // the burst is 8; the random phases of the fair shares add some chance
+			if n == 3 && !silent {
+				most = (n + 1) * 8 // leased ahead: a gateway's first look takes the use before it as spread out
+			}
+			if sent < 3 || sent > most {
+				t.Errorf("%d gateways, counter silent %v: %d sent at one moment, the burst is 8", n, silent, sent)
+			}
+		}
+	}
+}
+
+// The ceiling holds in the sum, by the counter's grants, by the shares while it is silent, and over a restart of all.
+func TestCeilingHoldsInTheSum(t *testing.T) {
+	for _, n := range []int{1, 3, 20} { // a ceiling's customer comes through no more gateways than half its burst
+		for _, silent := range []bool{false, true} {
+			c := newCrowd(t, n, settings(), Server{ID: "s", State: Running}, Server{ID: "u", State: Running})
+			c.silent = silent
+			sent, id := 0, 0
+			for step := range 300 { // 3 s, all restarted in the middle
+				if step == 150 {
+					fresh := newCrowd(t, n, settings(), Server{ID: "s", State: Running}, Server{ID: "u", State: Running})
+					fresh.silent, fresh.totals = silent, c.totals
+					for i, r := range fresh.rigs {
+						r.now = c.rigs[i].now
+					}
+					c = fresh
+				}
+				for i := range max(1, 20/n) * n {
+					r := c.rigs[i%n]
+					r.g.window = 1000
+					id++
+					for _, s := range c.arrive(r, id, "read", "capped") {
+						sent++
+						c.tell(r, AttemptEnded{ID: s.ID, Outcome: Done, Took: ms, Finished: true})
+					}
+				}
+				for _, r := range c.rigs {
+					r.now += 10 * ms
+					for range c.tell(r, TimerFired{}) {
+						sent++
+					}
+				}
+			}
+			if most := 40 + 3*20 + 4; sent == 0 || sent > most {
+				t.Errorf("%d gateways, counter silent %v: %d sent in 3 s, the ceiling lets %d", n, silent, sent, most)
+			}
+		}
+	}
+}
+
+// A cold server gets in the sum what it can take, also where it is the only one and all gateways have just started.
+func TestColdServerHoldsInTheSum(t *testing.T) {
+	for _, n := range []int{1, 3, 100, 340} {
+		c := newCrowd(t, n, settings())
+		sent, id := 0, 0
+		for _, r := range c.rigs {
+			c.tell(r, FleetChanged{Whole: true, Servers: []Server{{ID: "s", State: Running, Started: r.now}}})
+		}
+		for range 30 { // 3 s
+			for _, r := range c.rigs {
+				id++
+				sends := c.arrive(r, id, "read", "free")
+				for range 10 {
+					r.now += 10 * ms
+					sends = append(sends, c.tell(r, TimerFired{})...)
+				}
+				for _, s := range sends {
+					sent++
+					c.tell(r, AttemptEnded{ID: s.ID, Outcome: Full})
+				}
+			}
+		}
+		// A server that does 20 a second when warm does 4 now; four times that for 3 s is 48.
+		if n >= 3 && sent == 0 || sent > 48 {
+			t.Errorf("%d gateways sent %d to a cold server in 3 s", n, sent)
+		}
+	}
+}
+
+// Where gateways outnumber the attempts that a customer may have out and going over costs, they take turns.
+func TestOpenCapHoldsInTheSum(t *testing.T) {
+	set := settings()
+	set.Plans = append(set.Plans, Plan{Name: "open", Price: 1, Rate: 100, Burst: 400, Open: 3, ExcessCost: 0.6})
+	for _, n := range []int{1, 3, 8, 20} {
+		c := newCrowd(t, n, set, Server{ID: "s", State: Running}, Server{ID: "u", State: Running})
+		for moment := range 20 {
+			out := 0
+			for _, r := range c.rigs {
+				r.now = time.Minute + time.Duration(moment)*37*ms
+				r.g.window = 100
+				out += max(0, r.g.share(&customer{plan: r.g.plans["open"], spread: n, place: r.g.set.Me}))
+			}
+			if out != 3 {
+				t.Fatalf("%d gateways may have %d out in all, the cap is 3", n, out)
+			}
+		}
+		sent := 0
+		for i := range 3 * n {
+			sent += len(c.arrive(c.rigs[i%n], i, "read", "open"))
+		}
+		if n > 1 && sent != 3 {
+			t.Errorf("%d gateways sent %d at one moment, the cap is 3", n, sent)
+		}
+	}
+}
+
+// A request that waits for the counter has its answer before its client gives up, whatever the counter does, and
+// the counter's late answer sends nothing.
+func TestWaitingForTheCounterLosesNoRequest(t *testing.T) {
+	set := settings()
+	set.Gateways = 100
+	for _, left := range []time.Duration{2 * ms, 15 * ms, 700 * ms} {
+		r := newRig(t, set, Server{ID: "s", State: Running})
+		acts := r.tell(Arrival{Request{ID: 1, Class: "read", Plan: "small", Customer: "c", Units: 1,
+			GiveUpAt: r.now + left, Spread: 100}})
+		calls := only[Count](acts)
+		if len(calls) != 1 || calls[0].Add != 1 {
+			t.Fatalf("calls %v, want one for the request's unit", calls)
+		}
+		acts = append(acts, r.pass(left-left%(10*ms))...)
+		if len(only[Refuse](acts)) != 1 {
+			t.Fatalf("%v left: actions %v, want one refusal", left, acts)
+		}
+		late := r.tell(CountReply{Name: calls[0].Name, Outcome: Done, Total: 1})
+		if len(only[Send](late)) > 0 || len(only[Refuse](late)) > 0 {
+			t.Fatalf("%v left: the late answer gave %v", left, late)
+		}
+	}
+}
+
+// Windows of many gateways add up: with untimely answers from several servers one falls below one attempt, and
+// what it sends then has pauses in between.
+func TestSmallWindowPauses(t *testing.T) {
+	set := settings()
+	set.Gateways = 300
+	var fleet []Server
+	for i := range 60 {
+		fleet = append(fleet, Server{ID: ServerID(fmt.Sprint("s", i)), State: Running})
+	}
+	r := newRig(t, set, fleet...)
+	for i := range 12 {
+		r.g.judge(&attempt{s: r.g.fleet[i]}, r.g.classes["read"], TimedOut, 0)
+		r.pass(time.Second)
+	}
+	if r.g.window >= 1 {
+		t.Fatalf("window %v after untimely answers only", r.g.window)
+	}
+	r.g.lag, r.g.window = 0.1, 0.5
+	first := only[Send](r.arrive(1, "read", "free"))
+	r.tell(AttemptEnded{ID: 1, Outcome: Done, Took: 100 * ms, Finished: true})
+	second := only[Send](r.arrive(2, "read", "free"))
+	if len(first) != 1 || len(second) != 0 {
+		t.Fatalf("sent %v, then %v at once", first, second)
+	}
+	if got := only[Send](r.pass(time.Second)); len(got) == 0 || got[0].ID != 2 {
+		t.Fatalf("sent %v in the second after, want the one held", got)
+	}
+}
+
+// Odd customers and fleets: sane decisions, no panic.
+func TestOddSpreadsAndFleetsStillDecide(t *testing.T) {
+	set := settings()
+	set.Gateways = 100
+	for _, q := range []Request{{Spread: 0}, {Spread: 5000}, {Spread: 3, First: 70}, {Spread: 3, First: 4000}, {Spread: 2, First: -7}} {
+		r := newRig(t, set)
+		q.ID, q.Class, q.Plan, q.Customer, q.Units, q.GiveUpAt = 1, "read", "small", "c", 1, r.now+time.Second
+		calls := only[Count](r.tell(Arrival{q}))
+		for _, c := range calls {
+			r.tell(CountReply{Name: c.Name, Outcome: Done, Total: c.Add})
+		}
+		var more []Server
+		for i := range 100 {
+			more = append(more, Server{ID: ServerID(fmt.Sprint("s", i)), State: Running})
+		}
+		acts := r.tell(FleetChanged{Servers: more})
+		if got := only[Send](append(acts, r.pass(20*ms)...)); len(got) != 1 {
+			t.Errorf("request %+v: sent %v, want it sent once there are servers", q, got)
+		}
+	}
+}
--- /dev/null
+++ b/logic/rules_test.go
@@ -0,0 +1,292 @@
+package logic
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Rule 1: each request taken has exactly one final answer before its client gives up.
+func TestEveryRequestHasOneFinalAnswer(t *testing.T) {
+	r := newRig(t, settings(), Server{ID: "s", State: Running})
+	final := map[RequestID]int{}
+	count := func(acts []Action) {
+		for _, a := range only[Refuse](acts) {
+			final[a.ID]++
+		}
+		for _, a := range only[Fail](acts) {
+			final[a.ID]++
+		}
+	}
+	for id := RequestID(1); id <= 40; id++ {
+		count(r.arrive(id, []string{"read", "book", "pay"}[id%3], "free"))
+	}
+	count(r.pass(1990 * ms))
+	for id := RequestID(1); id <= 40; id++ {
+		q := r.g.requests[id]
+		if q == nil || q.final {
+			continue
+		}
+		if q.held {
+			t.Fatalf("request %d is still held at its deadline", id)
+		}
+		for _, a := range q.attempts {
+			count(r.tell(AttemptEnded{ID: id, Attempt: a.n, Server: "s", Outcome: TimedOut}))
+		}
+	}
+	for id := RequestID(1); id <= 40; id++ {
+		if final[id] != 1 {
+			t.Errorf("request %d: %d final answers", id, final[id])
+		}
+	}
+}
+
+// Rule 2: unsafe work that may have run is neither sent again nor refused.
+func TestUnsafeWorkThatMayHaveRunIsFailed(t *testing.T) {
+	for _, o := range []Outcome{Failed, TimedOut, Reset, Cancelled, Outcome(99)} {
+		r := newRig(t, settings(), Server{ID: "s", State: Running}, Server{ID: "u", State: Running})
+		s := only[Send](r.arrive(1, "pay", "free"))[0].Server
+		got := r.tell(AttemptEnded{ID: 1, Server: s, Outcome: o})
+		if len(only[Send](got)) > 0 || len(only[Refuse](got)) > 0 || len(only[Fail](got)) != 1 {
+			t.Errorf("outcome %v: actions %v, want one failure", o, got)
+		}
+	}
+}
+
+func TestWorkThatNeverRanIsSentAgain(t *testing.T) {
+	r := newRig(t, settings(), Server{ID: "s", State: Running}, Server{ID: "u", State: Running})
+	s := only[Send](r.arrive(1, "pay", "free"))[0].Server
+	got := only[Send](r.tell(AttemptEnded{ID: 1, Server: s, Outcome: NoConnect}))
+	if len(got) != 1 || got[0].Server == s {
+		t.Fatalf("sends %v, want one to the other server", got)
+	}
+}
+
+// Rule 2: keyed work that may have run goes again only to the cell that drops its repeats, and only in its time.
+func TestKeyedWorkStaysInItsCellAndTime(t *testing.T) {
+	set := settings()
+	set.Classes[1].Deadline, set.Classes[1].RepeatWindow = 60*time.Second, time.Second
+	for wait, want := range map[time.Duration]int{100 * ms: 1, 1200 * ms: 0} {
+		r := newRig(t, set, Server{ID: "s", State: Running, Cell: 1}, Server{ID: "u", State: Running, Cell: 1},
+			Server{ID: "v", State: Running, Cell: 2}, Server{ID: "w", State: Running, Cell: 2})
+		q := Request{ID: 1, Class: "book", Plan: "free", Customer: "c", Units: 1, GiveUpAt: r.now + time.Minute}
+		s := only[Send](r.tell(Arrival{q}))[0].Server
+		r.now += wait
+		got := r.tell(AttemptEnded{ID: 1, Server: s, Outcome: Reset})
+		sends := only[Send](got)
+		if len(sends) != want || len(only[Refuse](got)) > 0 {
+			t.Fatalf("after %v: actions %v, want %d sends and no refusal", wait, got, want)
+		}
+		if want == 1 && r.g.servers[sends[0].Server].Cell != r.g.servers[s].Cell {
+			t.Fatalf("sent to %v after %v: another cell", sends[0].Server, s)
+		}
+	}
+}
+
+// Rule 3: nothing new goes to a server that drains or is gone.
+func TestNothingGoesToADrainingServer(t *testing.T) {
+	for _, state := range []ServerState{Draining, Gone, ServerState(9)} {
+		r := newRig(t, settings(), Server{ID: "s", State: Running}, Server{ID: "u", State: Running})
+		r.tell(FleetChanged{Servers: []Server{{ID: "s", State: state}}})
+		for id := RequestID(1); id < 20; id++ {
+			for _, a := range only[Send](r.arrive(id, "read", "free")) {
+				if a.Server == "s" {
+					t.Fatalf("state %v: sent to it", state)
+				}
+			}
+			r.tell(AttemptEnded{ID: id, Server: "u", Outcome: Done, Took: 5 * ms, Finished: true})
+		}
+	}
+	r := newRig(t, settings(), Server{ID: "s", State: Running}, Server{ID: "u", State: Running})
+	r.tell(FleetChanged{Whole: true, Servers: []Server{{ID: "u", State: Running}}})
+	if len(r.g.fleet) != 1 {
+		t.Fatal("a server that is not in a whole list is gone")
+	}
+}
+
+// Rule 4: a cold server gets one attempt at a time at first, also from a gateway that knows nothing, and also where
+// all servers are cold.
+func TestColdServerIsNotPushedOver(t *testing.T) {
+	r := newRig(t, settings())
+	r.tell(FleetChanged{Whole: true, Servers: []Server{{ID: "s", State: Running, Started: r.now}}})
+	r.g.window = 100
+	sent := 0
+	for i := range 300 { // three seconds of a hundred requests a second, each refused by the server at once
+		id := RequestID(i + 1)
+		r.arrive(id, "read", "free")
+		for _, s := range r.g.fleet {
+			for len(s.out) > 0 {
+				sent++
+				q := r.g.live[len(r.g.live)-1]
+				for _, l := range r.g.live {
+					if len(l.attempts) > 0 && l.attempts[len(l.attempts)-1] == s.out[0] {
+						q = l
+					}
+				}
+				r.tell(AttemptEnded{ID: q.ID, Attempt: s.out[0].n, Server: "s", Outcome: Full})
+			}
+		}
+		r.pass(10 * ms)
+	}
+	// A server that does 20 a second when warm does 4 now; 4 times that for 3 s, halved for two gateways, is 24.
+	if sent == 0 || sent > 24 {
+		t.Fatalf("%d sent to a cold server in 3 s", sent)
+	}
+}
+
+// Rule 5: a gateway stays within its part of the ceiling, and starts with none of it.
+func TestCeilingHoldsWithoutTheCounter(t *testing.T) {
+	r := newRig(t, settings(), Server{ID: "s", State: Running}, Server{ID: "u", State: Running})
+	r.g.plans["capped"].Rate = 0 // nothing but the ceiling stands in the way
+	r.g.window = 1000
+	sent := 0
+	for i := range 400 {
+		acts := r.arrive(RequestID(i+1), "read", "capped")
+		acts = append(acts, r.pass(10*ms)...)
+		sent += len(only[Send](acts))
+	}
+	if max := 4*20/2 + 1; sent == 0 || sent > max { // 4 s of half the ceiling's rate
+		t.Fatalf("%d sent in 4 s, the part is %d", sent, max)
+	}
+}
+
+func TestOpenCapIsSharedAndWaits(t *testing.T) {
+	set := settings()
+	set.Plans = append(set.Plans, Plan{Name: "open", Price: 1, Rate: 100, Burst: 100, Open: 4, ExcessCost: 1})
+	r := newRig(t, set, Server{ID: "s", State: Running}, Server{ID: "u", State: Running})
+	r.g.window = 100
+	sends := 0
+	for id := RequestID(1); id <= 5; id++ {
+		sends += len(only[Send](r.arrive(id, "read", "open")))
+	}
+	if sends != 2 {
+		t.Fatalf("%d out, this gateway's part is 2", sends)
+	}
+	got := only[Send](r.tell(AttemptEnded{ID: 1, Outcome: Done, Took: 5 * ms, Finished: true}))
+	if len(got) != 1 {
+		t.Fatalf("sends %v, a waiting request takes the slot", got)
+	}
+}
+
+// A stall leaves no dead backlog: what has expired goes before a freed slot is given.
+func TestAStalledGatewaySweepsBeforeItReleases(t *testing.T) {
+	r := newRig(t, settings(), Server{ID: "s", State: Running})
+	for id := RequestID(1); id <= 10; id++ {
+		r.arrive(id, "read", "free")
+	}
+	r.now += 1900 * ms
+	if got := only[Send](r.tell(TimerFired{})); len(got) > 0 {
+		t.Fatalf("sent %v after the stall", got)
+	}
+}
+
+func TestUnusableSettingsGiveAnError(t *testing.T) {
+	for name, change := range map[string]func(*Settings){
+		"gateways": func(s *Settings) { s.Gateways = 0 },
+		"number":   func(s *Settings) { s.Me = 2 },
+		"classes":  func(s *Settings) { s.Classes = nil },
+		"aim":      func(s *Settings) { s.Classes[0].Aim = 0 },
+		"rate":     func(s *Settings) { s.Plans[0].Rate = -1 },
+	} {
+		set := settings()
+		change(&set)
+		if _, err := New(set, 1); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
+
+// Settings with little in them must still decide, and never panic.
+func TestPoorSettingsStillDecide(t *testing.T) {
+	set := settings()
+	set.Counter, set.SecondCopies, set.MayCancel, set.WarmAfter = false, false, false, 0
+	set.Plans = []Plan{{Name: "small", Price: 1, Rate: 2}}
+	r := newRig(t, set, Server{ID: "s", State: Running})
+	sends := 0
+	for id := RequestID(1); id <= 20; id++ {
+		acts := append(r.arrive(id, "read", "small"), r.tell(AttemptEnded{ID: id, Outcome: Done, Took: ms, Finished: true})...)
+		acts = append(acts, r.pass(200*ms)...)
+		sends += len(only[Send](acts))
+		if len(only[Count](acts)) > 0 {
+			t.Fatal("called a counter that is not there")
+		}
+	}
+	if sends < 3 || sends > 8 { // half of 2 units a second over 4 s, and its part of the burst
+		t.Fatalf("%d sent", sends)
+	}
+}
+
+func TestAnInstanceActsAlikeAloneAndBesideOthers(t *testing.T) {
+	play := func(beside bool) string {
+		a := newRig(t, settings(), Server{ID: "s", State: Running}, Server{ID: "u", State: Running})
+		b := newRig(t, settings(), Server{ID: "s", State: Running})
+		log := ""
+		for id := RequestID(1); id <= 200; id++ {
+			if beside {
+				b.arrive(id, "read", "small")
+			}
+			log += fmt.Sprint(a.arrive(id, "read", "small"), a.pass(30*ms))
+		}
+		return log
+	}
+	if play(false) != play(true) {
+		t.Fatal("actions differ")
+	}
+}
+
+// The next block is asked for at half spent, off the path; one call is out at a time.
+func TestNextBlockIsAskedForAtHalfSpent(t *testing.T) {
+	r := newRig(t, settings(), Server{ID: "s", State: Running})
+	var calls []Count
+	for id := RequestID(1); id <= 3; id++ {
+		acts := r.arrive(id, "read", "small")
+		if len(only[Send](acts)) != 1 {
+			t.Fatalf("request %d did not go at once", id)
+		}
+		calls = append(calls, only[Count](acts)...)
+		r.tell(AttemptEnded{ID: id, Outcome: Done, Took: ms, Finished: true})
+	}
+	if len(calls) != 1 || calls[0].Add < 4 {
+		t.Fatalf("calls %v, want one that adds the first block and the next", calls)
+	}
+}
+
+// One sick server must not narrow the window for all.
+func TestOneSickServerDoesNotNarrowTheWindow(t *testing.T) {
+	var fleet []Server
+	for i := range 12 {
+		fleet = append(fleet, Server{ID: ServerID(fmt.Sprint("s", i)), State: Running})
+	}
+	r := newRig(t, settings(), fleet...)
+	before := r.g.window
+	c := r.g.classes["read"]
+	for range 50 {
+		r.g.judge(&attempt{s: r.g.fleet[0]}, c, TimedOut, 0)
+	}
+	r.pass(100 * ms)
+	if r.g.window < before {
+		t.Fatal("narrowed by one server")
+	}
+	for i := range 50 {
+		r.g.judge(&attempt{s: r.g.fleet[i%12]}, c, TimedOut, 0)
+	}
+	r.pass(2 * time.Second)
+	if r.g.window >= before {
+		t.Fatal("not narrowed by a shared symptom")
+	}
+}
+
+// Long calls of one class are not a full back end: while another class is answered in time the window stays.
+func TestOneClassesLongCallsDoNotNarrowTheWindow(t *testing.T) {
+	r := newRig(t, settings(), Server{ID: "s", State: Running}, Server{ID: "u", State: Running})
+	before := r.g.window
+	for i := range 40 {
+		s := r.g.fleet[i%2]
+		r.g.judge(&attempt{s: s}, r.g.classes["book"], Done, 400*ms)
+		r.g.judge(&attempt{s: s}, r.g.classes["read"], Done, 20*ms)
+	}
+	r.pass(2 * time.Second)
+	if r.g.window < before {
+		t.Fatal("narrowed by one class's long calls")
+	}
+}
