--- /dev/null
+++ b/internal/ingress/backend.go
@@ -0,0 +1,339 @@
+package ingress
+
+import (
+	"context"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"larchwick/logic"
+)
+
+const (
+	mostPerBackend = 48                     // connections to one backend
+	probeTimeout   = 250 * time.Millisecond // of a probe, which has no request whose time could end it
+	writeTimeout   = 5 * time.Second
+)
+
+// attempt is one command on its way to a backend: of a request, or a probe.
+type attempt struct {
+	req   *request // nil: a probe
+	n     int
+	be    *backend
+	began time.Duration
+	stop  time.Duration
+	conn  *conn         // carries it; nil while it waits for one
+	why   logic.Outcome // given up by us: TimedOut or Cancelled; else Done
+	ended bool
+}
+
+// backend is what the gateway's goroutine keeps of a server: its entry, its connections, and the attempts
+// that wait for one. A connection carries one attempt at a time, so that giving one up hurts no other.
+type backend struct {
+	logic.Server
+	addr    string
+	idle    []*conn // the last is the warmest
+	waiting []*attempt
+	dialing int
+	conns   int // all: dialing, idle and busy
+}
+
+// conn is a connection to a backend, owned by its goroutine run; cur and since are the gateway's.
+type conn struct {
+	be    *backend
+	addr  string
+	nc    net.Conn // set before connUp is posted
+	work  chan job
+	dead  chan struct{}
+	cur   *attempt
+	since time.Duration // idle since
+}
+
+type job struct {
+	a   *attempt
+	buf []byte
+}
+
+// The events of a connection.
+type (
+	connUp   struct{ c *conn }
+	connDown struct { // the last event of a connection
+		c     *conn
+		up    bool
+		whole *attempt // the last one that was written to its last byte
+	}
+	replied struct {
+		c *conn
+		reply
+	}
+)
+
+// reply is a backend's answer, taken apart.
+type reply struct {
+	outcome logic.Outcome
+	value   []byte
+	load    logic.Load
+	busy    bool
+}
+
+// run dials, then reads answers until the connection ends; it posts connDown last.
+func (c *conn) run(ctx context.Context, timeout time.Duration, post func(event)) {
+	d := net.Dialer{Timeout: timeout}
+	nc, err := d.DialContext(ctx, "tcp", c.addr)
+	if err != nil {
+		post(connDown{c: c})
+		return
+	}
+	c.nc = nc
+	stop := context.AfterFunc(ctx, func() { nc.Close() })
+	defer stop()
+	written := make(chan *attempt, 1)
+	go func() { written <- c.write() }()
+	post(connUp{c})
+	var in inbox
+	for {
+		f, err := in.next()
+		if err == nil && f == nil {
+			err = in.fill(nc.Read)
+		}
+		if err != nil {
+			break
+		}
+		if f != nil {
+			post(replied{c, parseReply(f)})
+		}
+	}
+	nc.Close()
+	close(c.dead)
+	post(connDown{c: c, up: true, whole: <-written})
+}
+
+// write writes what it is given; it returns the last attempt whose last byte it has written, which is what
+// tells a command that never ran from one that may have.
+func (c *conn) write() (whole *attempt) {
+	for {
+		select {
+		case <-c.dead:
+			return whole
+		case j := <-c.work:
+			c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+			n, err := c.nc.Write(j.buf)
+			if n == len(j.buf) {
+				whole = j.a
+			}
+			if err != nil {
+				c.nc.Close()
+				return whole
+			}
+		}
+	}
+}
+
+// parseReply reads a whole frame from a backend.
+func parseReply(f []byte) reply {
+	_, r := redcon.ReadNextRESP(f)
+	out := reply{outcome: logic.Failed}
+	switch r.Type {
+	case redcon.Error:
+		word, rest, _ := strings.Cut(string(r.Data), " ")
+		if word == "BUSY" {
+			out.outcome = logic.Full
+		}
+		if i := strings.LastIndexByte(rest, ' '); i >= 0 {
+			rest = rest[i+1:]
+		}
+		out.load = parseLoad(rest)
+	case redcon.String:
+		if string(r.Data) == "PONG" {
+			out.outcome = logic.Done
+		}
+	case redcon.Bulk:
+		if r.Data != nil {
+			out.outcome, out.load = logic.Done, parseLoad(string(r.Data))
+		}
+	case redcon.Array:
+		i := 0
+		r.ForEach(func(e redcon.RESP) bool {
+			switch {
+			case i == 0 && e.Type == redcon.Bulk && e.Data != nil:
+				out.outcome, out.value = logic.Done, append(make([]byte, 0, len(e.Data)), e.Data...)
+			case i == 2 && e.Type == redcon.Bulk:
+				out.load = parseLoad(string(e.Data))
+			}
+			i++
+			return true
+		})
+	}
+	return out
+}
+
+// parseLoad reads a load report such as inflight=7,queue=2; nil if it is none.
+func parseLoad(s string) logic.Load {
+	if s == "" || !strings.Contains(s, "=") {
+		return nil
+	}
+	load := logic.Load{}
+	for pair := range strings.SplitSeq(s, ",") {
+		k, v, _ := strings.Cut(pair, "=")
+		if x, err := strconv.ParseFloat(v, 64); err == nil {
+			load[k] = x
+		}
+	}
+	return load
+}
+
+// --- the pool: everything below runs on the gateway's goroutine ---
+
+// place gives an attempt the warmest idle connection, or lets it wait for one.
+func (g *Gateway) place(a *attempt) {
+	be := a.be
+	if n := len(be.idle); n > 0 {
+		c := be.idle[n-1]
+		be.idle = be.idle[:n-1]
+		g.write(c, a)
+		return
+	}
+	be.waiting = append(be.waiting, a)
+	g.dial(be)
+}
+
+// write hands an attempt to a free connection.
+func (g *Gateway) write(c *conn, a *attempt) {
+	a.conn, c.cur = c, a
+	c.work <- job{a, g.command(a)} // has room: one attempt at a time
+}
+
+// dial opens connections for those that wait, within the caps.
+func (g *Gateway) dial(be *backend) {
+	for be.dialing < len(be.waiting) && be.conns < mostPerBackend {
+		if g.conns >= g.mostConns && !g.closeOldestIdle() {
+			return
+		}
+		c := &conn{be: be, addr: be.addr, work: make(chan job, 1), dead: make(chan struct{})}
+		be.dialing++
+		be.conns++
+		g.conns++
+		g.spawn(func(ctx context.Context) { c.run(ctx, g.net.ConnectTimeout, g.post) })
+	}
+}
+
+// free takes a connection that has nothing to do: for the first that waits, or to the idle ones.
+func (g *Gateway) free(c *conn) {
+	be := c.be
+	if c.addr != be.addr || be.State == logic.Gone {
+		c.nc.Close()
+		return
+	}
+	for len(be.waiting) > 0 {
+		a := be.waiting[0]
+		be.waiting = be.waiting[1:]
+		// The list may have changed since the attempt began to wait: a drain counts from then on.
+		if be.State != logic.Running {
+			g.end(a, logic.Moot, reply{})
+			continue
+		}
+		g.write(c, a)
+		return
+	}
+	c.since = g.now
+	be.idle = append(be.idle, c)
+}
+
+// retireIdle closes connections that the backend is about to close: a command that crossed that would be a
+// reset, and may not be sent again.
+func (g *Gateway) retireIdle() {
+	for _, be := range g.backends {
+		for len(be.idle) > 0 && (be.State != logic.Running || be.idle[0].addr != be.addr ||
+			g.now-be.idle[0].since > g.net.Idle*2/3) {
+			g.closeIdle(be)
+		}
+	}
+}
+
+// closeIdle closes the backend's coldest idle connection; connDown does the books.
+func (g *Gateway) closeIdle(be *backend) {
+	be.idle[0].nc.Close()
+	be.idle = be.idle[1:]
+}
+
+// closeOldestIdle makes room for a new connection.
+func (g *Gateway) closeOldestIdle() bool {
+	var oldest *backend
+	for _, be := range g.backends {
+		if len(be.idle) > 0 && (oldest == nil || be.idle[0].since < oldest.idle[0].since) {
+			oldest = be
+		}
+	}
+	if oldest != nil {
+		g.closeIdle(oldest)
+	}
+	return oldest != nil
+}
+
+// giveUp ends an attempt from our side. One that waits was never sent; of one that was given to a connection
+// only the connection knows, so it is closed and its last event tells.
+func (g *Gateway) giveUp(a *attempt, why logic.Outcome) {
+	switch {
+	case a.ended || a.why != logic.Done:
+	case a.conn == nil:
+		if i := slices.Index(a.be.waiting, a); i >= 0 {
+			a.be.waiting = slices.Delete(a.be.waiting, i, i+1)
+		}
+		g.end(a, logic.Moot, reply{})
+	default:
+		a.why = why
+		a.conn.nc.Close()
+	}
+}
+
+func (g *Gateway) connUp(ev connUp) {
+	ev.c.be.dialing--
+	g.free(ev.c)
+}
+
+func (g *Gateway) replied(ev replied) {
+	a := ev.c.cur
+	if a == nil { // an answer that nobody asked for: the order is lost
+		ev.c.nc.Close()
+		return
+	}
+	ev.c.cur = nil
+	closing := a.why != logic.Done
+	g.end(a, ev.outcome, ev.reply)
+	if !closing {
+		g.free(ev.c)
+	}
+}
+
+func (g *Gateway) connDown(ev connDown) {
+	be := ev.c.be
+	be.conns--
+	g.conns--
+	a := ev.c.cur
+	if i := slices.Index(be.idle, ev.c); i >= 0 {
+		be.idle = slices.Delete(be.idle, i, i+1)
+	}
+	switch {
+	case !ev.up:
+		be.dialing--
+		if len(be.waiting) > be.dialing { // else one that was freed has taken this one's attempt
+			a = be.waiting[0]
+			be.waiting = be.waiting[1:]
+			g.end(a, logic.NoConnect, reply{})
+		}
+	case a == nil:
+	case ev.whole != a && a.why != logic.Done:
+		g.end(a, logic.Moot, reply{})
+	case ev.whole != a:
+		g.end(a, logic.NoConnect, reply{})
+	case a.why != logic.Done:
+		g.end(a, a.why, reply{})
+	default:
+		g.end(a, logic.Reset, reply{})
+	}
+	g.dial(be)
+}
--- /dev/null
+++ b/internal/ingress/counter.go
@@ -0,0 +1,189 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"hash/fnv"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"larchwick/logic"
+)
+
+const (
+	counterLinks   = 4               // connections; calls of one name share one, so that they stay in order
+	counterQueue   = 512             // calls that wait for a connection, or on it for an answer
+	counterSilence = 3 * time.Second // a connection without a word for so long is idle or dead: it is closed
+)
+
+// call is one call of the shared counter. The gateway may take it back for as long as it is unwritten.
+type call struct {
+	name  string
+	add   float64
+	keep  time.Duration
+	state atomic.Int32 // callQueued, then one of the others
+	short bool         // its last byte was never written
+	ended bool         // the gateway's: its reply has been given
+}
+
+const (
+	callQueued int32 = iota
+	callWritten
+	callDropped
+)
+
+// counted is the event of a call's end.
+type counted struct {
+	call    *call
+	outcome logic.Outcome
+	total   float64
+}
+
+// counter is the client of the shared counter service.
+type counter struct {
+	links [counterLinks]*link
+}
+
+// link is one connection of the counter, opened when there is something to say.
+type link struct {
+	addr    string
+	timeout time.Duration
+	calls   chan *call
+	post    func(event)
+}
+
+func newCounter(addr string, timeout time.Duration, post func(event)) *counter {
+	c := &counter{}
+	for i := range c.links {
+		c.links[i] = &link{addr: addr, timeout: timeout, calls: make(chan *call, counterQueue), post: post}
+	}
+	return c
+}
+
+// add queues a call; where the queue is full the call just times out unwritten, in its order.
+func (c *counter) add(k *call) {
+	h := fnv.New32a()
+	h.Write([]byte(k.name))
+	select {
+	case c.links[h.Sum32()%counterLinks].calls <- k:
+	default:
+	}
+}
+
+// run serves the calls of one link until ctx ends.
+func (l *link) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case k := <-l.calls:
+			l.serve(ctx, k)
+		}
+	}
+}
+
+// serve opens a connection for the first call and writes calls to it until it breaks or falls silent.
+func (l *link) serve(ctx context.Context, first *call) {
+	d := net.Dialer{Timeout: l.timeout}
+	nc, err := d.DialContext(ctx, "tcp", l.addr)
+	if err != nil {
+		l.post(counted{call: first, outcome: logic.NoConnect})
+		return
+	}
+	pending, broken := make(chan *call, counterQueue), make(chan struct{})
+	go func() {
+		defer close(broken)
+		l.read(nc, pending)
+	}()
+	stop := context.AfterFunc(ctx, func() { nc.Close() })
+	defer stop()
+	var buf []byte
+	var ends []int
+	batch := []*call{first}
+	for open := true; open; {
+		for more := true; more && len(batch) < counterQueue/2; {
+			select {
+			case k := <-l.calls:
+				batch = append(batch, k)
+			default:
+				more = false
+			}
+		}
+		if len(pending) == 0 {
+			nc.SetReadDeadline(time.Now().Add(counterSilence))
+		}
+		buf, ends = buf[:0], ends[:0]
+		written := batch[:0]
+		for _, k := range batch {
+			if len(pending) == cap(pending) || !k.state.CompareAndSwap(callQueued, callWritten) {
+				continue // times out unwritten, or has already
+			}
+			buf = appendCall(buf, k)
+			ends = append(ends, len(buf))
+			written = append(written, k)
+			pending <- k
+		}
+		nc.SetWriteDeadline(time.Now().Add(l.timeout))
+		n, err := nc.Write(buf)
+		for i, k := range written {
+			k.short = ends[i] > n
+		}
+		batch = batch[:0]
+		if err != nil {
+			break
+		}
+		select {
+		case k := <-l.calls:
+			batch = append(batch, k)
+		case <-broken:
+			open = false
+		}
+	}
+	nc.Close()
+	<-broken
+	for len(pending) > 0 {
+		k := <-pending
+		o := logic.Reset
+		if k.short {
+			o = logic.NoConnect
+		}
+		l.post(counted{call: k, outcome: o})
+	}
+	for _, k := range batch { // read from the queue, never written
+		l.post(counted{call: k, outcome: logic.NoConnect})
+	}
+}
+
+// read hands the answers to the calls in their order; a late one is for the gateway to drop.
+func (l *link) read(nc net.Conn, pending <-chan *call) {
+	in := bufio.NewReaderSize(nc, 1<<10)
+	for {
+		line, err := in.ReadSlice('\n')
+		if err != nil || len(pending) == 0 {
+			return
+		}
+		nc.SetReadDeadline(time.Now().Add(counterSilence))
+		ev := counted{call: <-pending, outcome: logic.Failed}
+		switch s := strings.TrimSpace(string(line)); {
+		case s == "busy":
+			ev.outcome = logic.Full
+		case s == "error": // no such call: nothing was added
+			ev.outcome = logic.Moot
+		case strings.HasPrefix(s, "ok "):
+			if t, err := strconv.ParseFloat(s[3:], 64); err == nil {
+				ev.outcome, ev.total = logic.Done, t
+			}
+		}
+		l.post(ev)
+	}
+}
+
+func appendCall(b []byte, k *call) []byte {
+	b = append(append(b, "tally "...), k.name...)
+	b = strconv.AppendFloat(append(b, ' '), k.add, 'f', -1, 64)
+	b = strconv.AppendInt(append(b, ' '), max(1, k.keep.Milliseconds()), 10)
+	return append(b, '\r', '\n')
+}
--- /dev/null
+++ b/internal/ingress/discovery.go
@@ -0,0 +1,165 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"larchwick/logic"
+)
+
+const (
+	watchSilence = 6 * time.Second        // three of the empty lines that come every 2 s
+	listTimeout  = 1 * time.Second        // the agent answers at once, unless discovery is down
+	firstPause   = 100 * time.Millisecond // before the list is asked for again; doubled each time
+	longestPause = 2 * time.Second
+	maxList      = 1 << 20
+)
+
+// Fleet is discovery's list of backends, or the entries of it that changed.
+type Fleet struct {
+	Rev     int64    `json:"rev"`
+	All     bool     `json:"all"`
+	Targets []Target `json:"targets"`
+}
+
+// Target is one backend of the list.
+type Target struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Model    string  `json:"model"`
+	Group    int     `json:"pod_group"`
+	State    string  `json:"state"`
+	Capacity float64 `json:"capacity_hint"`
+	BootMS   int64   `json:"boot_ms"`
+}
+
+func (t Target) server() logic.Server {
+	s := logic.Server{ID: logic.ServerID(t.UID), Zone: t.Zone, Kind: t.Model, Cell: t.Group, Size: t.Capacity,
+		Started: time.Duration(t.BootMS) * time.Millisecond}
+	switch t.State {
+	case "SERVING":
+		s.State = logic.Running
+	case "DELETED":
+		s.State = logic.Gone
+	}
+	return s
+}
+
+// discovery keeps the gateway's list of backends up to date.
+type discovery struct {
+	url    string
+	rev    int64
+	client *http.Client
+	post   func(event)
+	first  chan struct{} // closed after the first list, or when that failed
+	log    *slog.Logger
+}
+
+func newDiscovery(addr string, rev int64, post func(event), log *slog.Logger) *discovery {
+	return &discovery{url: "http://" + addr + "/registry/instances", rev: rev, post: post, log: log,
+		client: &http.Client{Transport: &http.Transport{DisableCompression: true}}, first: make(chan struct{})}
+}
+
+// run lists, then watches, until ctx ends. Whatever breaks the watch, it resumes from the version held.
+func (d *discovery) run(ctx context.Context) {
+	defer d.client.CloseIdleConnections()
+	if err := d.list(ctx); err != nil {
+		d.log.Warn("discovery: no list yet", "err", err)
+	}
+	close(d.first)
+	for pause := firstPause; ctx.Err() == nil; pause = min(2*pause, longestPause) {
+		began := time.Now()
+		err := d.watch(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		d.log.Warn("discovery: the watch ended", "err", err)
+		if time.Since(began) > watchSilence {
+			pause = firstPause
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause/2 + rand.N(pause)):
+		}
+	}
+}
+
+// list brings the whole list once.
+func (d *discovery) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	body, err := d.get(ctx, d.url)
+	if err != nil {
+		return err
+	}
+	defer body.Close()
+	text, err := io.ReadAll(io.LimitReader(body, maxList))
+	if err != nil {
+		return fmt.Errorf("list: %w", err)
+	}
+	return d.tell(text)
+}
+
+// watch follows the changes; it always ends with an error.
+func (d *discovery) watch(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(watchSilence, cancel)
+	defer silence.Stop()
+	body, err := d.get(ctx, fmt.Sprintf("%s?follow=1&since=%d", d.url, d.rev))
+	if err != nil {
+		return err
+	}
+	defer body.Close()
+	in := bufio.NewScanner(body)
+	in.Buffer(nil, maxList)
+	for in.Scan() {
+		silence.Reset(watchSilence)
+		if len(in.Bytes()) == 0 {
+			continue
+		}
+		if err := d.tell(in.Bytes()); err != nil {
+			return err
+		}
+	}
+	if err := in.Err(); err != nil {
+		return fmt.Errorf("watch: %w", err)
+	}
+	return errors.New("watch: closed")
+}
+
+func (d *discovery) get(ctx context.Context, url string) (io.ReadCloser, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, fmt.Errorf("discovery answers %s", resp.Status)
+	}
+	return resp.Body, nil
+}
+
+// tell passes a list or a change on.
+func (d *discovery) tell(text []byte) error {
+	var f Fleet
+	if err := json.Unmarshal(text, &f); err != nil {
+		return fmt.Errorf("list: %w", err)
+	}
+	d.rev = f.Rev
+	d.post(f)
+	return nil
+}
--- /dev/null
+++ b/internal/ingress/gateway.go
@@ -0,0 +1,503 @@
+// Package ingress is the real ingress: it turns what comes on sockets into the decision module's events and
+// carries out its actions. It decides nothing itself.
+package ingress
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"larchwick/internal/wire"
+	"larchwick/logic"
+)
+
+const (
+	eventQueue   = 1024
+	mostBatch    = 256
+	answerMargin = 20 * time.Millisecond  // before the client gives up: the way back, and a busy machine
+	overdue      = 8 * time.Millisecond   // into the margin: the module should have answered by now
+	firstList    = 300 * time.Millisecond // what a start waits for discovery before it serves from the known list
+	idleCheck    = time.Second
+	graceOpen    = 600 * time.Millisecond  // after SIGTERM: new connections go on being served
+	graceAll     = 3300 * time.Millisecond // after SIGTERM: everything is answered by then
+	spare        = 48                      // descriptors for the counter, discovery, the listener and the runtime
+)
+
+// Config is all that an ingress is told.
+type Config struct {
+	Listen, Discovery, Counter string
+	Seed                       uint64
+	Sockets                    int // descriptors that it may hold
+	Known                      Fleet
+	Settings                   logic.Settings
+	Connections                wire.Connections
+}
+
+// event is what the gateway's goroutine is told by the others.
+type event any
+
+// endAll asks for a final answer to everything, at the end of a shutdown.
+type endAll struct{}
+
+// Gateway owns the decision module: its clock, its timers and the table of requests. Its goroutine never
+// waits for a peer.
+type Gateway struct {
+	cfg     Config
+	net     wire.Connections
+	log     *slog.Logger
+	classes map[string]logic.Class
+	plans   map[string]bool
+	counter *counter
+	events  chan event
+	stopped chan struct{}
+	spawned sync.WaitGroup
+	ctx     context.Context // of the goroutines that it spawns
+	start   time.Time
+	epoch   time.Duration // start on the clock that all ingresses share
+
+	mod      *logic.Gateway
+	now      time.Duration
+	alarms   alarms
+	requests map[logic.RequestID]*request
+	keys     map[uint64]*request
+	lastID   logic.RequestID
+	backends map[logic.ServerID]*backend
+	conns    int // to backends
+	most     int
+	actions  []logic.Action
+	queue    []logic.Event // for the module, from actions that ended at once
+
+	mostConns int
+}
+
+// New checks the configuration and returns an ingress that does not run yet.
+func New(cfg Config, log *slog.Logger) (*Gateway, error) {
+	if cfg.Sockets < 128 {
+		return nil, fmt.Errorf("%d sockets are too few: 128 at least", cfg.Sockets)
+	}
+	if cfg.Settings.Counter && cfg.Counter == "" {
+		return nil, fmt.Errorf("the settings name a shared counter, the configuration has no address of it")
+	}
+	mod, err := logic.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	if cfg.Connections.ConnectTimeout <= 0 {
+		cfg.Connections.ConnectTimeout = 250 * time.Millisecond
+	}
+	if cfg.Connections.Idle <= 0 {
+		cfg.Connections.Idle = 15 * time.Second
+	}
+	start := time.Now()
+	g := &Gateway{cfg: cfg, net: cfg.Connections, log: log, classes: map[string]logic.Class{}, plans: map[string]bool{},
+		events: make(chan event, eventQueue), stopped: make(chan struct{}), start: start,
+		epoch: time.Duration(start.UnixNano()), mod: mod, requests: map[logic.RequestID]*request{},
+		keys: map[uint64]*request{}, backends: map[logic.ServerID]*backend{}, mostConns: cfg.Sockets / 2}
+	for _, c := range cfg.Settings.Classes {
+		g.classes[c.Name] = c
+	}
+	for _, p := range cfg.Settings.Plans {
+		g.plans[p.Name] = true
+	}
+	g.counter = newCounter(cfg.Counter, cfg.Settings.CounterTimeout, g.post)
+	return g, nil
+}
+
+// Run serves until ctx ends, then answers what it has taken and returns.
+func (g *Gateway) Run(ctx context.Context) error {
+	life, stop := context.WithCancel(context.Background())
+	defer func() {
+		stop()
+		g.spawned.Wait()
+	}()
+	g.ctx = life
+	g.known()
+	g.spawn(g.loop)
+	for _, l := range g.counter.links {
+		g.spawn(l.run)
+	}
+	disc := newDiscovery(g.cfg.Discovery, g.cfg.Known.Rev, g.post, g.log)
+	g.spawn(disc.run)
+	select {
+	case <-disc.first:
+	case <-time.After(firstList):
+	case <-ctx.Done():
+		return nil
+	}
+	ln, err := net.Listen("tcp", g.cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listening: %w", err)
+	}
+	f := newFront(ln, g, g.cfg.Sockets-g.mostConns-spare)
+	g.spawn(func(context.Context) { f.accept() })
+	g.log.Info("serving", "listen", g.cfg.Listen)
+
+	<-ctx.Done()
+	g.log.Info("shutting down")
+	limit, cancel := context.WithTimeout(life, graceAll)
+	defer cancel()
+	time.Sleep(graceOpen)
+	last := time.AfterFunc(graceAll-graceOpen-100*time.Millisecond, func() { g.post(endAll{}) })
+	defer last.Stop()
+	f.drain(limit)
+	return nil
+}
+
+// spawn starts a goroutine that ends with the gateway's life, and is waited for.
+func (g *Gateway) spawn(run func(context.Context)) {
+	g.spawned.Add(1)
+	go func() {
+		defer g.spawned.Done()
+		run(g.ctx)
+	}()
+}
+
+// post tells the gateway's goroutine; after its end nothing is told any more.
+func (g *Gateway) post(ev event) {
+	select {
+	case g.events <- ev:
+	case <-g.stopped:
+	}
+}
+
+// clock is the time that all ingresses share, advanced by the monotonic one.
+func (g *Gateway) clock(t time.Time) time.Duration { return g.epoch + t.Sub(g.start) }
+
+// known hands the module the list that the configuration brought, before anything else.
+func (g *Gateway) known() {
+	g.now = g.clock(time.Now())
+	f := g.cfg.Known
+	f.All = true
+	g.handle(f)
+}
+
+// loop is the goroutine that owns all below.
+func (g *Gateway) loop(ctx context.Context) {
+	defer close(g.stopped)
+	g.after(idleCheck, g.checkIdle)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		timer.Reset(g.alarms[0].at - g.clock(time.Now()))
+		select {
+		case <-ctx.Done():
+			return
+		case ev := <-g.events:
+			g.now = g.clock(time.Now())
+			g.handle(ev)
+			for n := 1; n < mostBatch && len(g.events) > 0; n++ {
+				g.handle(<-g.events)
+			}
+		case <-timer.C:
+		}
+		g.now = g.clock(time.Now())
+		for len(g.alarms) > 0 && g.alarms[0].at <= g.now {
+			heap.Pop(&g.alarms).(alarm).ring()
+			g.flush()
+		}
+	}
+}
+
+func (g *Gateway) checkIdle() {
+	g.retireIdle()
+	g.after(idleCheck, g.checkIdle)
+}
+
+func (g *Gateway) handle(ev event) {
+	switch ev := ev.(type) {
+	case arrived:
+		g.arrived(ev.r)
+	case abandoned:
+		for _, r := range ev.reqs {
+			g.abandon(r)
+		}
+	case connUp:
+		g.connUp(ev)
+	case connDown:
+		g.connDown(ev)
+	case replied:
+		g.replied(ev)
+	case counted:
+		g.counted(ev)
+	case Fleet:
+		g.fleet(ev)
+	case endAll:
+		for _, r := range g.requests {
+			g.cutOff(r)
+		}
+	}
+	g.flush()
+}
+
+// tell queues an event for the module; flush hands it over.
+func (g *Gateway) tell(ev logic.Event) { g.queue = append(g.queue, ev) }
+
+// flush lets the module handle what is queued and carries out its actions, which may queue more.
+func (g *Gateway) flush() {
+	for i := 0; i < len(g.queue); i++ {
+		g.actions = g.mod.Handle(g.now, g.queue[i], g.actions[:0])
+		for _, a := range g.actions {
+			g.act(a)
+		}
+	}
+	clear(g.queue)
+	g.queue = g.queue[:0]
+}
+
+func (g *Gateway) act(a logic.Action) {
+	switch a := a.(type) {
+	case logic.Send:
+		g.send(a)
+	case logic.Cancel:
+		if r := g.requests[a.ID]; r != nil && a.Attempt < len(r.attempts) {
+			g.giveUp(r.attempts[a.Attempt], logic.Cancelled)
+		}
+	case logic.Refuse:
+		b := []byte("-BUSY\r\n")
+		if a.RetryAfter > 0 {
+			b = strconv.AppendInt(append(b[:5], ' '), max(1, a.RetryAfter.Milliseconds()), 10)
+			b = append(b, '\r', '\n')
+		}
+		g.answer(g.requests[a.ID], b)
+	case logic.Fail:
+		g.answer(g.requests[a.ID], []byte("-ERR failed\r\n"))
+	case logic.SetTimer:
+		g.after(a.After, func() { g.tell(logic.TimerFired{}) })
+	case logic.Count:
+		g.count(a)
+	case logic.Probe:
+		g.probe(a.Server)
+	case logic.CloseIdle:
+		if be := g.backends[a.Server]; be != nil {
+			for len(be.idle) > 0 {
+				g.closeIdle(be)
+			}
+		}
+	case logic.Watch, logic.Fetch: // the watch is always on: the list held is the answer
+		g.tell(g.held())
+	case logic.Log:
+		g.log.Info(a.Text)
+	default:
+		g.log.Warn("no such action on sockets", "action", fmt.Sprintf("%T", a))
+	}
+}
+
+// --- requests ---
+
+func (g *Gateway) arrived(r *request) {
+	if g.keys[r.key] != nil {
+		r.final = true
+		r.slot.answer([]byte("-ERR a request of this id is being served\r\n"))
+		return
+	}
+	g.lastID++
+	r.ID = g.lastID
+	g.requests[r.ID], g.keys[r.key] = r, r
+	g.tell(logic.Arrival{Request: r.Request})
+	g.at(r.GiveUpAt+overdue, func() { g.cutOff(r) })
+}
+
+// answer gives the final answer, once.
+func (g *Gateway) answer(r *request, b []byte) {
+	if r == nil || r.final {
+		return
+	}
+	r.final = true
+	r.slot.answer(b)
+	g.forget(r)
+}
+
+// abandon ends a request whose client has gone.
+func (g *Gateway) abandon(r *request) {
+	if r.final {
+		return
+	}
+	r.final = true
+	g.tell(logic.Abandoned{ID: r.ID})
+	g.forget(r)
+}
+
+// cutOff fails a request that the module has left unanswered until the last moment.
+func (g *Gateway) cutOff(r *request) {
+	if r.final {
+		return
+	}
+	g.log.Warn("no answer in time", "class", r.Class, "attempts", len(r.attempts))
+	g.answer(r, []byte("-ERR failed\r\n"))
+	g.tell(logic.Abandoned{ID: r.ID})
+}
+
+func (g *Gateway) forget(r *request) {
+	if r.final && r.out == 0 {
+		delete(g.requests, r.ID)
+		delete(g.keys, r.key)
+	}
+}
+
+// --- attempts ---
+
+func (g *Gateway) send(s logic.Send) {
+	r, be := g.requests[s.ID], g.backends[s.Server]
+	if r == nil || be == nil {
+		return
+	}
+	a := &attempt{req: r, n: len(r.attempts), be: be, began: g.now, stop: r.GiveUpAt}
+	if s.StopAt > 0 {
+		a.stop = min(s.StopAt, r.GiveUpAt)
+	}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	if r.final || a.stop <= g.now || a.n >= g.cfg.Settings.MaxAttempts || be.State != logic.Running {
+		g.end(a, logic.Moot, reply{})
+		return
+	}
+	g.at(a.stop, func() { g.giveUp(a, logic.TimedOut) })
+	g.place(a)
+}
+
+// command is what an attempt writes: the client's own, with the time that is left for it.
+func (g *Gateway) command(a *attempt) []byte {
+	if a.req == nil {
+		return redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(nil, 2), "INFO"), "load")
+	}
+	r := a.req
+	b := redcon.AppendArray(make([]byte, 0, 192+len(r.args[len(r.args)-1])), len(r.args))
+	for i, arg := range r.args {
+		if i == 3 {
+			fields := append(make([]byte, 0, len(arg)+8), arg[:r.dFrom]...)
+			fields = strconv.AppendInt(fields, max(1, (a.stop-g.now).Milliseconds()), 10)
+			arg = append(fields, arg[r.dTo:]...)
+		}
+		b = redcon.AppendBulk(b, arg)
+	}
+	return b
+}
+
+// end tells the module how an attempt ended, once; the first that is served answers the client.
+func (g *Gateway) end(a *attempt, o logic.Outcome, rep reply) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	r := a.req
+	if r == nil {
+		g.tell(logic.ProbeEnded{Server: a.be.ID, Outcome: o, Took: g.now - a.began, Load: rep.load})
+		return
+	}
+	if o == logic.Done && rep.value == nil {
+		o = logic.Failed
+	}
+	if o == logic.Done && !r.final {
+		r.final = true
+		r.slot.answer(redcon.AppendBulk(make([]byte, 0, len(rep.value)+16), rep.value))
+	}
+	r.out--
+	g.tell(logic.AttemptEnded{ID: r.ID, Attempt: a.n, Server: a.be.ID, Outcome: o, Took: g.now - a.began,
+		Finished: r.final, Load: rep.load})
+	g.forget(r)
+}
+
+func (g *Gateway) probe(id logic.ServerID) {
+	be := g.backends[id]
+	if be == nil {
+		return
+	}
+	a := &attempt{be: be, began: g.now, stop: g.now + probeTimeout}
+	g.at(a.stop, func() { g.giveUp(a, logic.TimedOut) })
+	g.place(a)
+}
+
+// --- the list and the counter ---
+
+func (g *Gateway) fleet(f Fleet) {
+	ev := logic.FleetChanged{Whole: f.All}
+	if f.All {
+		for _, be := range g.backends {
+			be.State = logic.Gone
+		}
+	}
+	for _, t := range f.Targets {
+		s := t.server()
+		be := g.backends[s.ID]
+		if be == nil {
+			be = &backend{}
+			g.backends[s.ID] = be
+		}
+		be.Server = s
+		if s.State != logic.Gone {
+			be.addr = t.Endpoint
+		}
+		ev.Servers = append(ev.Servers, s)
+	}
+	g.retireIdle()
+	g.tell(ev)
+}
+
+// held is the list as it stands.
+func (g *Gateway) held() logic.Event {
+	ev := logic.FleetChanged{Whole: true}
+	for _, be := range g.backends {
+		if be.State != logic.Gone {
+			ev.Servers = append(ev.Servers, be.Server)
+		}
+	}
+	return ev
+}
+
+func (g *Gateway) count(a logic.Count) {
+	k := &call{name: a.Name, add: a.Add, keep: a.Keep}
+	g.counter.add(k)
+	g.after(g.cfg.Settings.CounterTimeout, func() {
+		if k.state.CompareAndSwap(callQueued, callDropped) {
+			g.counted(counted{call: k, outcome: logic.NoConnect}) // never written, and never will be
+			return
+		}
+		g.counted(counted{call: k, outcome: logic.TimedOut})
+	})
+}
+
+// counted passes a call's reply on, once: an answer after the time-out is dropped.
+func (g *Gateway) counted(ev counted) {
+	if ev.call.ended {
+		return
+	}
+	ev.call.ended = true
+	g.tell(logic.CountReply{Name: ev.call.name, Outcome: ev.outcome, Total: ev.total})
+}
+
+// --- timers ---
+
+// alarm is something to do at a time; alarms is a heap of them, earliest first.
+type alarm struct {
+	at   time.Duration
+	ring func()
+}
+
+type alarms []alarm
+
+func (h alarms) Len() int           { return len(h) }
+func (h alarms) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h alarms) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push is for container/heap.
+func (h *alarms) Push(x any) { *h = append(*h, x.(alarm)) }
+
+// Pop is for container/heap.
+func (h *alarms) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = alarm{}
+	*h = old[:len(old)-1]
+	return last
+}
+
+func (g *Gateway) at(t time.Duration, ring func()) { heap.Push(&g.alarms, alarm{t, ring}) }
+
+func (g *Gateway) after(d time.Duration, ring func()) { g.at(g.now+d, ring) }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -23,12 +23,14 @@
 		SharedCounter    bool    `json:"sharedCounter"`
 	} `json:"familyInfo"`
 	Permissions struct {
-		MaxAttempts     int     `json:"maxAttempts"`
-		MaxRetryAfterUs float64 `json:"maxRetryAfterUs"`
-		MayCancel       bool    `json:"mayCancel"`
-		Probing         bool    `json:"probing"`
-		ParallelTries   bool    `json:"parallelTries"`
-		RetryAfter      bool    `json:"retryAfter"`
+		ConnIdleUs       float64 `json:"connIdleUs"`
+		ConnectTimeoutUs float64 `json:"connectTimeoutUs"`
+		MaxAttempts      int     `json:"maxAttempts"`
+		MaxRetryAfterUs  float64 `json:"maxRetryAfterUs"`
+		MayCancel        bool    `json:"mayCancel"`
+		Probing          bool    `json:"probing"`
+		ParallelTries    bool    `json:"parallelTries"`
+		RetryAfter       bool    `json:"retryAfter"`
 	} `json:"permissions"`
 	Prices struct {
 		CrossZone float64 `json:"crossZone"`
@@ -66,12 +68,19 @@
 	Tolerance   float64 `json:"tolerance"`
 }
 
+// Connections are the settings that matter only to a program with real connections to servers.
+type Connections struct {
+	Idle           time.Duration // a server closes a connection that has been idle for so long
+	ConnectTimeout time.Duration // one that is not up by then has failed
+}
+
 func us(v float64) time.Duration { return time.Duration(v) * time.Microsecond }
 
-func parseSettings(text string) (*logic.Settings, error) {
+// ParseSettings reads the settings object; keys that it does not know are skipped.
+func ParseSettings(text []byte) (*logic.Settings, Connections, error) {
 	var f facts
-	if err := json.Unmarshal([]byte(text), &f); err != nil {
-		return nil, fmt.Errorf("field facts: %w", err)
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, Connections{}, fmt.Errorf("settings: %w", err)
 	}
 	s := &logic.Settings{Me: f.Me, Gateways: f.Replicas, Zone: f.MyZone,
 		MaxUnits: f.FamilyInfo.MaxUnits, Counter: f.FamilyInfo.SharedCounter,
@@ -94,7 +103,8 @@
 			Open: c.Concurrency, ExcessWorth: c.ExcessWorth, ExcessCost: c.ExcessCost, CeilingRate: c.HardRate,
 			CeilingBurst: c.CapDepth, CeilingSlack: c.Tolerance, SettledByReply: f.FamilyInfo.CostAfter})
 	}
-	return s, nil
+	return s, Connections{Idle: us(f.Permissions.ConnIdleUs),
+		ConnectTimeout: us(f.Permissions.ConnectTimeoutUs)}, nil
 }
 
 func effect(s string) logic.Effect {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -117,7 +117,10 @@
 		m.Seed = p.uint("nonce64", 64)
 		p.need("facts")
 		if p.err == nil {
-			m.Settings, p.err = parseSettings(p.f["facts"])
+			var err error
+			if m.Settings, _, err = ParseSettings([]byte(p.f["facts"])); err != nil {
+				p.fail("facts", err)
+			}
 		}
 	case "DESTROY":
 	case "MEMBERSHIP":
