--- a/internal/ingress/backend.go
+++ b/internal/ingress/backend.go
@@ -15,6 +15,7 @@
 
 const (
 	mostPerBackend = 48                     // connections to one backend
+	still          = logic.Failed           // the zero outcome: an attempt that nobody has given up
 	probeTimeout   = 250 * time.Millisecond // of a probe, which has no request whose time could end it
 	writeTimeout   = 5 * time.Second
 )
@@ -27,7 +28,7 @@
 	began time.Duration
 	stop  time.Duration
 	conn  *conn         // carries it; nil while it waits for one
-	why   logic.Outcome // given up by us: TimedOut or Cancelled; else Done
+	why   logic.Outcome // given up by us: TimedOut or Cancelled; else still
 	ended bool
 }
 
@@ -278,7 +279,7 @@
 // only the connection knows, so it is closed and its last event tells.
 func (g *Gateway) giveUp(a *attempt, why logic.Outcome) {
 	switch {
-	case a.ended || a.why != logic.Done:
+	case a.ended || a.why != still:
 	case a.conn == nil:
 		if i := slices.Index(a.be.waiting, a); i >= 0 {
 			a.be.waiting = slices.Delete(a.be.waiting, i, i+1)
@@ -302,7 +303,7 @@
 		return
 	}
 	ev.c.cur = nil
-	closing := a.why != logic.Done
+	closing := a.why != still
 	g.end(a, ev.outcome, ev.reply)
 	if !closing {
 		g.free(ev.c)
@@ -326,11 +327,11 @@
 			g.end(a, logic.NoConnect, reply{})
 		}
 	case a == nil:
-	case ev.whole != a && a.why != logic.Done:
+	case ev.whole != a && a.why != still:
 		g.end(a, logic.Moot, reply{})
 	case ev.whole != a:
 		g.end(a, logic.NoConnect, reply{})
-	case a.why != logic.Done:
+	case a.why != still:
 		g.end(a, a.why, reply{})
 	default:
 		g.end(a, logic.Reset, reply{})
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -70,7 +70,6 @@
 	lastID   logic.RequestID
 	backends map[logic.ServerID]*backend
 	conns    int // to backends
-	most     int
 	actions  []logic.Action
 	queue    []logic.Event // for the module, from actions that ended at once
 
