--- /dev/null
+++ b/internal/ingress/counter_test.go
@@ -0,0 +1,117 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"larchwick/logic"
+)
+
+// startLink runs one link to a counter that serve plays, and returns it with the events that it posts.
+func startLink(t *testing.T, serve func(nc net.Conn, lines *bufio.Reader)) (*link, <-chan event) {
+	events := make(chan event, 64)
+	addr := listen(t, func(nc net.Conn) { serve(nc, bufio.NewReader(nc)) })
+	l := &link{addr: addr, timeout: 5 * time.Second, calls: make(chan *call, 16), post: func(e event) { events <- e }}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return l, events
+}
+
+// Each form of answer means what the protocol says, in the order of the calls.
+func TestCounterAnswers(t *testing.T) {
+	l, events := startLink(t, func(nc net.Conn, in *bufio.Reader) {
+		for _, answer := range []string{"ok 3.5\r\n", "busy\r\n", "error\r\n", "ok x\r\n", ""} {
+			if _, err := in.ReadString('\n'); err != nil {
+				return
+			}
+			if io.WriteString(nc, answer); answer == "" {
+				return // the last one breaks after its last byte: it may have been added
+			}
+		}
+	})
+	for i, want := range []logic.Outcome{logic.Done, logic.Full, logic.Moot, logic.Failed, logic.Reset} {
+		k := &call{name: "a", add: -2.5, keep: 4 * time.Second}
+		l.calls <- k
+		ev := (<-events).(counted)
+		if ev.call != k || ev.outcome != want {
+			t.Fatalf("call %d: outcome %v, want %v", i, ev.outcome, want)
+		}
+		if i == 0 && ev.total != 3.5 {
+			t.Fatalf("total %v", ev.total)
+		}
+	}
+}
+
+func TestCounterCallText(t *testing.T) {
+	if got := string(appendCall(nil, &call{name: "n", add: -2.5, keep: 4 * time.Second})); got != "tally n -2.5 4000\r\n" {
+		t.Fatalf("%q", got)
+	}
+}
+
+// A call that was taken back before it was written is never written: its time-out said that nothing was added.
+func TestCounterDroppedCallIsNotWritten(t *testing.T) {
+	seen := make(chan string, 16)
+	l, events := startLink(t, func(nc net.Conn, in *bufio.Reader) {
+		for {
+			s, err := in.ReadString('\n')
+			if err != nil {
+				return
+			}
+			seen <- strings.Fields(s)[1]
+			io.WriteString(nc, "ok 1\r\n")
+		}
+	})
+	a, b, c := &call{name: "a"}, &call{name: "b"}, &call{name: "c"}
+	b.state.Store(callDropped)
+	for _, k := range []*call{a, b, c} {
+		l.calls <- k
+	}
+	<-events
+	<-events
+	if x, y := <-seen, <-seen; x != "a" || y != "c" {
+		t.Fatalf("written: %s, %s; want a, c", x, y)
+	}
+}
+
+// A counter that nobody listens at has added nothing.
+func TestCounterRefused(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	events := make(chan event, 1)
+	l := &link{addr: addr, timeout: 5 * time.Second, calls: make(chan *call, 1), post: func(e event) { events <- e }}
+	l.serve(context.Background(), &call{name: "a"})
+	if ev := (<-events).(counted); ev.outcome != logic.NoConnect {
+		t.Fatalf("outcome %v", ev.outcome)
+	}
+}
+
+// The module hears of each call once: an answer after the time-out is dropped.
+func TestCounterLateAnswerIsDropped(t *testing.T) {
+	g, err := New(testConfig("", Fleet{}), quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := &call{name: "a"}
+	g.counted(counted{call: k, outcome: logic.TimedOut})
+	g.counted(counted{call: k, outcome: logic.Done, total: 7})
+	if len(g.queue) != 1 || g.queue[0].(logic.CountReply).Outcome != logic.TimedOut {
+		t.Fatalf("told: %v", g.queue)
+	}
+}
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -59,6 +59,8 @@
 	stopped chan struct{}
 	spawned sync.WaitGroup
 	ctx     context.Context // of the goroutines that it spawns
+	ready   chan struct{}
+	addr    net.Addr
 	start   time.Time
 	epoch   time.Duration // start on the clock that all ingresses share
 
@@ -96,7 +98,7 @@
 	}
 	start := time.Now()
 	g := &Gateway{cfg: cfg, net: cfg.Connections, log: log, classes: map[string]logic.Class{}, plans: map[string]bool{},
-		events: make(chan event, eventQueue), stopped: make(chan struct{}), start: start,
+		events: make(chan event, eventQueue), stopped: make(chan struct{}), ready: make(chan struct{}), start: start,
 		epoch: time.Duration(start.UnixNano()), mod: mod, requests: map[logic.RequestID]*request{},
 		keys: map[uint64]*request{}, backends: map[logic.ServerID]*backend{}, mostConns: cfg.Sockets / 2}
 	for _, c := range cfg.Settings.Classes {
@@ -109,6 +111,12 @@
 	return g, nil
 }
 
+// Ready closes when clients are taken.
+func (g *Gateway) Ready() <-chan struct{} { return g.ready }
+
+// Addr is where, once Ready has closed.
+func (g *Gateway) Addr() net.Addr { return g.addr }
+
 // Run serves until ctx ends, then answers what it has taken and returns.
 func (g *Gateway) Run(ctx context.Context) error {
 	life, stop := context.WithCancel(context.Background())
@@ -136,6 +144,8 @@
 	}
 	f := newFront(ln, g, g.cfg.Sockets-g.mostConns-spare)
 	g.spawn(func(context.Context) { f.accept() })
+	g.addr = ln.Addr()
+	close(g.ready)
 	g.log.Info("serving", "listen", g.cfg.Listen)
 
 	<-ctx.Done()
--- /dev/null
+++ b/internal/ingress/ingress_test.go
@@ -0,0 +1,529 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"larchwick/internal/wire"
+	"larchwick/logic"
+)
+
+// listen opens an ephemeral port on the loopback address and hands every connection to serve.
+func listen(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var open []net.Conn
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			open = append(open, nc)
+			mu.Unlock()
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				defer nc.Close()
+				serve(nc)
+			}()
+		}
+	}()
+	t.Cleanup(func() {
+		ln.Close()
+		mu.Lock()
+		for _, nc := range open {
+			nc.Close()
+		}
+		mu.Unlock()
+		wg.Wait()
+	})
+	return ln.Addr().String()
+}
+
+// backendFake answers commands by their order: what say returns goes out as it is, "" is silence.
+type backendFake struct {
+	addr     string
+	conns    atomic.Int32
+	mu       sync.Mutex
+	commands [][]string
+}
+
+func newBackend(t *testing.T, say func(n int, args []string, nc net.Conn) string) *backendFake {
+	b := &backendFake{}
+	b.addr = listen(t, func(nc net.Conn) {
+		b.conns.Add(1)
+		in := redcon.NewReader(nc)
+		for {
+			cmd, err := in.ReadCommand()
+			if err != nil {
+				return
+			}
+			var args []string
+			for _, a := range cmd.Args {
+				args = append(args, string(a))
+			}
+			b.mu.Lock()
+			b.commands = append(b.commands, args)
+			n := len(b.commands)
+			b.mu.Unlock()
+			if s := say(n, args, nc); s != "" {
+				io.WriteString(nc, s)
+			}
+		}
+	})
+	return b
+}
+
+func (b *backendFake) seen() [][]string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.commands
+}
+
+const served = "*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
+
+// registry is discovery's agent: a list, and a watch that tells what is sent to changes.
+func registry(t *testing.T, list Fleet, changes <-chan Fleet) string {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("follow") == "" {
+			json.NewEncoder(w).Encode(list)
+			return
+		}
+		for {
+			w.(http.Flusher).Flush()
+			select {
+			case <-r.Context().Done():
+				return
+			case f := <-changes:
+				json.NewEncoder(w).Encode(f)
+			}
+		}
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func fleetOf(addrs ...string) Fleet {
+	f := Fleet{Rev: 1, All: true}
+	for i, a := range addrs {
+		f.Targets = append(f.Targets, Target{UID: fmt.Sprint("s", i), Endpoint: a, Zone: "a", State: "SERVING"})
+	}
+	return f
+}
+
+// setting up one ingress
+
+func testConfig(disc string, known Fleet) Config {
+	return Config{Listen: "127.0.0.1:0", Discovery: disc, Sockets: 256, Known: known,
+		Settings: logic.Settings{Gateways: 1, MaxAttempts: 1, MayCancel: true, MaxUnits: 4,
+			Classes: []logic.Class{
+				{Name: "read", Worth: 1, Aim: 20 * time.Second, Deadline: 60 * time.Second, Effect: logic.Safe},
+				{Name: "write", Worth: 1, Aim: 20 * time.Second, Deadline: 60 * time.Second, Effect: logic.Unsafe},
+				{Name: "keyed", Worth: 1, Aim: 20 * time.Second, Deadline: 60 * time.Second, Effect: logic.Keyed}},
+			Plans: []logic.Plan{{Name: "p", Price: 1}}},
+		Connections: wire.Connections{Idle: 15 * time.Second, ConnectTimeout: 5 * time.Second}}
+}
+
+// startIngress runs an ingress and returns its address and what stops it and gives Run's result.
+func startIngress(t *testing.T, cfg Config) (addr string, stop func() error) {
+	t.Helper()
+	g, err := New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- g.Run(ctx) }()
+	stop = sync.OnceValue(func() error {
+		cancel()
+		return <-done
+	})
+	t.Cleanup(func() { stop() })
+	select {
+	case <-g.Ready():
+	case err := <-done:
+		done <- err
+		t.Fatal("the ingress ended: ", err)
+	}
+	return g.Addr().String(), stop
+}
+
+// dial opens a client's connection; every read of it ends the test after a minute.
+func dial(t *testing.T, addr string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	nc.SetReadDeadline(time.Now().Add(time.Minute))
+	return nc, bufio.NewReader(nc)
+}
+
+func command(args ...string) string {
+	b := redcon.AppendArray(nil, len(args))
+	for _, a := range args {
+		b = redcon.AppendBulkString(b, a)
+	}
+	return string(b)
+}
+
+func ask(id int, fields string) string {
+	return command("Q.ASK", "00000000b4d65521", fmt.Sprintf("%016x", id), fields)
+}
+
+const readFields = "c=read,t=p,d=50000,units=1,spread=1,first=0"
+
+func line(t *testing.T, in *bufio.Reader) string {
+	t.Helper()
+	s, err := in.ReadString('\n')
+	if err != nil {
+		t.Fatalf("read %q: %v", s, err)
+	}
+	return strings.TrimRight(s, "\r\n")
+}
+
+func wantValue(t *testing.T, in *bufio.Reader) {
+	t.Helper()
+	if a, b := line(t, in), line(t, in); a != "$5" || b != "value" {
+		t.Fatalf("answer %q %q, want the backend's value", a, b)
+	}
+}
+
+// An answered attempt must free its connection: once all of them were taken for given up.
+func TestConnectionIsReused(t *testing.T) {
+	be := newBackend(t, func(int, []string, net.Conn) string { return served })
+	list := fleetOf(be.addr)
+	addr, _ := startIngress(t, testConfig(registry(t, list, nil), list))
+	nc, in := dial(t, addr)
+	for i := range 5 {
+		io.WriteString(nc, ask(i, readFields))
+		wantValue(t, in)
+	}
+	if n := be.conns.Load(); n != 1 {
+		t.Fatalf("%d connections for requests one after another, want 1", n)
+	}
+}
+
+// A silent backend's attempt ends at the request's time, before the client leaves; its connection is given up.
+func TestSilentBackendIsTimedOut(t *testing.T) {
+	be := newBackend(t, func(n int, _ []string, _ net.Conn) string {
+		if n == 1 {
+			return ""
+		}
+		return served
+	})
+	list := fleetOf(be.addr)
+	addr, _ := startIngress(t, testConfig(registry(t, list, nil), list))
+	nc, in := dial(t, addr)
+	began := time.Now()
+	io.WriteString(nc, ask(1, "c=read,t=p,d=1000,units=1,spread=1,first=0"))
+	if got := line(t, in); !strings.HasPrefix(got, "-BUSY") {
+		t.Fatalf("answer %q, want the module's refusal of a read that timed out", got)
+	}
+	if took := time.Since(began); took < 900*time.Millisecond {
+		t.Fatalf("given up after %v of 1 s", took)
+	}
+	io.WriteString(nc, ask(2, readFields))
+	wantValue(t, in)
+	if n := be.conns.Load(); n != 2 {
+		t.Fatalf("%d connections, want a new one after the given-up one", n)
+	}
+}
+
+// The command, customer, id, key and body go on as they came; d becomes what is left of it.
+func TestCommandGoesOn(t *testing.T) {
+	be := newBackend(t, func(int, []string, net.Conn) string { return served })
+	list := fleetOf(be.addr)
+	addr, _ := startIngress(t, testConfig(registry(t, list, nil), list))
+	nc, in := dial(t, addr)
+	io.WriteString(nc, command("Q.DO", "00000000b4d65521", "9b1f03aa5c7e2d41",
+		"c=keyed,t=p,d=9000,k=5c0f,units=2,spread=3,first=0,r=1", "BODY\r\n"))
+	wantValue(t, in)
+	got := be.seen()[0]
+	var left int
+	if _, err := fmt.Sscanf(got[3], "c=keyed,t=p,d=%d,k=5c0f,units=2,spread=3,first=0,r=1", &left); err != nil {
+		t.Fatalf("fields %q: %v", got[3], err)
+	}
+	if left < 1 || left > 9000 {
+		t.Fatalf("d=%d, want what is left of 9000", left)
+	}
+	got[3] = ""
+	if fmt.Sprint(got) != fmt.Sprint([]string{"Q.DO", "00000000b4d65521", "9b1f03aa5c7e2d41", "", "BODY\r\n"}) {
+		t.Fatalf("command %q", got)
+	}
+}
+
+// Bad input gets one error line and reaches no backend; where the framing holds, the connection goes on.
+func TestBadInput(t *testing.T) {
+	be := newBackend(t, func(int, []string, net.Conn) string { return served })
+	list := fleetOf(be.addr)
+	addr, _ := startIngress(t, testConfig(registry(t, list, nil), list))
+	long := strings.Repeat("x", maxValue+1)
+	for name, c := range map[string]struct {
+		in     string
+		closed bool
+	}{
+		"unknown command":  {command("HELLO", "3"), false},
+		"no fields":        {command("Q.ASK"), false},
+		"bad customer":     {command("Q.ASK", "zz", "9b1f03aa5c7e2d41", readFields), false},
+		"large customer":   {command("Q.ASK", "ffffffffb4d65521", "9b1f03aa5c7e2d41", readFields), false},
+		"bad id":           {command("Q.ASK", "00000000b4d65521", "9", readFields), false},
+		"no d":             {ask(1, "c=read,t=p,units=1,spread=1,first=0"), false},
+		"bad d":            {ask(1, "c=read,t=p,d=-1,units=1,spread=1,first=0"), false},
+		"huge d":           {ask(1, "c=read,t=p,d=99999999999,units=1,spread=1,first=0"), false},
+		"bad units":        {ask(1, "c=read,t=p,d=9,units=NaN,spread=1,first=0"), false},
+		"no value":         {ask(1, "c=read,t=p,d"), false},
+		"twice":            {ask(1, readFields+",d=7"), false},
+		"unknown class":    {ask(1, "c=odd,t=p,d=9,units=1,spread=1,first=0"), false},
+		"unknown plan":     {ask(1, "c=read,t=odd,d=9,units=1,spread=1,first=0"), false},
+		"wrong command":    {ask(1, "c=write,t=p,d=9,units=1,spread=1,first=0"), false},
+		"no key":           {command("Q.DO", "00000000b4d65521", "9b1f03aa5c7e2d41", "c=keyed,t=p,d=9,units=1,spread=1,first=0"), false},
+		"not an array":     {"PING\r\n", true},
+		"negative bulk":    {"*1\r\n$-5\r\n", true},
+		"null bulk":        {"*1\r\n$-1\r\n", false},
+		"overflowing bulk": {"*1\r\n$9223372036854775807\r\n", true},
+		"many elements":    {"*1000000\r\n", true},
+		"oversized":        {command("Q.DO", "00000000b4d65521", "9b1f03aa5c7e2d41", "c=write", long), true},
+		"endless line":     {"*" + strings.Repeat("1", 4000), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			nc, in := dial(t, addr)
+			go io.WriteString(nc, c.in)
+			if got := line(t, in); !strings.HasPrefix(got, "-ERR ") {
+				t.Fatalf("answer %q", got)
+			}
+			if c.closed {
+				if rest, err := io.ReadAll(in); len(rest) > 0 || err != nil {
+					t.Fatalf("after the error: %q, %v", rest, err)
+				}
+				return
+			}
+			io.WriteString(nc, command("PING"))
+			if got := line(t, in); got != "+PONG" {
+				t.Fatalf("PING after the error: %q", got)
+			}
+		})
+	}
+	if got := be.seen(); len(got) > 0 {
+		t.Fatalf("sent to a backend: %q", got)
+	}
+}
+
+// What happened to an attempt decides what an unsafe request's client is told: harmless to try again only
+// where the command never ran.
+func TestUnsafeOutcomes(t *testing.T) {
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead.Close()
+	for name, c := range map[string]struct {
+		say  func(int, []string, net.Conn) string
+		want string
+	}{
+		"refused":     {nil, "-BUSY"},
+		"turned away": {func(int, []string, net.Conn) string { return "-BUSY\r\n" }, "-BUSY"},
+		"error":       {func(int, []string, net.Conn) string { return "-ERR failed\r\n" }, "-ERR"},
+		"null value":  {func(int, []string, net.Conn) string { return "*1\r\n$-1\r\n" }, "-ERR"},
+		"not RESP":    {func(int, []string, net.Conn) string { return "hello\r\n" }, "-ERR"},
+		"overflow":    {func(int, []string, net.Conn) string { return "*1\r\n$9223372036854775807\r\n" }, "-ERR"},
+		"reset": {func(_ int, _ []string, nc net.Conn) string {
+			nc.Close()
+			return ""
+		}, "-ERR"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			be := &backendFake{addr: dead.Addr().String()}
+			if c.say != nil {
+				be = newBackend(t, c.say)
+			}
+			list := fleetOf(be.addr)
+			addr, _ := startIngress(t, testConfig(registry(t, list, nil), list))
+			nc, in := dial(t, addr)
+			io.WriteString(nc, command("Q.DO", "00000000b4d65521", "9b1f03aa5c7e2d41", "c=write,t=p,d=50000,units=1,spread=1,first=0"))
+			if got := line(t, in); !strings.HasPrefix(got, c.want) {
+				t.Fatalf("answer %q, want %s", got, c.want)
+			}
+			if n := len(be.seen()); n > 1 {
+				t.Fatalf("sent %d times", n)
+			}
+		})
+	}
+}
+
+// Answers leave in the order of the commands, whatever comes first from the backends.
+func TestPipelinedAnswersInOrder(t *testing.T) {
+	second := make(chan struct{})
+	be := newBackend(t, func(_ int, args []string, _ net.Conn) string {
+		if strings.HasSuffix(args[2], "1") {
+			<-second // the first is answered last
+		} else {
+			close(second)
+		}
+		return "*1\r\n$1\r\n" + args[2][15:] + "\r\n"
+	})
+	list := fleetOf(be.addr)
+	addr, _ := startIngress(t, testConfig(registry(t, list, nil), list))
+	nc, in := dial(t, addr)
+	io.WriteString(nc, ask(1, readFields)+ask(2, readFields)+command("PING"))
+	for _, want := range []string{"$1", "1", "$1", "2", "+PONG"} {
+		if got := line(t, in); got != want {
+			t.Fatalf("%q, want %q", got, want)
+		}
+	}
+}
+
+// A shutdown answers what was taken, and what still comes on an open connection, before the connection ends.
+func TestShutdownAnswersWhatWasTaken(t *testing.T) {
+	taken, release := make(chan struct{}, 2), make(chan struct{})
+	be := newBackend(t, func(int, []string, net.Conn) string {
+		taken <- struct{}{}
+		<-release
+		return served
+	})
+	list := fleetOf(be.addr)
+	addr, stop := startIngress(t, testConfig(registry(t, list, nil), list))
+	nc, in := dial(t, addr)
+	io.WriteString(nc, ask(1, readFields))
+	<-taken
+	ended := make(chan error, 1)
+	go func() { ended <- stop() }()
+	io.WriteString(nc, ask(2, readFields))
+	<-taken
+	close(release)
+	wantValue(t, in)
+	wantValue(t, in)
+	if rest, err := io.ReadAll(in); len(rest) > 0 || err != nil {
+		t.Fatalf("after the answers: %q, %v; want a clean end", rest, err)
+	}
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// idleGateway is one whose goroutine does not run: the test hands it the events itself.
+func idleGateway(t *testing.T, addr string) *Gateway {
+	g, err := New(testConfig("", fleetOf(addr)), quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g.ctx = ctx
+	t.Cleanup(func() {
+		cancel()
+		close(g.stopped)
+		g.spawned.Wait()
+	})
+	g.known()
+	return g
+}
+
+// A drain counts from when it was told: what waited for a connection then is not written any more.
+func TestDrainStopsWhatWaits(t *testing.T) {
+	be := newBackend(t, func(int, []string, net.Conn) string { return served })
+	g := idleGateway(t, be.addr)
+	a := &attempt{req: &request{args: [][]byte{nil, nil, nil, nil}}, be: g.backends["s0"], stop: time.Hour}
+	a.req.out = 1
+	g.place(a)
+	up := (<-g.events).(connUp)
+	f := fleetOf(be.addr)
+	f.All, f.Targets[0].State = false, "DRAINING"
+	g.handle(f)
+	g.connUp(up)
+	if ev := g.queue[0].(logic.AttemptEnded); ev.Outcome != logic.Moot || up.c.cur != nil {
+		t.Fatalf("outcome %v, want moot and nothing on the connection", ev.Outcome)
+	}
+}
+
+// A cancelled attempt that still waits for its connection is moot, and is not written later.
+func TestCancelledWhileItWaits(t *testing.T) {
+	be := newBackend(t, func(int, []string, net.Conn) string { return served })
+	g := idleGateway(t, be.addr)
+	a := &attempt{req: &request{args: [][]byte{nil, nil, nil, nil}}, be: g.backends["s0"], stop: time.Hour}
+	a.req.out = 1
+	g.place(a)
+	g.giveUp(a, logic.Cancelled)
+	up := (<-g.events).(connUp)
+	g.connUp(up)
+	if ev := g.queue[0].(logic.AttemptEnded); ev.Outcome != logic.Moot || up.c.cur != nil || len(g.queue) != 1 {
+		t.Fatalf("told %v, want one moot end", g.queue)
+	}
+}
+
+// An idle connection is closed before the backend would: a command that crossed that would be a reset.
+func TestIdleConnectionIsRetired(t *testing.T) {
+	be := newBackend(t, func(int, []string, net.Conn) string { return served })
+	g := idleGateway(t, be.addr)
+	b := g.backends["s0"]
+	b.waiting = append(b.waiting, nil)
+	g.dial(b)
+	b.waiting = nil
+	g.connUp((<-g.events).(connUp))
+	g.retireIdle()
+	if len(b.idle) != 1 {
+		t.Fatal("a fresh connection was retired")
+	}
+	g.now += g.net.Idle - time.Second
+	g.retireIdle()
+	if down := (<-g.events).(connDown); len(b.idle) != 0 || !down.up {
+		t.Fatal("an old connection was kept")
+	}
+}
+
+// A watch that breaks is resumed: a change told on the next one still arrives.
+func TestWatchResumes(t *testing.T) {
+	since := make(chan string, 8)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("follow") == "" {
+			io.WriteString(w, `{"rev":5,"all":true,"targets":[]}`)
+			return
+		}
+		since <- r.URL.Query().Get("since")
+		if len(since) == 1 {
+			io.WriteString(w, "\n{\"rev\":6,\"all\":false,\"targets\":[]}\n") // then it breaks
+		}
+	}))
+	defer s.Close()
+	events := make(chan event, 64)
+	d := newDiscovery(strings.TrimPrefix(s.URL, "http://"), 1, func(e event) { events <- e }, quiet)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.run(ctx)
+	}()
+	if a, b := (<-events).(Fleet), (<-events).(Fleet); a.Rev != 5 || b.Rev != 6 {
+		t.Fatalf("told %d, %d", a.Rev, b.Rev)
+	}
+	if a, b := <-since, <-since; a != "5" || b != "6" {
+		t.Fatalf("watched since %s, then %s; want 5, 6", a, b)
+	}
+	cancel()
+	<-done
+}
+
+var quiet = slog.New(slog.DiscardHandler)
