End waits for a connection in time; free the room of commands dropped at a shutdown

Seen, by tests that failed before the change: an attempt that waited for one of the busy connections had no limit but its request's, so a keyed copy could have been written after its group had forgotten the first (the module keeps 10% of that time for the way); and the reader of a closing connection blocked for good after 64 dropped commands, so that a shutdown would not have ended. Ruled out: the dial itself (bounded by its own time-out), the writer (it frees the room as answers leave). Lines at fault: place in backend.go; open in client.go. Conclusion: every wait on the way to a backend now has an end.

--- a/internal/ingress/backend.go
+++ b/internal/ingress/backend.go
@@ -202,7 +202,22 @@
 	}
 	be.waiting = append(be.waiting, a)
 	g.dial(be)
-	g.feed()
+	// Whoever waits, for a dial or for one of the connections that are all busy, waits no longer than a dial
+	// may take: the module counts on a send being written at about its time.
+	g.after(g.net.ConnectTimeout, func() {
+		if g.unwait(a) {
+			g.end(a, logic.NoConnect, reply{})
+		}
+	})
+}
+
+// unwait takes an attempt out of those that wait for a connection.
+func (g *Gateway) unwait(a *attempt) bool {
+	i := slices.Index(a.be.waiting, a)
+	if i >= 0 {
+		a.be.waiting = slices.Delete(a.be.waiting, i, i+1)
+	}
+	return i >= 0
 }
 
 // write hands an attempt to a free connection.
@@ -301,9 +316,7 @@
 	switch {
 	case a.ended || a.why != still:
 	case a.conn == nil:
-		if i := slices.Index(a.be.waiting, a); i >= 0 {
-			a.be.waiting = slices.Delete(a.be.waiting, i, i+1)
-		}
+		g.unwait(a)
 		g.end(a, logic.Moot, reply{})
 	default:
 		a.why = why
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -56,7 +56,7 @@
 type client struct {
 	f       *front
 	nc      net.Conn
-	room    chan struct{} // taken by each command until its answer is written
+	room    chan struct{} // taken by each command until its answer is on its way
 	wake    chan struct{}
 	mu      sync.Mutex
 	waiting []*slot // commands whose answers are not in out yet
@@ -286,10 +286,11 @@
 
 // open keeps a place for an answer; nil when the connection takes no more.
 func (c *client) open(r *request) *slot {
-	c.room <- struct{}{} // freed by the writer, which has a time limit
+	c.room <- struct{}{} // freed as answers come, and each request has a time limit
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
+		<-c.room
 		return nil
 	}
 	s := &slot{c: c, req: r}
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -213,10 +213,15 @@
 		case <-timer.C:
 		}
 		g.now = g.clock(time.Now())
-		for len(g.alarms) > 0 && g.alarms[0].at <= g.now {
-			heap.Pop(&g.alarms).(alarm).ring()
-			g.flush()
-		}
+		g.ring()
+	}
+}
+
+// ring does what is due.
+func (g *Gateway) ring() {
+	for len(g.alarms) > 0 && g.alarms[0].at <= g.now {
+		heap.Pop(&g.alarms).(alarm).ring()
+		g.flush()
 	}
 }
 
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -708,3 +708,28 @@
 func waitingAttempt(g *Gateway, id logic.ServerID) *attempt {
 	return &attempt{req: &request{args: [][]byte{nil, nil, nil, nil}, out: 1}, be: g.backends[id], stop: time.Hour}
 }
+
+// A keyed request may be sent again only while its group remembers it, and the module leaves 10% of that time for
+// the way. A copy that waits for a connection for longer must not be written any more: it never ran.
+func TestWaitForConnectionEnds(t *testing.T) {
+	g := idleGateway(t, newBackend(t, nil).addr)
+	g.mostConns = 0
+	a := waitingAttempt(g, "s0")
+	g.place(a)
+	g.now += g.net.ConnectTimeout
+	g.ring()
+	if !a.ended || len(a.be.waiting) != 0 {
+		t.Fatal("the attempt still waits for a connection")
+	}
+}
+
+// What comes on a connection that is closing is dropped, however much: a reader that waited there for room
+// kept a shutdown from ending.
+func TestClosingConnectionTakesNothing(t *testing.T) {
+	c := &client{room: make(chan struct{}, 1), closing: true}
+	for range 3 {
+		if c.open(nil) != nil {
+			t.Fatal("a command was taken")
+		}
+	}
+}
