End written attempts at once when they are given up; take commands until nothing waits

Seen: reading the deadline's path, a loop that wakes more than 8 ms late rings the time-out and the last-moment cut-off in one pass, before the connection's last event, so a read that may be refused was failed instead; and a closing connection dropped commands that came while earlier ones still waited for their answers. Ruled out: a wrong claim about commands in the middle of being written; of those only the connection's last event still tells. Lines at fault: giveUp in backend.go (whole was known only through connDown), open in client.go (closing refused at once). TestWrittenAttemptEndsAtOnce fails without the mend; the shutdown test no longer hangs on how fast it is played.

--- a/internal/ingress/backend.go
+++ b/internal/ingress/backend.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/tidwall/redcon"
@@ -52,6 +53,7 @@
 	nc    net.Conn // set before connUp is posted
 	work  chan job
 	dead  chan struct{}
+	whole atomic.Pointer[attempt] // the last one that was written to its last byte: it may have run
 	cur   *attempt
 	since time.Duration // idle since
 }
@@ -65,9 +67,8 @@
 type (
 	connUp   struct{ c *conn }
 	connDown struct { // the last event of a connection
-		c     *conn
-		up    bool
-		whole *attempt // the last one that was written to its last byte
+		c  *conn
+		up bool
 	}
 	replied struct {
 		c *conn
@@ -94,8 +95,11 @@
 	c.nc = nc
 	stop := context.AfterFunc(ctx, func() { nc.Close() })
 	defer stop()
-	written := make(chan *attempt, 1)
-	go func() { written <- c.write() }()
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		c.write()
+	}()
 	post(connUp{c})
 	var in inbox
 	for {
@@ -112,25 +116,25 @@
 	}
 	nc.Close()
 	close(c.dead)
-	post(connDown{c: c, up: true, whole: <-written})
+	<-written
+	post(connDown{c: c, up: true})
 }
 
-// write writes what it is given; it returns the last attempt whose last byte it has written, which is what
-// tells a command that never ran from one that may have.
-func (c *conn) write() (whole *attempt) {
+// write writes what it is given until the connection is dead or broken.
+func (c *conn) write() {
 	for {
 		select {
 		case <-c.dead:
-			return whole
+			return
 		case j := <-c.work:
 			c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 			n, err := c.nc.Write(j.buf)
 			if n == len(j.buf) {
-				whole = j.a
+				c.whole.Store(j.a)
 			}
 			if err != nil {
 				c.nc.Close()
-				return whole
+				return
 			}
 		}
 	}
@@ -310,8 +314,8 @@
 	return oldest != nil
 }
 
-// giveUp ends an attempt from our side. One that waits was never sent; of one that was given to a connection
-// only the connection knows, so it is closed and its last event tells.
+// giveUp ends an attempt from our side. One that waits was never sent, one that is written has its outcome at
+// once. Of one in between only the connection knows: it is closed, and its last event tells.
 func (g *Gateway) giveUp(a *attempt, why logic.Outcome) {
 	switch {
 	case a.ended || a.why != still:
@@ -321,6 +325,10 @@
 	default:
 		a.why = why
 		a.conn.nc.Close()
+		if a.conn.whole.Load() == a {
+			a.conn.cur = nil
+			g.end(a, why, reply{})
+		}
 		// A machine that has vanished says nothing on any connection. The idle ones are closed too, so that
 		// no further request waits on them for its whole time.
 		if a.be.heard <= a.handed && g.now-a.handed >= g.net.ConnectTimeout {
@@ -369,9 +377,9 @@
 			g.end(a, logic.NoConnect, reply{})
 		}
 	case a == nil:
-	case ev.whole != a && a.why != still:
+	case ev.c.whole.Load() != a && a.why != still:
 		g.end(a, logic.Moot, reply{})
-	case ev.whole != a:
+	case ev.c.whole.Load() != a:
 		g.end(a, logic.NoConnect, reply{})
 	case a.why != still:
 		g.end(a, a.why, reply{})
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -62,7 +62,8 @@
 	waiting []*slot // commands whose answers are not in out yet
 	out     []byte
 	used    time.Time // when the last command came
-	closing bool      // between requests it will be closed; nothing is taken any more
+	closing bool      // it will end when nothing waits for an answer
+	ended   bool      // it has: nothing is taken any more
 }
 
 // slot keeps the place of one command's answer.
@@ -231,7 +232,7 @@
 		case err == nil:
 			if in.partial() {
 				c.nc.SetReadDeadline(time.Now().Add(stallTimeout))
-			} else if !c.isClosing() {
+			} else if !c.hasEnded() {
 				c.nc.SetReadDeadline(time.Time{})
 			}
 			err = in.fill(c.nc.Read)
@@ -250,10 +251,10 @@
 	}
 }
 
-func (c *client) isClosing() bool {
+func (c *client) hasEnded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closing
+	return c.ended
 }
 
 // command takes one whole command.
@@ -289,7 +290,7 @@
 	c.room <- struct{}{} // freed as answers come, and each request has a time limit
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
+	if c.ended {
 		<-c.room
 		return nil
 	}
@@ -340,7 +341,8 @@
 		}
 		c.mu.Lock()
 		buf, c.out = c.out, buf[:0]
-		last := c.closing && len(c.waiting) == 0
+		c.ended = c.closing && len(c.waiting) == 0
+		last := c.ended
 		c.mu.Unlock()
 		if len(buf) > 0 {
 			c.nc.SetWriteDeadline(time.Now().Add(stallTimeout))
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -614,14 +614,19 @@
 			a := &attempt{}
 			cn := &conn{nc: near, work: make(chan job, 1), dead: make(chan struct{})}
 			cn.work <- job{a, []byte("123456789")}
-			written := make(chan *attempt)
-			go func() { written <- cn.write() }()
+			written := make(chan struct{})
+			go func() {
+				defer close(written)
+				cn.write()
+			}()
 			io.ReadFull(far, make([]byte, c.read))
-			far.Close()
 			if c.whole {
 				close(cn.dead)
+			} else {
+				far.Close()
 			}
-			if got := <-written; (got == a) != c.whole {
+			<-written
+			if got := cn.whole.Load(); (got == a) != c.whole {
 				t.Fatalf("whole: %v, want %v", got == a, c.whole)
 			}
 		})
@@ -726,10 +731,27 @@
 // What comes on a connection that is closing is dropped, however much: a reader that waited there for room
 // kept a shutdown from ending.
 func TestClosingConnectionTakesNothing(t *testing.T) {
-	c := &client{room: make(chan struct{}, 1), closing: true}
+	c := &client{room: make(chan struct{}, 1), ended: true}
 	for range 3 {
 		if c.open(nil) != nil {
 			t.Fatal("a command was taken")
 		}
 	}
 }
+
+// An attempt that is known to be written whole ends the moment it is given up: a gateway that was busy once
+// failed the request before the connection's own word came.
+func TestWrittenAttemptEndsAtOnce(t *testing.T) {
+	be := newBackend(t, nil)
+	g := idleGateway(t, be.addr)
+	a := waitingAttempt(g, "s0")
+	g.place(a)
+	g.handle(<-g.events)
+	for len(be.seen()) < 1 || a.conn.whole.Load() != a {
+		time.Sleep(time.Millisecond)
+	}
+	g.giveUp(a, logic.TimedOut)
+	if !a.ended || g.queue[0].(logic.AttemptEnded).Outcome != logic.TimedOut {
+		t.Fatalf("ended: %v, told %v", a.ended, g.queue)
+	}
+}
