--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -223,6 +223,7 @@
 // read takes commands until the connection ends.
 func (c *client) read() {
 	var in inbox
+	limited := false
 	for {
 		f, err := in.next()
 		switch {
@@ -230,10 +231,13 @@
 			c.command(f, time.Now())
 			continue
 		case err == nil:
+			// Only the rest of a command has a time limit; setting one for each read would cost CPU.
 			if in.partial() {
 				c.nc.SetReadDeadline(time.Now().Add(stallTimeout))
-			} else if !c.hasEnded() {
+				limited = true
+			} else if limited && !c.hasEnded() {
 				c.nc.SetReadDeadline(time.Time{})
+				limited = false
 			}
 			err = in.fill(c.nc.Read)
 		}
