--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -755,3 +755,35 @@
 		t.Fatalf("ended: %v, told %v", a.ended, g.queue)
 	}
 }
+
+// limits notes the read limits that are set on a connection.
+type limits struct {
+	net.Conn
+	set []bool
+}
+
+func (l *limits) SetReadDeadline(t time.Time) error {
+	l.set = append(l.set, !t.IsZero())
+	return nil
+}
+
+// A command that has begun must end in time, so that a half-open client does not stay for good; between
+// commands a client may be silent.
+func TestOnlyPartialCommandsHaveALimit(t *testing.T) {
+	near, far := net.Pipe()
+	c := &client{nc: &limits{Conn: near}, f: &front{}, room: make(chan struct{}, 9), wake: make(chan struct{}, 1)}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.read()
+	}()
+	ping := command("PING")
+	for _, part := range []string{ping, ping[:5], ping[5:], ping} {
+		io.WriteString(far, part)
+	}
+	far.Close()
+	<-done
+	if got := c.nc.(*limits).set; fmt.Sprint(got) != "[true false]" {
+		t.Fatalf("limits set: %v, want one inside the split command, taken off after it", got)
+	}
+}
