Test the cut-off of slow readers and the counter's silence

Seen: both bounds were in place and claimed, but no test would have failed without them. Checked over a pipe and by the gateway's own timers. No behaviour changes.

--- a/internal/ingress/counter_test.go
+++ b/internal/ingress/counter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"container/heap"
 	"context"
 	"io"
 	"net"
@@ -115,3 +116,28 @@
 		t.Fatalf("told: %v", g.queue)
 	}
 }
+
+// A counter that says nothing is given up in time; a call that was never written has added nothing.
+func TestSilentCounterTimesOut(t *testing.T) {
+	for name, c := range map[string]struct {
+		state int32
+		want  logic.Outcome
+	}{"unwritten": {callQueued, logic.NoConnect}, "written": {callWritten, logic.TimedOut}} {
+		t.Run(name, func(t *testing.T) {
+			g := idleGateway(t, "127.0.0.1:1")
+			g.count(logic.Count{Name: "a", Add: 1})
+			for _, l := range g.counter.links {
+				for len(l.calls) > 0 {
+					(<-l.calls).state.Store(c.state)
+				}
+			}
+			g.now += g.cfg.Settings.CounterTimeout
+			for len(g.queue) == 0 && len(g.alarms) > 0 && g.alarms[0].at <= g.now {
+				heap.Pop(&g.alarms).(alarm).ring()
+			}
+			if ev, ok := g.queue[len(g.queue)-1].(logic.CountReply); !ok || ev.Outcome != c.want {
+				t.Fatalf("told %v, want outcome %v", g.queue, c.want)
+			}
+		})
+	}
+}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -787,3 +787,14 @@
 		t.Fatalf("limits set: %v, want one inside the split command, taken off after it", got)
 	}
 }
+
+// A client that leaves its answers unread loses its connection before they fill the memory.
+func TestSlowReaderIsCutOff(t *testing.T) {
+	near, far := net.Pipe()
+	c := &client{nc: near, f: &front{}, room: make(chan struct{}, 9), wake: make(chan struct{}, 1)}
+	c.f.unsent.Store(mostUnsent)
+	c.open(nil).answer([]byte("+PONG\r\n"))
+	if _, err := far.Write([]byte("x")); err == nil {
+		t.Fatal("the connection was kept")
+	}
+}
