Move to the addresses of a new configuration on SIGHUP

Discovery and the counter had their addresses for good (newDiscovery, newCounter). Ruled out: a crash of the code; the logs end with the signal.

SIGHUP now reads and checks the whole file, a bad one changes nothing, and Gateway.Move moves discovery (list at once, then watch) and each link of the counter, which lets the calls that are out have their answers first, so that order for a name holds.

--- a/cmd/hitchspring/main_test.go
+++ b/cmd/hitchspring/main_test.go
@@ -1,13 +1,67 @@
 package main
 
 import (
+	"fmt"
+	"io"
 	"log/slog"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 )
 
+// SIGHUP once ended the process. It moves discovery to the address that the file names now; a bad file changes
+// nothing, nor does one in the middle of a shutdown.
+func TestHangup(t *testing.T) {
+	asked := make(chan int, 16)
+	var discovery [3]string
+	for i := range discovery {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked <- i
+			io.WriteString(w, `{"rev":1,"all":true,"targets":[]}`)
+		}))
+		defer s.Close()
+		discovery[i] = strings.TrimPrefix(s.URL, "http://")
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	t.Setenv("ROUTER_CONFIG", path)
+	write := func(addr string) {
+		text := fmt.Sprintf(`{"listen":"127.0.0.1:0","discovery":%q,"seed":"1","limits":{"cores":1,"sockets":256},"settings":{
+			"replicasOfMe":1,"classes":[{"name":"a","value":1,"objectiveUs":1000000,"deadlineUs":1000000,"effect":"read_like"}]}}`, addr)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	hangup := func() { syscall.Kill(os.Getpid(), syscall.SIGHUP) }
+	await := func(want int) {
+		for got := range asked {
+			if got == want {
+				return
+			}
+		}
+	}
+	write(discovery[0])
+	done := make(chan error, 1)
+	go func() { done <- run(slog.New(slog.DiscardHandler)) }()
+	await(0)
+	write(discovery[1])
+	hangup()
+	await(1)
+	write("nowhere")
+	hangup()
+	write(discovery[2])
+	hangup()
+	await(2)
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	hangup()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
 // A bad configuration is one plain line that names what is wrong.
 func TestBadConfiguration(t *testing.T) {
 	for text, want := range map[string]string{
@@ -16,6 +70,7 @@
 		`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"zz","settings":{}}`:                                                             "seed",
 		`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","settings":[]}`:                                                              "settings",
 		`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","settings":{},"limits":{"sockets":3}}`:                                       "sockets are too few",
+		`{"listen":"127.0.0.1:0","discovery":"nowhere","seed":"1","settings":{},"limits":{"sockets":1024}}`:                                        "not an address",
 		`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","settings":{},"limits":{"sockets":1024}}`:                                    "gateway 0 of 0",
 		`{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","settings":{"familyInfo":{"sharedCounter":true}},"limits":{"sockets":1024}}`: "no address of it",
 	} {
--- a/internal/ingress/counter.go
+++ b/internal/ingress/counter.go
@@ -52,13 +52,15 @@
 	addr    string
 	timeout time.Duration
 	calls   chan *call
+	moves   latest
 	post    func(event)
 }
 
 func newCounter(addr string, timeout time.Duration, post func(event)) *counter {
 	c := &counter{}
 	for i := range c.links {
-		c.links[i] = &link{addr: addr, timeout: timeout, calls: make(chan *call, counterQueue), post: post}
+		c.links[i] = &link{addr: addr, timeout: timeout, calls: make(chan *call, counterQueue), moves: newLatest(),
+			post: post}
 	}
 	return c
 }
@@ -79,7 +81,12 @@
 		select {
 		case <-ctx.Done():
 			return
+		case l.addr = <-l.moves:
 		case k := <-l.calls:
+			select {
+			case l.addr = <-l.moves:
+			default:
+			}
 			if k.state.Load() == callQueued { // else it has timed out: no connection for its sake
 				l.serve(ctx, k)
 			}
@@ -87,7 +94,9 @@
 	}
 }
 
-// serve opens a connection for the first call and writes calls to it until it breaks or falls silent.
+// serve opens a connection for the first call and writes calls to it until it breaks, falls silent or the counter
+// moves. On a move the calls that are out have their time for an answer before later ones go elsewhere: answers for
+// one name come in the order of its calls.
 func (l *link) serve(ctx context.Context, first *call) {
 	d := net.Dialer{Timeout: l.timeout}
 	nc, err := d.DialContext(ctx, "tcp", l.addr)
@@ -95,10 +104,10 @@
 		l.post(counted{call: first, outcome: logic.NoConnect})
 		return
 	}
-	pending, broken := make(chan *call, counterQueue), make(chan struct{})
+	pending, broken, idle := make(chan *call, counterQueue), make(chan struct{}), make(chan struct{}, 1)
 	go func() {
 		defer close(broken)
-		l.read(nc, pending)
+		l.read(nc, pending, idle)
 	}()
 	stop := context.AfterFunc(ctx, func() { nc.Close() })
 	defer stop()
@@ -140,6 +149,18 @@
 		select {
 		case k := <-l.calls:
 			batch = append(batch, k)
+		case l.addr = <-l.moves:
+			open = false
+			late := time.After(l.timeout)
+			for waits := true; waits && len(pending) > 0; {
+				select {
+				case <-idle:
+				case <-broken:
+					waits = false
+				case <-late:
+					waits = false
+				}
+			}
 		case <-broken:
 			open = false
 		}
@@ -159,8 +180,9 @@
 	}
 }
 
-// read hands the answers to the calls in their order; a late one is for the gateway to drop.
-func (l *link) read(nc net.Conn, pending <-chan *call) {
+// read hands the answers to the calls in their order, and tells idle when none is out any more; a late answer is for
+// the gateway to drop.
+func (l *link) read(nc net.Conn, pending <-chan *call, idle chan<- struct{}) {
 	in := bufio.NewReaderSize(nc, 1<<10)
 	for {
 		line, err := in.ReadSlice('\n')
@@ -180,6 +202,12 @@
 			}
 		}
 		l.post(ev)
+		if len(pending) == 0 {
+			select {
+			case idle <- struct{}{}:
+			default:
+			}
+		}
 	}
 }
 
--- a/internal/ingress/counter_test.go
+++ b/internal/ingress/counter_test.go
@@ -17,7 +17,7 @@
 func startLink(t *testing.T, serve func(nc net.Conn, lines *bufio.Reader)) (*link, <-chan event) {
 	events := make(chan event, 64)
 	addr := listen(t, func(nc net.Conn) { serve(nc, bufio.NewReader(nc)) })
-	l := &link{addr: addr, timeout: 5 * time.Second, calls: make(chan *call, 16), post: func(e event) { events <- e }}
+	l := &link{addr: addr, timeout: 5 * time.Second, calls: make(chan *call, 16), moves: newLatest(), post: func(e event) { events <- e }}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -96,7 +96,7 @@
 	addr := ln.Addr().String()
 	ln.Close()
 	events := make(chan event, 1)
-	l := &link{addr: addr, timeout: 5 * time.Second, calls: make(chan *call, 1), post: func(e event) { events <- e }}
+	l := &link{addr: addr, timeout: 5 * time.Second, calls: make(chan *call, 1), moves: newLatest(), post: func(e event) { events <- e }}
 	l.serve(context.Background(), &call{name: "a"})
 	if ev := (<-events).(counted); ev.outcome != logic.NoConnect {
 		t.Fatalf("outcome %v", ev.outcome)
@@ -141,3 +141,34 @@
 		})
 	}
 }
+
+// A move leaves nothing behind: the call that is out has its answer from the old counter, and only then does the next
+// one of its name go to the new one.
+func TestCounterMoves(t *testing.T) {
+	asked, answer := make(chan struct{}), make(chan struct{})
+	l, events := startLink(t, func(nc net.Conn, in *bufio.Reader) {
+		in.ReadString('\n')
+		close(asked)
+		<-answer
+		io.WriteString(nc, "ok 1\r\n")
+		in.ReadString('\n') // until it is closed
+	})
+	next := listen(t, func(nc net.Conn) {
+		if _, err := bufio.NewReader(nc).ReadString('\n'); err == nil {
+			io.WriteString(nc, "ok 2\r\n")
+		}
+	})
+	l.calls <- &call{name: "a"}
+	<-asked
+	l.moves.set(next)
+	for len(l.moves) > 0 { // fetched
+		time.Sleep(time.Millisecond)
+	}
+	l.calls <- &call{name: "a"}
+	close(answer)
+	for want := 1.0; want <= 2; want++ {
+		if ev := (<-events).(counted); ev.outcome != logic.Done || ev.total != want {
+			t.Fatalf("outcome %v, total %v; want %v", ev.outcome, ev.total, want)
+		}
+	}
+}
--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"larchwick/logic"
@@ -59,23 +60,50 @@
 	url    string
 	rev    int64
 	client *http.Client
+	moves  latest
 	post   func(event)
 	first  chan struct{} // closed after the first list, or when that failed
 	log    *slog.Logger
 }
 
 func newDiscovery(addr string, rev int64, post func(event), log *slog.Logger) *discovery {
-	return &discovery{url: "http://" + addr + "/registry/instances", rev: rev, post: post, log: log,
+	return &discovery{url: listURL(addr), rev: rev, moves: newLatest(), post: post, log: log,
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true}}, first: make(chan struct{})}
 }
 
-// run lists, then watches, until ctx ends. Whatever breaks the watch, it resumes from the version held.
+func listURL(addr string) string { return "http://" + addr + "/registry/instances" }
+
+// run lists and watches until ctx ends, at each address that it is moved to in turn.
 func (d *discovery) run(ctx context.Context) {
 	defer d.client.CloseIdleConnections()
-	if err := d.list(ctx); err != nil {
+	first := sync.OnceFunc(func() { close(d.first) })
+	for ctx.Err() == nil {
+		here, leave := context.WithCancel(ctx)
+		left := make(chan struct{})
+		go func() {
+			defer close(left)
+			d.follow(here, first)
+		}()
+		select {
+		case <-ctx.Done():
+		case addr := <-d.moves:
+			d.log.Info("discovery moves", "to", addr)
+			leave()
+			<-left
+			d.client.CloseIdleConnections()
+			d.url = listURL(addr)
+		}
+		leave()
+		<-left
+	}
+}
+
+// follow lists, then watches, at one address. Whatever breaks the watch, it resumes from the version held.
+func (d *discovery) follow(ctx context.Context, listed func()) {
+	if err := d.list(ctx); err != nil && ctx.Err() == nil {
 		d.log.Warn("discovery: no list yet", "err", err)
 	}
-	close(d.first)
+	listed()
 	for pause := firstPause; ctx.Err() == nil; pause = min(2*pause, longestPause) {
 		began := time.Now()
 		err := d.watch(ctx)
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -56,6 +56,7 @@
 	classes map[string]logic.Class
 	plans   map[string]bool
 	counter *counter
+	disc    *discovery
 	events  chan event
 	stopped chan struct{}
 	spawned sync.WaitGroup
@@ -89,6 +90,11 @@
 	if cfg.Settings.Counter && cfg.Counter == "" {
 		return nil, fmt.Errorf("the settings name a shared counter, the configuration has no address of it")
 	}
+	for _, addr := range []string{cfg.Listen, cfg.Discovery, cfg.Counter} {
+		if _, _, err := net.SplitHostPort(addr); addr != "" && err != nil {
+			return nil, fmt.Errorf("not an address: %w", err)
+		}
+	}
 	mod, err := logic.New(cfg.Settings, cfg.Seed)
 	if err != nil {
 		return nil, err
@@ -114,6 +120,7 @@
 		g.plans[p.Name] = true
 	}
 	g.counter = newCounter(cfg.Counter, cfg.Settings.CounterTimeout, g.post)
+	g.disc = newDiscovery(cfg.Discovery, cfg.Known.Rev, g.post, log)
 	return g, nil
 }
 
@@ -123,6 +130,34 @@
 // Addr is where, once Ready has closed.
 func (g *Gateway) Addr() net.Addr { return g.addr }
 
+// Move goes over to discovery and a counter at other addresses. It waits for nothing, may come at any time, and
+// the last of several counts. Clients, backends and the module's books are left as they are.
+func (g *Gateway) Move(discovery, counter string) {
+	g.disc.moves.set(discovery)
+	for _, l := range g.counter.links {
+		l.moves.set(counter)
+	}
+}
+
+// latest is a place for one address; one that is put there takes the place of one that was not fetched.
+type latest chan string
+
+func newLatest() latest { return make(latest, 1) }
+
+func (l latest) set(addr string) {
+	for {
+		select {
+		case l <- addr:
+			return
+		default:
+		}
+		select {
+		case <-l:
+		default:
+		}
+	}
+}
+
 // Run serves until ctx ends, then answers what it has taken and returns.
 func (g *Gateway) Run(ctx context.Context) error {
 	life, stop := context.WithCancel(context.Background())
@@ -136,10 +171,9 @@
 	for _, l := range g.counter.links {
 		g.spawn(l.run)
 	}
-	disc := newDiscovery(g.cfg.Discovery, g.cfg.Known.Rev, g.post, g.log)
-	g.spawn(disc.run)
+	g.spawn(g.disc.run)
 	select {
-	case <-disc.first:
+	case <-g.disc.first:
 	case <-time.After(firstList):
 	case <-ctx.Done():
 		return nil
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -152,6 +152,18 @@
 
 // startIngress runs an ingress and returns its address and what stops it and gives Run's result.
 func startIngress(t *testing.T, cfg Config) (addr string, stop func() error) {
+	t.Helper()
+	g, stop := runIngress(t, cfg)
+	return g.Addr().String(), stop
+}
+
+func startGateway(t *testing.T, cfg Config) (addr string, g *Gateway) {
+	t.Helper()
+	g, _ = runIngress(t, cfg)
+	return g.Addr().String(), g
+}
+
+func runIngress(t *testing.T, cfg Config) (g *Gateway, stop func() error) {
 	t.Helper()
 	g, err := New(cfg, slog.New(slog.DiscardHandler))
 	if err != nil {
@@ -171,7 +183,7 @@
 		done <- err
 		t.Fatal("the ingress ended: ", err)
 	}
-	return g.Addr().String(), stop
+	return g, stop
 }
 
 // dial opens a client's connection; every read of it ends the test after a minute.
@@ -532,6 +544,21 @@
 	<-done
 }
 
+// After a move the list is asked for at the new address at once, the watch goes on there, and no client or backend
+// notices.
+func TestMoveOfDiscovery(t *testing.T) {
+	be := newBackend(t, func(int, []string, net.Conn) string { return served })
+	list := fleetOf(be.addr)
+	list.Rev = 2
+	from, to := registry(t, fleetOf(), nil), registry(t, list, nil)
+	addr, g := startGateway(t, testConfig(from, fleetOf()))
+	nc, in := dial(t, addr)
+	g.Move("127.0.0.1:1", "")
+	g.Move(to, "")
+	io.WriteString(nc, ask(1, readFields)) // waits for a backend
+	wantValue(t, in)
+}
+
 var quiet = slog.New(slog.DiscardHandler)
 
 // A machine that has vanished answers nothing and resets nothing. Once an attempt shows that, its other idle
