Match each answer to its command; end connections that bring more or less

Cause: conn.run posted every frame in turn, and replied gave it to whatever attempt the connection carried by then (backend.go): a second copy behind an answer went to the next command. parseReply made any odd frame Failed and kept its connection; an answer that never ended held its request to the end of its time. Ruled out: order on the clients' side (answers leave by slot), attempts given up (their connection closes).

The reader ends at the first byte behind an answer or at a form that it does not know, and tells which command had been written when an answer came; one for another command breaks the connection. A connection rests 3 ms between commands and is peeked at before each, which also finds those that the backend has just closed. An answer has 200 ms from its first byte. Load figures are finite and not negative, or ignored.

--- a/internal/ingress/backend.go
+++ b/internal/ingress/backend.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/tidwall/redcon"
@@ -19,6 +22,9 @@
 	still          = logic.Failed           // the zero outcome: an attempt that nobody has given up
 	probeTimeout   = 250 * time.Millisecond // of a probe, which has no request whose time could end it
 	writeTimeout   = 5 * time.Second
+	answerTime     = 200 * time.Millisecond // for the rest of an answer that has begun: one that never ends is spoilt
+	restTime       = 3 * time.Millisecond   // of a connection between two commands: what stands behind an answer shows
+	mostLoad       = 1e9                    // a load figure beyond is none
 )
 
 // attempt is one command on its way to a backend: of a request, or a probe.
@@ -42,20 +48,24 @@
 	idle    []*conn // the last is the warmest
 	waiting []*attempt
 	dialing int
+	resting int
 	conns   int           // all: dialing, idle and busy
 	heard   time.Duration // last time that it answered or took a connection
 }
 
-// conn is a connection to a backend, owned by its goroutine run; cur and since are the gateway's.
+// conn is a connection to a backend, owned by its goroutine run; cur, since and down are the gateway's.
 type conn struct {
-	be    *backend
-	addr  string
-	nc    net.Conn // set before connUp is posted
-	work  chan job
-	dead  chan struct{}
-	whole atomic.Pointer[attempt] // the last one that was written to its last byte: it may have run
-	cur   *attempt
-	since time.Duration // idle since
+	be      *backend
+	addr    string
+	nc      net.Conn // set before connUp is posted
+	raw     syscall.RawConn
+	work    chan job
+	dead    chan struct{}
+	writing sync.Mutex              // held from before a command's first byte until whole tells of it
+	whole   atomic.Pointer[attempt] // the last one that was written to its last byte: it may have run
+	cur     *attempt
+	since   time.Duration // idle since
+	down    bool
 }
 
 type job struct {
@@ -71,7 +81,8 @@
 		up bool
 	}
 	replied struct {
-		c *conn
+		c  *conn
+		to *attempt // what had been written when it came; nil: nothing
 		reply
 	}
 )
@@ -81,7 +92,7 @@
 	outcome logic.Outcome
 	value   []byte
 	load    logic.Load
-	busy    bool
+	keep    bool // it is of a known form and nothing stands behind it: the connection is in order
 }
 
 // run dials, then reads answers until the connection ends; it posts connDown last.
@@ -93,6 +104,9 @@
 		return
 	}
 	c.nc = nc
+	if t, ok := nc.(*net.TCPConn); ok {
+		c.raw, _ = t.SyscallConn()
+	}
 	stop := context.AfterFunc(ctx, func() { nc.Close() })
 	defer stop()
 	written := make(chan struct{})
@@ -101,23 +115,58 @@
 		c.write()
 	}()
 	post(connUp{c})
+	c.read(post)
+	nc.Close()
+	close(c.dead)
+	<-written
+	post(connDown{c: c, up: true})
+}
+
+// read posts answers until the connection ends or is of no further use: bytes behind an answer may be a second copy of
+// it, which must never be taken for the answer to the next command.
+func (c *conn) read(post func(event)) {
 	var in inbox
+	limited := false
 	for {
 		f, err := in.next()
-		if err == nil && f == nil {
-			err = in.fill(nc.Read)
-		}
-		if err != nil {
-			break
+		switch {
+		case err != nil:
+			return
+		case f != nil:
+			rep := parseReply(f)
+			rep.keep = rep.keep && !in.partial()
+			c.writing.Lock()
+			to := c.whole.Load()
+			c.writing.Unlock()
+			post(replied{c, to, rep})
+			if !rep.keep {
+				return
+			}
+			continue
+		case in.partial() && !limited:
+			c.nc.SetReadDeadline(time.Now().Add(answerTime))
+			limited = true
+		case limited && !in.partial():
+			c.nc.SetReadDeadline(time.Time{})
+			limited = false
 		}
-		if f != nil {
-			post(replied{c, parseReply(f)})
+		if in.fill(c.nc.Read) != nil {
+			return
 		}
 	}
-	nc.Close()
-	close(c.dead)
-	<-written
-	post(connDown{c: c, up: true})
+}
+
+// quiet says whether the connection is open and nothing has come on it that was not read.
+func (c *conn) quiet() bool {
+	if c.raw == nil {
+		return true
+	}
+	var b [1]byte
+	var peeked error
+	err := c.raw.Control(func(fd uintptr) {
+		_, _, peeked = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && errors.Is(peeked, syscall.EAGAIN)
 }
 
 // write writes what it is given until the connection is dead or broken.
@@ -128,10 +177,12 @@
 			return
 		case j := <-c.work:
 			c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+			c.writing.Lock()
 			n, err := c.nc.Write(j.buf)
 			if n == len(j.buf) {
 				c.whole.Store(j.a)
 			}
+			c.writing.Unlock()
 			if err != nil {
 				c.nc.Close()
 				return
@@ -140,13 +191,15 @@
 	}
 }
 
-// parseReply reads a whole frame from a backend.
+// parseReply reads a whole frame from a backend. Whatever is not of a known form has failed and may have run, and
+// the connection that brought it is not trusted any further.
 func parseReply(f []byte) reply {
 	_, r := redcon.ReadNextRESP(f)
 	out := reply{outcome: logic.Failed}
 	switch r.Type {
 	case redcon.Error:
 		word, rest, _ := strings.Cut(string(r.Data), " ")
+		out.keep = word == "ERR" || word == "BUSY"
 		if word == "BUSY" {
 			out.outcome = logic.Full
 		}
@@ -156,18 +209,21 @@
 		out.load = parseLoad(rest)
 	case redcon.String:
 		if string(r.Data) == "PONG" {
-			out.outcome = logic.Done
+			out.outcome, out.keep = logic.Done, true
 		}
 	case redcon.Bulk:
 		if r.Data != nil {
-			out.outcome, out.load = logic.Done, parseLoad(string(r.Data))
+			out.outcome, out.keep, out.load = logic.Done, true, parseLoad(string(r.Data))
+		}
+	case redcon.Array: // the value, the figures on use, the load report: the latter may be unreadable
+		if r.Count != 3 {
+			break
 		}
-	case redcon.Array:
 		i := 0
 		r.ForEach(func(e redcon.RESP) bool {
 			switch {
 			case i == 0 && e.Type == redcon.Bulk && e.Data != nil:
-				out.outcome, out.value = logic.Done, append(make([]byte, 0, len(e.Data)), e.Data...)
+				out.outcome, out.keep, out.value = logic.Done, true, append(make([]byte, 0, len(e.Data)), e.Data...)
 			case i == 2 && e.Type == redcon.Bulk:
 				out.load = parseLoad(string(e.Data))
 			}
@@ -178,17 +234,17 @@
 	return out
 }
 
-// parseLoad reads a load report such as inflight=7,queue=2; nil if it is none.
+// parseLoad reads a load report such as inflight=7,queue=2; nil if it is none. One spoilt figure spoils it all: the
+// module averages what it is told, and would not forget a figure that is no number.
 func parseLoad(s string) logic.Load {
-	if s == "" || !strings.Contains(s, "=") {
-		return nil
-	}
 	load := logic.Load{}
 	for pair := range strings.SplitSeq(s, ",") {
 		k, v, _ := strings.Cut(pair, "=")
-		if x, err := strconv.ParseFloat(v, 64); err == nil {
-			load[k] = x
+		x, err := strconv.ParseFloat(v, 64)
+		if err != nil || k == "" || !(x >= 0 && x <= mostLoad) {
+			return nil
 		}
+		load[k] = x
 	}
 	return load
 }
@@ -198,11 +254,14 @@
 // place gives an attempt the warmest idle connection, or lets it wait for one.
 func (g *Gateway) place(a *attempt) {
 	be := a.be
-	if n := len(be.idle); n > 0 {
+	for n := len(be.idle); n > 0; n = len(be.idle) {
 		c := be.idle[n-1]
 		be.idle = be.idle[:n-1]
-		g.write(c, a)
-		return
+		if c.quiet() {
+			g.write(c, a)
+			return
+		}
+		c.nc.Close()
 	}
 	be.waiting = append(be.waiting, a)
 	g.dial(be)
@@ -236,7 +295,7 @@
 
 // dial opens connections for those that wait, within the caps.
 func (g *Gateway) dial(be *backend) {
-	for be.dialing < len(be.waiting) && be.conns < mostPerBackend {
+	for be.dialing+be.resting < len(be.waiting) && be.conns < mostPerBackend {
 		if g.conns >= g.mostConns && !g.closeOldestIdle() {
 			g.starved = true
 			return
@@ -252,7 +311,7 @@
 // free takes a connection that has nothing to do: for the first that waits, or to the idle ones.
 func (g *Gateway) free(c *conn) {
 	be := c.be
-	if c.addr != be.addr || be.State == logic.Gone {
+	if c.down || c.addr != be.addr || be.State == logic.Gone || !c.quiet() {
 		c.nc.Close()
 		return
 	}
@@ -346,22 +405,32 @@
 }
 
 func (g *Gateway) replied(ev replied) {
-	a := ev.c.cur
-	ev.c.be.heard = g.now
-	if a == nil { // an answer that nobody asked for: the order is lost
-		ev.c.nc.Close()
+	c, a := ev.c, ev.c.cur
+	c.be.heard = g.now
+	if a == nil || ev.to != a { // nobody asked for it, or it came before its command was out: the order is lost
+		c.nc.Close()
 		return
 	}
-	ev.c.cur = nil
+	c.cur = nil
 	closing := a.why != still
 	g.end(a, ev.outcome, ev.reply)
-	if !closing {
-		g.free(ev.c)
+	switch {
+	case closing:
+	case ev.keep:
+		c.be.resting++
+		g.after(restTime, func() {
+			c.be.resting--
+			g.free(c)
+			g.dial(c.be)
+		})
+	default:
+		c.nc.Close()
 	}
 }
 
 func (g *Gateway) connDown(ev connDown) {
 	be := ev.c.be
+	ev.c.down = true
 	be.conns--
 	g.conns--
 	a := ev.c.cur
@@ -371,7 +440,7 @@
 	switch {
 	case !ev.up:
 		be.dialing--
-		if len(be.waiting) > be.dialing { // else one that was freed has taken this one's attempt
+		if len(be.waiting) > be.dialing+be.resting { // else one that was freed has taken this one's attempt
 			a = be.waiting[0]
 			be.waiting = be.waiting[1:]
 			g.end(a, logic.NoConnect, reply{})
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"reflect"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -363,7 +364,10 @@
 		"refused":     {nil, "-BUSY"},
 		"turned away": {func(int, []string, net.Conn) string { return "-BUSY\r\n" }, "-BUSY"},
 		"error":       {func(int, []string, net.Conn) string { return "-ERR failed\r\n" }, "-ERR"},
-		"null value":  {func(int, []string, net.Conn) string { return "*1\r\n$-1\r\n" }, "-ERR"},
+		"null value":  {func(int, []string, net.Conn) string { return "*3\r\n$-1\r\n$-1\r\n$-1\r\n" }, "-ERR"},
+		"value alone": {func(int, []string, net.Conn) string { return "*1\r\n$1\r\nx\r\n" }, "-ERR"},
+		"endless":     {func(int, []string, net.Conn) string { return "*3\r\n$9\r\nx" }, "-ERR"},
+		"3 GB":        {func(int, []string, net.Conn) string { return "*3\r\n$3000000000\r\nx" }, "-ERR"},
 		"not RESP":    {func(int, []string, net.Conn) string { return "hello\r\n" }, "-ERR"},
 		"overflow":    {func(int, []string, net.Conn) string { return "*1\r\n$9223372036854775807\r\n" }, "-ERR"},
 		"reset": {func(_ int, _ []string, nc net.Conn) string {
@@ -399,7 +403,7 @@
 		} else {
 			close(second)
 		}
-		return "*1\r\n$1\r\n" + args[2][15:] + "\r\n"
+		return "*3\r\n$1\r\n" + args[2][15:] + "\r\n$-1\r\n$-1\r\n"
 	})
 	list := fleetOf(be.addr)
 	addr, _ := startIngress(t, testConfig(registry(t, list, nil), list))
@@ -561,6 +565,79 @@
 
 var quiet = slog.New(slog.DiscardHandler)
 
+// Each command gets its own answer or none: what stands behind an answer, or is of no known form, ends its connection.
+// Once a second copy was served to the next request.
+func TestOneAnswerForEachCommand(t *testing.T) {
+	value := func(args []string) string {
+		return "*3\r\n$16\r\n" + args[2] + "\r\n$-1\r\n$4\r\nqps=\r\n"
+	}
+	for name, say := range map[string]func(n int, args []string, nc net.Conn) string{
+		"second copy":  func(_ int, args []string, _ net.Conn) string { return value(args) + value(args) },
+		"noise behind": func(_ int, args []string, _ net.Conn) string { return value(args) + "\x00\xff" },
+		"copy apart": func(_ int, args []string, nc net.Conn) string {
+			io.WriteString(nc, value(args))
+			return value(args)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			be := newBackend(t, say)
+			list := fleetOf(be.addr)
+			addr, _ := startIngress(t, testConfig(registry(t, list, nil), list))
+			nc, in := dial(t, addr)
+			for i := range 20 {
+				io.WriteString(nc, ask(i, readFields))
+				if a, b := line(t, in), line(t, in); a != "$16" || b != fmt.Sprintf("%016x", i) {
+					t.Fatalf("request %d: answer %q %q", i, a, b)
+				}
+			}
+			if n := be.conns.Load(); n != 20 {
+				t.Fatalf("%d connections, want a new one each time", n)
+			}
+		})
+	}
+}
+
+// An answer that was there before its command had been written belongs to another: the attempt never ran.
+func TestAnswerBeforeItsCommand(t *testing.T) {
+	g := idleGateway(t, newBackend(t, nil).addr)
+	a := waitingAttempt(g, "s0")
+	g.place(a)
+	up := (<-g.events).(connUp)
+	up.c.cur = a
+	g.handle(replied{up.c, nil, reply{outcome: logic.Done, value: []byte("x"), keep: true}})
+	if a.ended {
+		t.Fatal("served with another's answer")
+	}
+	g.handle(<-g.events)
+	if !a.ended || a.req.out != 0 {
+		t.Fatal("not ended with its connection")
+	}
+}
+
+func TestParseReply(t *testing.T) {
+	load := logic.Load{"qps": 7}
+	for in, want := range map[string]reply{
+		"*3\r\n$1\r\nx\r\n$-1\r\n$5\r\nqps=7\r\n":         {outcome: logic.Done, value: []byte("x"), load: load, keep: true},
+		"*3\r\n$1\r\nx\r\n$-1\r\n$7\r\nqps=NaN\r\n":       {outcome: logic.Done, value: []byte("x"), keep: true},
+		"*3\r\n$1\r\nx\r\n$-1\r\n$12\r\nqps=7,a=+Inf\r\n": {outcome: logic.Done, value: []byte("x"), keep: true},
+		"*3\r\n$1\r\nx\r\n:7\r\n+ok\r\n":                  {outcome: logic.Done, value: []byte("x"), keep: true},
+		"*2\r\n$1\r\nx\r\n$-1\r\n":                        {outcome: logic.Failed},
+		"*3\r\n:1\r\n$-1\r\n$-1\r\n":                      {outcome: logic.Failed},
+		"-ERR failed\r\n":                                 {outcome: logic.Failed, keep: true},
+		"-ERR failed qps=7\r\n":                           {outcome: logic.Failed, load: load, keep: true},
+		"-BUSY qps=7\r\n":                                 {outcome: logic.Full, load: load, keep: true},
+		"-BUSYBODY\r\n":                                   {outcome: logic.Failed},
+		"-SYNTAX\r\n":                                     {outcome: logic.Failed},
+		"+PONG\r\n":                                       {outcome: logic.Done, keep: true},
+		"+OK\r\n":                                         {outcome: logic.Failed},
+		"$6\r\nqps=-1\r\n":                                {outcome: logic.Done, keep: true},
+	} {
+		if got := parseReply([]byte(in)); !reflect.DeepEqual(got, want) {
+			t.Errorf("%q: %+v, want %+v", in, got, want)
+		}
+	}
+}
+
 // A machine that has vanished answers nothing and resets nothing. Once an attempt shows that, its other idle
 // connections are not trusted with further requests: a new one tells within the connect time-out.
 func TestIdleConnectionsOfSilentBackendAreDropped(t *testing.T) {
@@ -611,7 +688,9 @@
 	up := (<-g.events).(connUp)
 	g.handle(up)
 	g.place(second)
-	g.handle(replied{up.c, reply{outcome: logic.Done}})
+	g.handle(replied{up.c, first, reply{outcome: logic.Done, keep: true}})
+	g.now += restTime
+	g.ring()
 	for second.conn == nil {
 		g.handle(<-g.events)
 	}
