Take a spoilt answer of the counter as added, and its connection as done for

Cause: link.read went on with such a connection, whose later calls then timed out for up to 3 s (counterSilence), and logic.callFailed put the customer, and by counterFails all customers, into the mode for a silent counter. Ruled out: totals taken as NaN or Inf (the noise had no number in it, though ParseFloat would have taken them).

The call ends as Failed, those behind it as breaks, and the next goes out on a new connection. A connection that owes an answer is given up after four time-outs, not 3 s. The module books the amount as added, as the protocol says, takes back the block that it could not judge, and asks again at once.

--- a/internal/ingress/counter.go
+++ b/internal/ingress/counter.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"hash/fnv"
+	"math"
 	"net"
 	"strconv"
 	"strings"
@@ -16,7 +17,9 @@
 const (
 	counterLinks   = 4               // connections; calls of one name share one, so that they stay in order
 	counterQueue   = 512             // calls that wait for a connection, or on it for an answer
-	counterSilence = 3 * time.Second // a connection without a word for so long is idle or dead: it is closed
+	counterIdle    = 3 * time.Second // a connection without a call for so long is closed, before the counter does
+	counterSilence = 4               // time-outs: one without an answer for so long is dead, its line of calls is no longer
+	mostTotal      = 1e12            // a total beyond is none
 )
 
 // call is one call of the shared counter. The gateway may take it back for as long as it is unwritten.
@@ -124,7 +127,7 @@
 			}
 		}
 		if len(pending) == 0 {
-			nc.SetReadDeadline(time.Now().Add(counterSilence))
+			l.limit(nc, true)
 		}
 		buf, ends = buf[:0], ends[:0]
 		written := batch[:0]
@@ -181,34 +184,58 @@
 }
 
 // read hands the answers to the calls in their order, and tells idle when none is out any more; a late answer is for
-// the gateway to drop.
+// the gateway to drop. It ends at an answer that cannot be read: that call was added, and nothing more comes.
 func (l *link) read(nc net.Conn, pending <-chan *call, idle chan<- struct{}) {
 	in := bufio.NewReaderSize(nc, 1<<10)
 	for {
 		line, err := in.ReadSlice('\n')
-		if err != nil || len(pending) == 0 {
+		if len(pending) == 0 || err != nil && len(line) == 0 {
 			return
 		}
-		nc.SetReadDeadline(time.Now().Add(counterSilence))
 		ev := counted{call: <-pending, outcome: logic.Failed}
-		switch s := strings.TrimSpace(string(line)); {
-		case s == "busy":
-			ev.outcome = logic.Full
-		case s == "error": // no such call: nothing was added
-			ev.outcome = logic.Moot
-		case strings.HasPrefix(s, "ok "):
-			if t, err := strconv.ParseFloat(s[3:], 64); err == nil {
-				ev.outcome, ev.total = logic.Done, t
-			}
+		if err == nil {
+			ev.outcome, ev.total = parseAnswer(string(line))
+			l.limit(nc, len(pending) > 0)
 		}
 		l.post(ev)
+		if ev.outcome == logic.Failed {
+			return
+		}
 		if len(pending) == 0 {
 			select {
 			case idle <- struct{}{}:
 			default:
 			}
+			if in.Buffered() > 0 { // an answer that nobody asked for
+				return
+			}
+		}
+	}
+}
+
+// limit sets how long the counter may say nothing.
+func (l *link) limit(nc net.Conn, waits bool) {
+	d := counterIdle
+	if waits {
+		d = counterSilence * l.timeout
+	}
+	nc.SetReadDeadline(time.Now().Add(d))
+}
+
+// parseAnswer reads one line of the counter; Failed stands for one that cannot be read.
+func parseAnswer(s string) (logic.Outcome, float64) {
+	s = strings.TrimSuffix(strings.TrimSuffix(s, "\n"), "\r")
+	switch total, ok := strings.CutPrefix(s, "ok "); {
+	case s == "busy":
+		return logic.Full, 0
+	case s == "error": // no such call: nothing was added
+		return logic.Moot, 0
+	case ok:
+		if t, err := strconv.ParseFloat(total, 64); err == nil && math.Abs(t) <= mostTotal {
+			return logic.Done, t
 		}
 	}
+	return logic.Failed, 0
 }
 
 func appendCall(b []byte, k *call) []byte {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,16 +1,14 @@
 // Package logic decides for one gateway of a metered service. Its interface (settings, events, actions) is
 // in api.go; everything that decides is here.
 //
-// A request first spends units of its customer's leased block (lease), or of one leased as it comes where a
-// block would be under two requests (ask). It joins the queue of its priority, class worth x plan price, and
-// leaves when the AIMD window of attempts has room, highest priority first (release). The choice of server,
-// hedges, retries, bans and slow starts never change that order.
+// A request spends units of its customer's leased block (lease), or of one leased as it comes (ask). It joins the
+// queue of its priority, class worth x plan price, and leaves when the AIMD window of attempts has room, highest
+// priority first (release). The choice of server, hedges, retries and slow starts never change that order.
 // A Gateway is single-threaded: the clock comes with the events, chance from the seed.
 package logic
 
 import (
 	"cmp"
-	"errors"
 	"fmt"
 	"hash/fnv"
 	"math"
@@ -123,7 +121,7 @@
 		return nil, fmt.Errorf("logic: gateway %d of %d", set.Me, set.Gateways)
 	}
 	if len(set.Classes) == 0 {
-		return nil, errors.New("logic: no classes")
+		return nil, fmt.Errorf("logic: no classes")
 	}
 	g := &Gateway{set: set, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), sweep: time.Second,
 		classes: map[string]*class{}, plans: map[string]*Plan{}, customers: map[string]*customer{},
@@ -144,8 +142,7 @@
 		p.Burst = max(p.Burst, set.MaxUnits, 1) // a store that can never hold a request would shut all out
 		g.plans[p.Name] = &p
 	}
-	g.set.MaxAttempts = max(set.MaxAttempts, 1)
-	g.set.CounterTimeout = max(set.CounterTimeout, time.Millisecond)
+	g.set.MaxAttempts, g.set.CounterTimeout = max(set.MaxAttempts, 1), max(set.CounterTimeout, time.Millisecond)
 	return g, nil
 }
 
@@ -340,8 +337,7 @@
 
 // ask leases one request's units as it comes, for a customer that each gateway sees too seldom to know its
 // store. The name's window is burst over rate long and grants the burst: refused tries need no giving back.
-// Where not all calls get through, the fair share of the rate decides. It guards against one request let in
-// at each of many gateways, restarts included; it may hurt where bursts are a few units.
+// Where not all calls get through, the fair share of the rate decides.
 func (g *Gateway) ask(r *request) {
 	c := r.cust
 	switch {
@@ -370,7 +366,9 @@
 		return
 	}
 	if ev.Outcome != Done {
-		g.askShare = max(leastAsked, g.askShare*0.7) // AIMD: a call that waits too long is work for nothing
+		if ev.Outcome != Failed { // AIMD: a call that waits too long is work for nothing
+			g.askShare = max(leastAsked, g.askShare*0.7)
+		}
 		g.settle(r, g.admit(r))
 		return
 	}
@@ -457,7 +455,7 @@
 		fresh = 0 // the counter came back empty: it shows less than we know, so nothing new
 	}
 	if c.looked == 0 { // never looked before: the name holds all use since its window began
-		c.at, c.level = time.Duration(c.epoch)*epochLength-c.offset, c.plan.Burst-c.adding+c.want-c.owed
+		c.at, c.level = time.Duration(c.epoch)*epochLength-c.offset, c.plan.Burst-c.total-c.adding+c.want-c.owed
 	} else {
 		dt := max((g.now - c.looked).Seconds(), 0.01)
 		c.others += (max(0, fresh)/dt - c.others) * (1 - math.Exp(-2*dt))
@@ -473,8 +471,13 @@
 	}
 }
 
-// callFailed goes on without the counter: the block grows at the fair share of the rate until a total comes.
+// callFailed goes on without the counter: the block grows at the fair share of the rate until a total comes. A
+// spoilt answer is no silence: the amount was added, and the next total shows the rest.
 func (g *Gateway) callFailed(c *customer, o Outcome) {
+	if o == Failed {
+		c.total, c.owed, c.nextCall = c.total+c.adding, c.owed-c.want, g.now
+		return
+	}
 	if o.NeverRan() { // else it may have been added, and shows as others' use once
 		c.owed += c.adding - c.want
 	}
@@ -574,8 +577,7 @@
 	return max(1, startPerHost*float64(len(g.fleet))/float64(g.set.Gateways))
 }
 
-// hasRoom says whether the window lets another attempt out. Those of hundreds of gateways add up, so they can
-// fall below one: attempts then go one by one, with pauses.
+// hasRoom says whether the window lets another attempt out; below one they go one by one, with pauses.
 func (g *Gateway) hasRoom() bool {
 	return float64(g.busy) < g.window && (g.window >= 1 || (g.now-g.lastSent).Seconds() >= g.lag/g.window)
 }
@@ -596,8 +598,7 @@
 		return
 	}
 	switch {
-	case !r.held: // waits for the counter
-	case r.late || g.now+need < r.arrived+r.class.Aim:
+	case !r.held, r.late, g.now+need < r.arrived+r.class.Aim: // not held: it waits for the counter
 	case r.class.LateShare <= 0:
 		g.giveUp(r)
 	default:
@@ -809,8 +810,7 @@
 		return
 	}
 	a := r.attempts[ev.Attempt]
-	a.ended = true
-	a.mayRun = !ev.Outcome.NeverRan()
+	a.ended, a.mayRun = true, !ev.Outcome.NeverRan()
 	a.s.out = slices.DeleteFunc(a.s.out, func(b *attempt) bool { return a == b })
 	r.outs--
 	r.cust.open--
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1,6 +1,7 @@
 package logic
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -188,3 +189,35 @@
 		t.Fatalf("room %v after the counter lost its numbers", room)
 	}
 }
+
+// A spoilt answer of the counter is no silence: the amount was added. The block that it asked for comes with the next
+// total, and nothing is counted twice or forgotten.
+func TestSpoiltTotalIsMadeGood(t *testing.T) {
+	set := settings()
+	totals := 0.0
+	r := newRig(t, set, Server{ID: "s", State: Running}, Server{ID: "u", State: Running})
+	id, spoilt := RequestID(0), true
+	for range 200 {
+		r.now += 50 * ms
+		id++
+		for acts := r.arrive(id, "read", "capped"); len(acts) > 0; {
+			var next []Action
+			for _, call := range only[Count](acts) {
+				totals += call.Add
+				reply := CountReply{Name: call.Name, Outcome: Done, Total: totals}
+				if spoilt = !spoilt; spoilt {
+					reply.Outcome, reply.Total = Failed, 0
+				}
+				next = append(next, r.tell(reply)...)
+			}
+			for _, s := range only[Send](acts) {
+				next = append(next, r.tell(AttemptEnded{ID: s.ID, Server: s.Server, Outcome: Done, Took: ms, Finished: true})...)
+			}
+			acts = next
+		}
+		c := r.g.customers["c"]
+		if c.silent || c.others > 1e-6 || math.Abs(c.total-totals) > 1e-6 {
+			t.Fatalf("after request %d: silent %v, others %v, total %v of %v", id, c.silent, c.others, c.total, totals)
+		}
+	}
+}
