Close silent and idle clients in time; bound what clients hold by the limits

Read: a client that said nothing was never closed, half a command had 10 s that began anew with each byte (client.read), and places were freed one in 50 ms (takeSlot). mostHeld and mostUnsent, 32 and 24 MiB, were larger than the memory of a small ingress; at 256 descriptors clients had 80 places for the 85 connections that they may use. unsent counted answers of clients that had left and never gave them back (serve, answer); a request's arguments stayed in its timer after its end; an id was free again once answered, so a copy of it could be served; "*0" had no answer at all. Units, sets and keys had no upper bound, and the module takes a customer's plan and set from the first request.

Now: 2.4 s for a first command and for the rest of a later one, 2.1 s between requests, nonsense is answered after a growing pause and ends its connection at the tenth, nothing is read after lost framing until what came before is answered, room for 64 commands until their answers are written, the slowest reader goes first where answers pile up, an eighth of the memory each for held commands, commands coming in, unread answers and answers coming in.

--- a/cmd/hitchspring/main.go
+++ b/cmd/hitchspring/main.go
@@ -66,7 +66,7 @@
 		return fail(err)
 	}
 	cfg := ingress.Config{Listen: f.Listen, Discovery: f.Discovery, Counter: f.Counter, Seed: seed,
-		Sockets: f.Limits.Sockets, Known: f.Known, Settings: *settings, Connections: conns}
+		Sockets: f.Limits.Sockets, Memory: int(f.Limits.MemoryMB << 20), Known: f.Known, Settings: *settings, Connections: conns}
 	if _, err := ingress.New(cfg, log); err != nil { // one that is not run holds nothing
 		return fail(err)
 	}
--- a/internal/ingress/backend.go
+++ b/internal/ingress/backend.go
@@ -59,6 +59,7 @@
 	addr    string
 	nc      net.Conn // set before connUp is posted
 	raw     syscall.RawConn
+	frames  *budget
 	work    chan job
 	dead    chan struct{}
 	writing sync.Mutex              // held from before a command's first byte until whole tells of it
@@ -125,7 +126,8 @@
 // read posts answers until the connection ends or is of no further use: bytes behind an answer may be a second copy of
 // it, which must never be taken for the answer to the next command.
 func (c *conn) read(post func(event)) {
-	var in inbox
+	in := inbox{budget: c.frames}
+	defer in.close()
 	limited := false
 	for {
 		f, err := in.next()
@@ -300,7 +302,7 @@
 			g.starved = true
 			return
 		}
-		c := &conn{be: be, addr: be.addr, work: make(chan job, 1), dead: make(chan struct{})}
+		c := &conn{be: be, addr: be.addr, frames: g.frames, work: make(chan job, 1), dead: make(chan struct{})}
 		be.dialing++
 		be.conns++
 		g.conns++
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -5,8 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,11 +19,18 @@
 )
 
 const (
-	mostPipelined = 64               // unanswered commands of one connection; further ones wait in the socket
-	mostUnsent    = 24 << 20         // bytes of answers that clients have not read, all together
-	stallTimeout  = 10 * time.Second // for the rest of a command, and for reading an answer
-	slotPause     = 50 * time.Millisecond
-	lingerTime    = time.Second // for the client to see our end of a connection
+	mostPipelined = 64                      // commands of one connection whose answers are not written yet
+	firstCommand  = 2400 * time.Millisecond // from connecting to the end of the first command, and for the rest of a later one
+	idleTime      = 2100 * time.Millisecond // a connection without an open request is closed then
+	tidyEvery     = 250 * time.Millisecond
+	writeStall    = 3 * time.Second // for a client to read an answer
+	mostKey       = 256
+	slotPause     = 5 * time.Millisecond // before a further connection is closed for want of a place
+	newcomer      = 50 * time.Millisecond
+	lingerTime    = 250 * time.Millisecond // for the client to see our end of a connection
+	lingerBytes   = 256 << 10
+	faultPause    = 50 * time.Millisecond // before the answer to nonsense, longer each time
+	mostFaults    = 10                    // pieces of nonsense before a connection ends
 )
 
 // request is a client's command, and the gateway's books on it.
@@ -42,28 +49,36 @@
 
 // front is the server side: it accepts clients on one address.
 type front struct {
-	ln       net.Listener
-	gw       *Gateway
-	slots    chan struct{} // one for each connection that may be open
-	unsent   atomic.Int64
-	mu       sync.Mutex
-	clients  map[*client]bool
-	draining bool
-	wg       sync.WaitGroup
+	ln         net.Listener
+	gw         *Gateway
+	slots      chan struct{} // one for each connection that may be open
+	frames     *budget       // memory of commands that are coming in
+	unsent     atomic.Int64
+	mostUnsent int64 // bytes of answers that clients have not read, all together
+	mu         sync.Mutex
+	clients    map[*client]bool
+	draining   bool
+	wg         sync.WaitGroup
 }
 
 // client is one connection: a goroutine that reads, one that writes. Answers go out in the order of commands.
 type client struct {
 	f       *front
 	nc      net.Conn
-	room    chan struct{} // taken by each command until its answer is on its way
+	room    chan struct{} // taken by each command until its answer is written
 	wake    chan struct{}
+	written chan struct{} // closed when nothing is written any more
+	faults  atomic.Int32  // pieces of nonsense that came
 	mu      sync.Mutex
 	waiting []*slot // commands whose answers are not in out yet
 	out     []byte
-	used    time.Time // when the last command came
+	ready   int       // answers in out
+	unsent  int       // bytes of answers that are not written
+	used    time.Time // when it was opened, the last command came or the last answer left
+	spoken  bool      // a whole command has come
 	closing bool      // it will end when nothing waits for an answer
 	ended   bool      // it has: nothing is taken any more
+	gone    bool      // it is over: no answer is kept any more
 }
 
 // slot keeps the place of one command's answer.
@@ -79,8 +94,9 @@
 	abandoned struct{ reqs []*request }
 )
 
-func newFront(ln net.Listener, gw *Gateway, most int) *front {
-	return &front{ln: ln, gw: gw, slots: make(chan struct{}, most), clients: map[*client]bool{}}
+func newFront(ln net.Listener, gw *Gateway, most, memory int) *front {
+	return &front{ln: ln, gw: gw, slots: make(chan struct{}, most), frames: newBudget(memory),
+		mostUnsent: int64(memory), clients: map[*client]bool{}}
 }
 
 // accept takes connections until the listener closes.
@@ -96,7 +112,7 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
-		c := &client{f: f, nc: nc, room: make(chan struct{}, mostPipelined), wake: make(chan struct{}, 1), used: time.Now()}
+		c := newClient(f, nc)
 		f.mu.Lock()
 		f.clients[c] = true
 		f.wg.Add(1)
@@ -109,8 +125,13 @@
 	}
 }
 
-// takeSlot waits for the place of a further connection. Clients keep idle ones for good, so where all places
-// are taken an idle one is closed.
+func newClient(f *front, nc net.Conn) *client {
+	return &client{f: f, nc: nc, room: make(chan struct{}, mostPipelined), wake: make(chan struct{}, 1),
+		written: make(chan struct{}), used: time.Now()}
+}
+
+// takeSlot waits for the place of a further connection. Clients keep idle ones for good and hundreds may say nothing at
+// all, so where all places are taken one of these is closed.
 func (f *front) takeSlot() {
 	for {
 		select {
@@ -118,7 +139,7 @@
 			return
 		default:
 		}
-		f.closeIdlest()
+		f.closeIdlest(time.Now())
 		select {
 		case f.slots <- struct{}{}:
 			return
@@ -127,20 +148,19 @@
 	}
 }
 
-// closeIdlest closes the connection that has been between requests for the longest.
-func (f *front) closeIdlest() {
+// closeIdlest closes the oldest connection that has said nothing yet, or else the one that has been between requests
+// for the longest.
+func (f *front) closeIdlest(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var idlest *client
 	var since time.Time
+	var spoken bool
 	for c := range f.clients {
 		c.mu.Lock()
-		if c.closing { // one is on its way out: closing more would only empty the house
-			c.mu.Unlock()
-			return
-		}
-		if len(c.waiting) == 0 && (idlest == nil || c.used.Before(since)) {
-			idlest, since = c, c.used
+		free := !c.closing && len(c.waiting) == 0 && (c.spoken || now.Sub(c.used) > newcomer)
+		if free && (idlest == nil || spoken && !c.spoken || spoken == c.spoken && c.used.Before(since)) {
+			idlest, since, spoken = c, c.used, c.spoken
 		}
 		c.mu.Unlock()
 	}
@@ -149,6 +169,49 @@
 	}
 }
 
+// tidy closes, until ctx ends, the connections that have been without an open request for too long: every one of them
+// keeps memory and a descriptor, and some clients ask once and stay for good, or never ask.
+func (f *front) tidy(ctx context.Context) {
+	tick := time.NewTicker(tidyEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			f.mu.Lock()
+			for c := range f.clients {
+				c.mu.Lock()
+				idle := now.Sub(c.used)
+				over := len(c.waiting) == 0 && (c.spoken && idle > idleTime || !c.spoken && idle > firstCommand-tidyEvery)
+				c.mu.Unlock()
+				if over {
+					c.close()
+				}
+			}
+			f.mu.Unlock()
+		}
+	}
+}
+
+// closeFullest closes the connection of the slowest reader.
+func (f *front) closeFullest() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var fullest *client
+	most := 0
+	for c := range f.clients {
+		c.mu.Lock()
+		if c.unsent > most {
+			fullest, most = c, c.unsent
+		}
+		c.mu.Unlock()
+	}
+	if fullest != nil {
+		fullest.nc.Close()
+	}
+}
+
 // drain closes the listener, and every connection as soon as nothing on it waits for an answer.
 func (f *front) drain(ctx context.Context) {
 	f.ln.Close()
@@ -178,15 +241,21 @@
 // serve runs a connection to its end.
 func (c *client) serve() {
 	defer c.f.wg.Done()
-	done, written := make(chan struct{}), make(chan struct{})
+	done := make(chan struct{})
 	go func() {
-		defer close(written)
+		defer close(c.written)
 		c.write(done)
 	}()
-	c.read()
+	if c.read() {
+		// The framing is lost. What came before is answered, then the fault, then the connection ends. Nothing
+		// more is read until then: a flood costs its sender's time only.
+		c.close()
+		<-c.written
+		io.CopyN(io.Discard, c.nc, lingerBytes)
+	}
 	c.nc.Close()
 	close(done)
-	<-written
+	<-c.written
 	c.mu.Lock()
 	var left []*request
 	for _, s := range c.waiting {
@@ -194,7 +263,8 @@
 			left = append(left, s.req)
 		}
 	}
-	c.f.unsent.Add(-int64(len(c.out)))
+	c.gone = true
+	c.f.unsent.Add(-int64(c.unsent))
 	c.mu.Unlock()
 	if len(left) > 0 {
 		c.f.gw.post(abandoned{left})
@@ -220,22 +290,29 @@
 	}
 }
 
-// read takes commands until the connection ends.
-func (c *client) read() {
-	var in inbox
-	limited := false
+// read takes commands until the connection ends; it says whether that was for nonsense.
+func (c *client) read() (lost bool) {
+	in := inbox{budget: c.f.frames}
+	defer in.close()
+	limited, paused := false, int32(0)
 	for {
 		f, err := in.next()
 		switch {
 		case f != nil:
 			c.command(f, time.Now())
+			if n := c.faults.Load(); n >= mostFaults {
+				return true
+			} else if n > paused { // of a fault that the gateway found
+				paused = c.pause()
+			}
 			continue
 		case err == nil:
-			// Only the rest of a command has a time limit; setting one for each read would cost CPU.
-			if in.partial() {
-				c.nc.SetReadDeadline(time.Now().Add(stallTimeout))
+			// Only the rest of a command has a time limit, from its beginning on; setting one for each read would
+			// cost CPU.
+			if in.partial() && !limited {
+				c.nc.SetReadDeadline(time.Now().Add(firstCommand))
 				limited = true
-			} else if limited && !c.hasEnded() {
+			} else if limited && !in.partial() && !c.hasEnded() {
 				c.nc.SetReadDeadline(time.Time{})
 				limited = false
 			}
@@ -243,18 +320,36 @@
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, errFraming) || errors.Is(err, errTooLong):
-			// The framing is lost. What came before is answered, then this, then the connection ends.
-			c.reply(redcon.AppendError(nil, "ERR protocol error: "+err.Error()))
-			c.close()
-			io.Copy(io.Discard, c.nc)
-			return
+		case errors.Is(err, errFraming) || errors.Is(err, errTooLong) || errors.Is(err, errMemory):
+			c.fault(err.Error())
+			return true
+		case errors.Is(err, os.ErrDeadlineExceeded) && limited:
+			c.fault("the command does not end")
+			return true
 		default:
-			return
+			return false
 		}
 	}
 }
 
+// fault answers nonsense, after a pause: a client that repeats it as soon as it has been turned away takes no CPU from
+// the others.
+func (c *client) fault(text string) {
+	c.faults.Add(1)
+	c.pause()
+	c.reply(redcon.AppendError(nil, "ERR "+text))
+}
+
+// pause waits, longer with each fault, and returns their number.
+func (c *client) pause() int32 {
+	n := c.faults.Load()
+	select {
+	case <-time.After(time.Duration(n) * faultPause):
+	case <-c.written:
+	}
+	return n
+}
+
 func (c *client) hasEnded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -264,11 +359,8 @@
 // command takes one whole command.
 func (c *client) command(f []byte, at time.Time) {
 	whole, args, _, _, err := redcon.ReadNextCommand(f, nil)
-	if err != nil || !whole {
-		c.reply(redcon.AppendError(nil, "ERR a command is an array of bulk strings"))
-		return
-	}
-	if len(args) == 0 {
+	if err != nil || !whole || len(args) == 0 {
+		c.fault("a command is an array of bulk strings")
 		return
 	}
 	switch string(args[0]) {
@@ -277,7 +369,7 @@
 	case "Q.ASK", "Q.DO":
 		r, err := c.f.gw.parse(args, at)
 		if err != nil {
-			c.reply(redcon.AppendError(nil, "ERR "+err.Error()))
+			c.fault(err.Error())
 			return
 		}
 		if s := c.open(r); s != nil {
@@ -285,13 +377,17 @@
 			c.f.gw.post(arrived{r})
 		}
 	default:
-		c.reply(redcon.AppendError(nil, "ERR unknown command"))
+		c.fault("unknown command")
 	}
 }
 
 // open keeps a place for an answer; nil when the connection takes no more.
 func (c *client) open(r *request) *slot {
-	c.room <- struct{}{} // freed as answers come, and each request has a time limit
+	select {
+	case c.room <- struct{}{}: // freed as answers are written, and each request has a time limit
+	case <-c.written:
+		return nil
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ended {
@@ -299,7 +395,7 @@
 		return nil
 	}
 	s := &slot{c: c, req: r}
-	c.used = time.Now()
+	c.used, c.spoken = time.Now(), true
 	c.waiting = append(c.waiting, s)
 	return s
 }
@@ -311,25 +407,28 @@
 	}
 }
 
-// answer fills the slot and never blocks. A client that leaves its answers unread loses its connection
-// before they can fill the memory.
+// answer fills the slot and never blocks. Clients that leave their answers unread lose their connections before they
+// can fill the memory.
 func (s *slot) answer(b []byte) {
 	c := s.c
 	c.mu.Lock()
+	if c.gone {
+		c.mu.Unlock()
+		return
+	}
 	s.reply = b
+	c.unsent += len(b)
 	c.f.unsent.Add(int64(len(b)))
 	for len(c.waiting) > 0 && c.waiting[0].reply != nil {
 		c.out = append(c.out, c.waiting[0].reply...)
+		c.ready++
 		c.waiting[0] = nil
 		c.waiting = c.waiting[1:]
-		select {
-		case <-c.room:
-		default:
-		}
 	}
+	c.used = time.Now()
 	c.mu.Unlock()
-	if c.f.unsent.Load() > mostUnsent {
-		c.nc.Close()
+	if c.f.unsent.Load() > c.f.mostUnsent {
+		c.f.closeFullest()
 	}
 	c.signal()
 }
@@ -345,19 +444,27 @@
 		}
 		c.mu.Lock()
 		buf, c.out = c.out, buf[:0]
+		ready := c.ready
+		c.ready = 0
 		c.ended = c.closing && len(c.waiting) == 0
 		last := c.ended
 		c.mu.Unlock()
 		if len(buf) > 0 {
-			c.nc.SetWriteDeadline(time.Now().Add(stallTimeout))
+			c.nc.SetWriteDeadline(time.Now().Add(writeStall))
 			_, err := c.nc.Write(buf)
+			c.mu.Lock()
+			c.unsent -= len(buf)
+			c.mu.Unlock()
 			c.f.unsent.Add(-int64(len(buf)))
 			if err != nil {
 				c.nc.Close()
 				return
 			}
+			for range ready {
+				<-c.room
+			}
 		}
-		if cap(buf) > maxFrame {
+		if cap(buf) > smallBuffer {
 			buf = nil
 		}
 		if last { // the end is told first, so that no answer is lost to a reset
@@ -408,6 +515,9 @@
 		case "k":
 			key = v
 		case "units":
+			if strings.Trim(v, "0123456789.") != "" {
+				return nil, errors.New("field units is not a plain number")
+			}
 			r.Units, err = strconv.ParseFloat(v, 64)
 		case "spread":
 			spread, err = strconv.ParseUint(v, 10, 31)
@@ -427,15 +537,19 @@
 		return nil, errors.New("unknown plan")
 	case do == (class.Effect == logic.Safe):
 		return nil, errors.New("the class does not go with the command")
-	case class.Effect == logic.Keyed && key == "":
-		return nil, errors.New("field k is missing")
-	case d == 0 || spread == 0 || !seen["first"]:
-		return nil, errors.New("field d, spread or first is missing or nought")
-	case !(r.Units > 0) || math.IsInf(r.Units, 1):
-		return nil, errors.New("field units is missing or not above nought")
+	case class.Effect == logic.Keyed && (key == "" || len(key) > mostKey):
+		return nil, errors.New("field k is missing or too long")
+	case d == 0 || !seen["first"]:
+		return nil, errors.New("field d or first is missing or nought")
+	case spread == 0 || spread > uint64(g.cfg.Settings.Gateways) || first >= uint64(g.cfg.Settings.Gateways):
+		return nil, errors.New("there is no such set of gateways")
+	case !(r.Units > 0) || r.Units > g.mostUnits:
+		return nil, errors.New("field units is missing or out of range")
 	}
+	// The module takes a customer's plan and set from the first request that names it, so only what can be true
+	// goes on. A client that says it will wait for ever is not believed.
 	r.Spread, r.First = int(spread), int(first)
-	wait := time.Duration(d) * time.Millisecond
+	wait := min(time.Duration(d)*time.Millisecond, 2*class.Deadline)
 	r.GiveUpAt = g.clock(at) + wait - min(answerMargin, wait/4)
 	for _, a := range args { // the buffer is the connection's
 		r.args = append(r.args, append(make([]byte, 0, len(a)), a...))
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -3,10 +3,12 @@
 package ingress
 
 import (
+	"cmp"
 	"container/heap"
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"strconv"
 	"sync"
@@ -20,7 +22,8 @@
 
 const (
 	eventQueue   = 256
-	mostHeld     = 32 << 20 // bytes of commands that are kept until their requests end
+	memoryShare  = 8         // of the memory: commands held, commands coming in, answers unread, answers coming in
+	usualMemory  = 256 << 20 // where no limit is told
 	mostBatch    = 256
 	answerMargin = 20 * time.Millisecond  // before the client gives up: the way back, and a busy machine
 	overdue      = 8 * time.Millisecond   // into the margin: the module should have answered by now
@@ -28,7 +31,7 @@
 	idleCheck    = time.Second
 	graceOpen    = 600 * time.Millisecond  // after SIGTERM: new connections go on being served
 	graceAll     = 3300 * time.Millisecond // after SIGTERM: everything is answered by then
-	spare        = 48                      // descriptors for the counter, discovery, the listener and the runtime
+	spare        = 32                      // descriptors for the counter, discovery, the listener and the runtime
 )
 
 // Config is all that an ingress is told.
@@ -36,6 +39,7 @@
 	Listen, Discovery, Counter string
 	Seed                       uint64
 	Sockets                    int // descriptors that it may hold
+	Memory                     int // bytes that it may use; 0: not told
 	Known                      Fleet
 	Settings                   logic.Settings
 	Connections                wire.Connections
@@ -70,7 +74,7 @@
 	now       time.Duration
 	alarms    alarms
 	requests  map[logic.RequestID]*request
-	keys      map[uint64]*request
+	keys      map[uint64]bool // ids of requests whose time is not up, ended or not
 	lastID    logic.RequestID
 	backends  map[logic.ServerID]*backend
 	heldBytes int  // bytes of their commands
@@ -79,7 +83,10 @@
 	actions   []logic.Action
 	queue     []logic.Event // for the module, from actions that ended at once
 
-	mostConns int
+	mostConns int     // of conns
+	mostHeld  int     // of heldBytes
+	mostUnits float64 // of one request
+	frames    *budget // memory of answers that are coming in
 }
 
 // New checks the configuration and returns an ingress that does not run yet.
@@ -108,11 +115,16 @@
 	if cfg.Connections.Idle <= 0 {
 		cfg.Connections.Idle = 15 * time.Second
 	}
+	if cfg.Memory <= 0 {
+		cfg.Memory = usualMemory
+	}
 	start := time.Now()
 	g := &Gateway{cfg: cfg, net: cfg.Connections, log: log, classes: map[string]logic.Class{}, plans: map[string]bool{},
 		events: make(chan event, eventQueue), stopped: make(chan struct{}), ready: make(chan struct{}), start: start,
 		epoch: time.Duration(start.UnixNano()), mod: mod, requests: map[logic.RequestID]*request{},
-		keys: map[uint64]*request{}, backends: map[logic.ServerID]*backend{}, mostConns: cfg.Sockets / 2}
+		keys: map[uint64]bool{}, backends: map[logic.ServerID]*backend{}, mostConns: cfg.Sockets * 3 / 8,
+		mostHeld: cfg.Memory / memoryShare, mostUnits: cmp.Or(cfg.Settings.MaxUnits, math.MaxFloat64),
+		frames: newBudget(cfg.Memory / memoryShare)}
 	for _, c := range cfg.Settings.Classes {
 		g.classes[c.Name] = c
 	}
@@ -182,8 +194,9 @@
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
 	}
-	f := newFront(ln, g, g.cfg.Sockets-g.mostConns-spare)
+	f := newFront(ln, g, g.cfg.Sockets-g.mostConns-spare, g.cfg.Memory/memoryShare)
 	g.spawn(func(context.Context) { f.accept() })
+	g.spawn(f.tidy)
 	g.addr = ln.Addr()
 	close(g.ready)
 	g.log.Info("serving", "listen", g.cfg.Listen)
@@ -347,22 +360,26 @@
 
 func (g *Gateway) arrived(r *request) {
 	// Many clients with large bodies must not fill the memory: beyond the bounds nothing is taken.
-	if len(g.requests) >= g.net.MaxOpen || g.heldBytes+r.size > mostHeld {
+	if len(g.requests) >= g.net.MaxOpen || g.heldBytes+r.size > g.mostHeld {
 		r.final = true
-		r.slot.answer([]byte("-BUSY\r\n"))
+		r.slot.answer([]byte("-BUSY 250\r\n"))
 		return
 	}
-	if g.keys[r.key] != nil {
+	if g.keys[r.key] { // the one who asked first has its answer, and nobody else
 		r.final = true
+		r.slot.c.faults.Add(1)
 		r.slot.answer([]byte("-ERR a request of this id is being served\r\n"))
 		return
 	}
 	g.lastID++
 	r.ID = g.lastID
-	g.requests[r.ID], g.keys[r.key] = r, r
+	g.requests[r.ID], g.keys[r.key] = r, true
 	g.heldBytes += r.size
 	g.tell(logic.Arrival{Request: r.Request})
-	g.at(r.GiveUpAt+overdue, func() { g.cutOff(r) })
+	g.at(r.GiveUpAt+overdue, func() {
+		delete(g.keys, r.key)
+		g.cutOff(r)
+	})
 }
 
 // answer gives the final answer, once.
@@ -399,7 +416,7 @@
 	if r.final && r.out == 0 {
 		g.heldBytes -= r.size
 		delete(g.requests, r.ID)
-		delete(g.keys, r.key)
+		r.args, r.slot, r.attempts = nil, nil, nil // its timer may hold it for seconds more
 	}
 }
 
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"reflect"
 	"strings"
 	"sync"
@@ -277,11 +279,11 @@
 	addr, _ := startIngress(t, testConfig(registry(t, list, nil), list))
 	nc, in := dial(t, addr)
 	io.WriteString(nc, command("Q.DO", "00000000b4d65521", "9b1f03aa5c7e2d41",
-		"c=keyed,t=p,d=9000,k=5c0f,units=2,spread=3,first=0,r=1", "BODY\r\n"))
+		"c=keyed,t=p,d=9000,k=5c0f,units=2,spread=1,first=0,r=1", "BODY\r\n"))
 	wantValue(t, in)
 	got := be.seen()[0]
 	var left int
-	if _, err := fmt.Sscanf(got[3], "c=keyed,t=p,d=%d,k=5c0f,units=2,spread=3,first=0,r=1", &left); err != nil {
+	if _, err := fmt.Sscanf(got[3], "c=keyed,t=p,d=%d,k=5c0f,units=2,spread=1,first=0,r=1", &left); err != nil {
 		t.Fatalf("fields %q: %v", got[3], err)
 	}
 	if left < 1 || left > 9000 {
@@ -311,6 +313,14 @@
 		"no d":             {ask(1, "c=read,t=p,units=1,spread=1,first=0"), false},
 		"bad d":            {ask(1, "c=read,t=p,d=-1,units=1,spread=1,first=0"), false},
 		"huge d":           {ask(1, "c=read,t=p,d=99999999999,units=1,spread=1,first=0"), false},
+		"many units":       {ask(1, "c=read,t=p,d=9,units=5,spread=1,first=0"), false},
+		"odd units":        {ask(1, "c=read,t=p,d=9,units=0x1p1,spread=1,first=0"), false},
+		"wide set":         {ask(1, "c=read,t=p,d=9,units=1,spread=2,first=0"), false},
+		"set elsewhere":    {ask(1, "c=read,t=p,d=9,units=1,spread=1,first=1"), false},
+		"long key":         {command("Q.DO", "00000000b4d65521", "9b1f03aa5c7e2d41", "c=keyed,t=p,d=9,units=1,spread=1,first=0,k="+strings.Repeat("k", 300)), false},
+		"empty array":      {"*0\r\n", false},
+		"null array":       {"*-1\r\n", false},
+		"60 MB":            {"*5\r\n$4\r\nQ.DO\r\n$60000000\r\n", true},
 		"bad units":        {ask(1, "c=read,t=p,d=9,units=NaN,spread=1,first=0"), false},
 		"no value":         {ask(1, "c=read,t=p,d"), false},
 		"twice":            {ask(1, readFields+",d=7"), false},
@@ -769,7 +779,7 @@
 	}
 	nc, in := dial(t, addr)
 	io.WriteString(nc, ask(3, readFields))
-	if got := line(t, in); got != "-BUSY" {
+	if got := line(t, in); got != "-BUSY 250" {
 		t.Fatalf("answer %q", got)
 	}
 }
@@ -777,15 +787,15 @@
 // The same where the commands that are kept would fill the memory; what ends makes room again.
 func TestMostHeld(t *testing.T) {
 	g := idleGateway(t, newBackend(t, nil).addr)
-	c := &client{f: &front{}, wake: make(chan struct{}, 1)}
+	c := newClient(newFront(nil, g, 1, 1<<20), nil)
 	arrive := func(key uint64) *request {
-		r := &request{key: key, size: mostHeld - 1000, slot: &slot{c: c}, args: make([][]byte, 4)}
+		r := &request{key: key, size: g.mostHeld - 1000, slot: &slot{c: c}, args: make([][]byte, 4)}
 		r.Class, r.Plan, r.Units, r.Spread, r.GiveUpAt = "read", "p", 1, 1, g.now+time.Minute
 		g.handle(arrived{r})
 		return r
 	}
 	first, second := arrive(1), arrive(2)
-	if first.final || string(second.slot.reply) != "-BUSY\r\n" {
+	if first.final || string(second.slot.reply) != "-BUSY 250\r\n" {
 		t.Fatalf("first final: %v; second answered %q", first.final, second.slot.reply)
 	}
 	g.handle(abandoned{[]*request{first}})
@@ -837,8 +847,9 @@
 // What comes on a connection that is closing is dropped, however much: a reader that waited there for room
 // kept a shutdown from ending.
 func TestClosingConnectionTakesNothing(t *testing.T) {
-	c := &client{room: make(chan struct{}, 1), ended: true}
-	for range 3 {
+	c := newClient(nil, nil)
+	c.ended = true
+	for range mostPipelined + 1 {
 		if c.open(nil) != nil {
 			t.Fatal("a command was taken")
 		}
@@ -877,7 +888,7 @@
 // commands a client may be silent.
 func TestOnlyPartialCommandsHaveALimit(t *testing.T) {
 	near, far := net.Pipe()
-	c := &client{nc: &limits{Conn: near}, f: &front{}, room: make(chan struct{}, 9), wake: make(chan struct{}, 1)}
+	c := newClient(newFront(nil, nil, 1, 1<<20), &limits{Conn: near})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -894,13 +905,131 @@
 	}
 }
 
-// A client that leaves its answers unread loses its connection before they fill the memory.
+// A client that leaves its answers unread loses its connection before they fill the memory, and not one that reads.
 func TestSlowReaderIsCutOff(t *testing.T) {
+	f := newFront(nil, nil, 2, 1000)
+	var ends [2]net.Conn
+	var clients [2]*client
+	for i := range ends {
+		near, far := net.Pipe()
+		ends[i], clients[i] = far, newClient(f, near)
+		f.clients[clients[i]] = true
+	}
+	clients[0].open(nil).answer(make([]byte, 900))
+	clients[1].open(nil).answer(make([]byte, 200))
+	ends[1].SetWriteDeadline(time.Now()) // nobody reads it: a write waits for ever
+	if _, err := ends[0].Write([]byte("x")); !errors.Is(err, io.ErrClosedPipe) {
+		t.Fatalf("the slow reader's connection was kept: %v", err)
+	}
+	if _, err := ends[1].Write([]byte("x")); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("the other's was closed: %v", err)
+	}
+}
+
+// What is not written yet is counted to its end, also where the client has left by then: the figure once only rose.
+func TestUnsentIsGivenBack(t *testing.T) {
+	be := newBackend(t, nil)
+	g := idleGateway(t, be.addr)
+	f := newFront(nil, g, 1, 1<<20)
 	near, far := net.Pipe()
-	c := &client{nc: near, f: &front{}, room: make(chan struct{}, 9), wake: make(chan struct{}, 1)}
-	c.f.unsent.Store(mostUnsent)
-	c.open(nil).answer([]byte("+PONG\r\n"))
-	if _, err := far.Write([]byte("x")); err == nil {
-		t.Fatal("the connection was kept")
+	c := newClient(f, near)
+	f.slots <- struct{}{}
+	f.wg.Add(1)
+	first, second := c.open(&request{}), c.open(nil)
+	second.answer([]byte("+PONG\r\n"))
+	far.Close()
+	c.serve()
+	first.answer([]byte("-ERR failed\r\n"))
+	if n := f.unsent.Load(); n != 0 {
+		t.Fatalf("%d bytes unsent of nobody", n)
+	}
+	if left := (<-g.events).(abandoned).reqs; len(left) != 1 {
+		t.Fatalf("%d requests abandoned", len(left))
+	}
+}
+
+// Clients that say nothing, or half a command, are closed within 3 s, those that ask once and stay a little after 2 s;
+// while hundreds of them sit there, usual clients still get in.
+func TestSilentClients(t *testing.T) {
+	be := newBackend(t, func(int, []string, net.Conn) string { return served })
+	list := fleetOf(be.addr)
+	cfg := testConfig(registry(t, list, nil), list)
+	cfg.Sockets = 128 // 48 for clients
+	addr, _ := startIngress(t, cfg)
+	began := time.Now()
+	var silent []net.Conn
+	for i := range 40 {
+		nc, in := dial(t, addr)
+		switch i % 3 {
+		case 1:
+			io.WriteString(nc, "*5\r\n$4\r\nQ.")
+		case 2:
+			io.WriteString(nc, command("PING"))
+			line(t, in)
+		}
+		silent = append(silent, nc)
+	}
+	for _, nc := range silent {
+		if _, err := io.ReadAll(nc); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(began); took < 2*time.Second || took > 20*time.Second {
+		t.Fatalf("closed after %v", took)
+	}
+	for range 200 {
+		dial(t, addr)
+	}
+	for i := range 20 {
+		nc, in := dial(t, addr)
+		io.WriteString(nc, ask(i, readFields))
+		wantValue(t, in)
+	}
+}
+
+// Nonsense over and over is answered ever more slowly, and ends the connection.
+func TestRepeatedNonsense(t *testing.T) {
+	addr, _ := startIngress(t, testConfig(registry(t, fleetOf(), nil), fleetOf()))
+	nc, in := dial(t, addr)
+	io.WriteString(nc, strings.Repeat(command("HELLO"), 500))
+	rest, err := io.ReadAll(in)
+	if n := strings.Count(string(rest), "-ERR"); n > mostFaults || n == 0 {
+		t.Fatalf("%d errors, %v; want at most %d and the end", n, err, mostFaults)
+	}
+}
+
+// A request's id is taken until its time is up, also once it has been answered: whoever copies it is not served.
+func TestCopiedID(t *testing.T) {
+	be := newBackend(t, func(int, []string, net.Conn) string { return served })
+	list := fleetOf(be.addr)
+	addr, _ := startIngress(t, testConfig(registry(t, list, nil), list))
+	nc, in := dial(t, addr)
+	io.WriteString(nc, ask(1, readFields))
+	wantValue(t, in)
+	other, in := dial(t, addr)
+	io.WriteString(other, ask(1, readFields))
+	if got := line(t, in); !strings.HasPrefix(got, "-ERR") {
+		t.Fatalf("answer %q", got)
+	}
+}
+
+// The memory of commands that are coming in is bounded over all connections.
+func TestBudget(t *testing.T) {
+	b := newBudget(smallBuffer + 10)
+	fill := func(in *inbox) error {
+		return in.fill(func(p []byte) (int, error) { return len(p), nil })
+	}
+	one, two := inbox{budget: b}, inbox{budget: b}
+	for _, step := range []struct {
+		in   *inbox
+		want error
+	}{{&one, nil}, {&two, nil}, {&one, nil}, {&two, errMemory}} {
+		if err := fill(step.in); err != step.want {
+			t.Fatalf("%v, want %v", err, step.want)
+		}
+	}
+	one.close()
+	if err := fill(&two); err != nil {
+		t.Fatal(err)
 	}
 }
--- a/internal/ingress/resp.go
+++ b/internal/ingress/resp.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"strconv"
+	"sync/atomic"
 )
 
 // Bounds on what a peer may send. A whole command or answer is held in memory before it is read, so
@@ -19,6 +20,7 @@
 var (
 	errFraming = errors.New("malformed RESP")
 	errTooLong = errors.New("value too long")
+	errMemory  = errors.New("no memory for this now")
 )
 
 // frame returns the length of the RESP value that b begins with, or 0 while its end has not come. It
@@ -71,10 +73,44 @@
 	return size, nil
 }
 
-// inbox gathers what a connection brings until a frame is whole.
+// budget is memory that many connections share; nil is without end.
+type budget struct {
+	left atomic.Int64
+}
+
+func newBudget(bytes int) *budget {
+	b := &budget{}
+	b.left.Store(int64(bytes))
+	return b
+}
+
+func (b *budget) take(n int) bool {
+	if b == nil || b.left.Add(-int64(n)) >= 0 {
+		return true
+	}
+	b.give(n)
+	return false
+}
+
+func (b *budget) give(n int) {
+	if b != nil {
+		b.left.Add(int64(n))
+	}
+}
+
+// inbox gathers what a connection brings until a frame is whole. What it needs beyond a small buffer comes from the
+// budget.
 type inbox struct {
 	buf         []byte
 	start, have int
+	budget      *budget
+	taken       int
+}
+
+// close gives back what was taken from the budget.
+func (in *inbox) close() {
+	in.budget.give(in.taken)
+	in.taken = 0
 }
 
 // next returns the next whole frame, or nil when more must be read; it is valid until fill.
@@ -100,11 +136,17 @@
 	switch {
 	case in.have == 0 && len(in.buf) != smallBuffer: // a large frame's memory does not stay with the connection
 		in.buf = make([]byte, smallBuffer)
+		in.close()
 	case in.have == len(in.buf):
 		if in.have >= maxFrame+maxLine {
 			return errTooLong
 		}
-		in.buf = append(in.buf, make([]byte, min(len(in.buf), maxFrame+maxLine-in.have))...)
+		more := min(len(in.buf), maxFrame+maxLine-in.have)
+		if !in.budget.take(more) {
+			return errMemory
+		}
+		in.taken += more
+		in.buf = append(in.buf, make([]byte, more)...)
 	}
 	n, err := read(in.buf[in.have:])
 	in.have += n
