Forget backends that are gone; believe of discovery only what can be

A backend is now dropped with its last connection, in the module with its last attempt; older lists and useless entries are logged and left aside; a send to a forgotten backend ends as moot.

--- a/internal/ingress/backend.go
+++ b/internal/ingress/backend.go
@@ -459,4 +459,12 @@
 	}
 	g.dial(be)
 	g.feed()
+	g.drop(be)
+}
+
+// drop forgets a backend that is gone for good once nothing is out or open there: ids are ever new.
+func (g *Gateway) drop(be *backend) {
+	if be.State == logic.Gone && be.conns == 0 && len(be.waiting) == 0 && g.backends[be.ID] == be {
+		delete(g.backends, be.ID)
+	}
 }
--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -8,8 +8,11 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -187,7 +190,37 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return fmt.Errorf("list: %w", err)
 	}
+	if f.Rev < d.rev { // it would revive what is gone
+		d.log.Warn("discovery: an older list is left aside", "rev", f.Rev, "held", d.rev)
+		return nil
+	}
 	d.rev = f.Rev
-	d.post(f)
+	d.post(f.usable(d.log))
+	return nil
+}
+
+// usable is the list without the entries that say nothing.
+func (f Fleet) usable(log *slog.Logger) Fleet {
+	f.Targets = slices.DeleteFunc(slices.Clone(f.Targets), func(t Target) bool {
+		err := t.check()
+		if err != nil {
+			log.Warn("an entry of the list is left aside", "err", err)
+		}
+		return err != nil
+	})
+	return f
+}
+
+// check says what makes an entry useless. One that tells only that a backend is gone needs no address.
+func (t Target) check() error {
+	if t.UID == "" {
+		return errors.New("no id")
+	}
+	if _, _, err := net.SplitHostPort(t.Endpoint); err != nil && t.State != "DELETED" {
+		return fmt.Errorf("%s: %w", t.UID, err)
+	}
+	if t.BootMS < 0 || t.BootMS > math.MaxInt64/int64(time.Millisecond) {
+		return fmt.Errorf("%s: started at %d", t.UID, t.BootMS)
+	}
 	return nil
 }
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -235,7 +235,7 @@
 // known hands the module the list that the configuration brought, before anything else.
 func (g *Gateway) known() {
 	g.now = g.clock(time.Now())
-	f := g.cfg.Known
+	f := g.cfg.Known.usable(g.log)
 	f.All = true
 	g.handle(f)
 }
@@ -424,9 +424,12 @@
 
 func (g *Gateway) send(s logic.Send) {
 	r, be := g.requests[s.ID], g.backends[s.Server]
-	if r == nil || be == nil {
+	if r == nil {
 		return
 	}
+	if be == nil { // gone and forgotten
+		be = &backend{Server: logic.Server{ID: s.Server, State: logic.Gone}}
+	}
 	a := &attempt{req: r, n: len(r.attempts), be: be, began: g.now, stop: r.GiveUpAt}
 	if s.StopAt > 0 {
 		a.stop = min(s.StopAt, r.GiveUpAt)
@@ -517,6 +520,9 @@
 	}
 	g.retireIdle()
 	g.tell(ev)
+	for _, be := range g.backends {
+		g.drop(be)
+	}
 }
 
 // held is the list as it stands.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -1033,3 +1033,58 @@
 		t.Fatal(err)
 	}
 }
+
+// Backends come under ever new ids: one that is gone is forgotten as soon as its last connection is, though another may
+// have taken its address by then.
+func TestGoneBackendIsForgotten(t *testing.T) {
+	be := newBackend(t, func(int, []string, net.Conn) string { return served })
+	g := idleGateway(t, be.addr)
+	a := waitingAttempt(g, "s0")
+	a.req.final = true // answered: nothing goes to a client here
+	g.place(a)
+	up := (<-g.events).(connUp)
+	g.handle(up)
+	f := fleetOf(be.addr, be.addr)
+	f.All, f.Targets[0].State = false, "DELETED"
+	g.handle(f)
+	if len(g.backends) != 2 {
+		t.Fatalf("%d backends while an attempt is out, want 2", len(g.backends))
+	}
+	g.handle(<-g.events) // the answer
+	g.now += restTime
+	g.ring()
+	g.handle(<-g.events) // the connection's end
+	if g.conns != 0 || g.backends["s1"] == nil {
+		t.Fatalf("%d connections, backends %v", g.conns, g.backends)
+	}
+}
+
+// What discovery says is believed only where it can be: an older list would revive what is gone.
+func TestOddLists(t *testing.T) {
+	var told []Fleet
+	d := newDiscovery("127.0.0.1:1", 7, func(e event) { told = append(told, e.(Fleet)) }, quiet)
+	for _, c := range []struct {
+		in    string
+		ok    bool
+		known int // entries told
+	}{
+		{`{"rev":8`, false, -1},
+		{`[]`, false, -1},
+		{`{"rev":"x","all":true,"targets":[]}`, false, -1},
+		{`{"rev":6,"all":true,"targets":[{"uid":"a","endpoint":"127.0.0.1:1","state":"SERVING"}]}`, true, -1},
+		{`{"rev":7,"all":true,"targets":[{"uid":"a","endpoint":"127.0.0.1:1","state":"SERVING"},
+			{"endpoint":"127.0.0.1:1","state":"SERVING"},{"uid":"b","state":"SERVING"},{"uid":"c","state":"DELETED"},
+			{"uid":"d","endpoint":"127.0.0.1","state":"SERVING"},{"uid":"e","endpoint":"127.0.0.1:1","boot_ms":-5}]}`, true, 2},
+	} {
+		told = nil
+		if err := d.tell([]byte(c.in)); (err == nil) != c.ok {
+			t.Errorf("%s: %v", c.in, err)
+		}
+		if c.known < 0 && len(told) > 0 || c.known >= 0 && (len(told) != 1 || len(told[0].Targets) != c.known) {
+			t.Errorf("%s: told %v, want %d entries", c.in, told, c.known)
+		}
+	}
+	if s := (Target{UID: "a", Endpoint: "127.0.0.1:1", State: "ODD"}).server(); s.State != logic.Draining {
+		t.Errorf("an unknown state is %v, want draining", s.State)
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -770,11 +770,9 @@
 	}
 	a := &attempt{n: len(r.attempts), s: s, sent: g.now, mayRun: true}
 	r.attempts = append(r.attempts, a)
-	r.outs++
-	r.cust.open++
+	r.outs, r.cust.open, g.busy = r.outs+1, r.cust.open+1, g.busy+1
 	s.out = append(s.out, a)
 	s.lastSent, g.lastSent, s.phase = g.now, g.now, 1
-	g.busy++
 	var stop time.Duration
 	if !g.set.SecondCopies && r.class.mean > 0 && r.class.Effect != Unsafe { // ends for another
 		stop = g.now + max(r.class.takes(2*hedgeDevs), r.class.Aim/3)
@@ -891,9 +889,11 @@
 		s.Server = e
 	}
 	g.fleet = g.fleet[:0]
-	for _, s := range g.servers {
+	for id, s := range g.servers {
 		if s.State == Running {
 			g.fleet = append(g.fleet, s)
+		} else if s.State == Gone && len(s.out) == 0 { // ids are ever new: it would stay for good
+			delete(g.servers, id)
 		}
 	}
 	slices.SortFunc(g.fleet, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -221,3 +221,18 @@
 		}
 	}
 }
+
+// Servers come under ever new ids: one that is gone is forgotten once nothing is out there.
+func TestGoneServerIsForgotten(t *testing.T) {
+	r := newRig(t, settings(), Server{ID: "s", State: Running})
+	r.arrive(1, "read", "free")
+	r.tell(FleetChanged{Servers: []Server{{ID: "s", State: Gone}, {ID: "u", State: Running}}})
+	if len(r.g.servers) != 2 {
+		t.Fatal("forgotten while an attempt is out")
+	}
+	r.tell(AttemptEnded{ID: 1, Server: "s", Outcome: Done, Took: ms, Finished: true})
+	r.tell(FleetChanged{Servers: []Server{{ID: "v", State: Running}}})
+	if r.g.servers["s"] != nil || len(r.g.fleet) != 2 {
+		t.Fatalf("servers %v, fleet %v", r.g.servers, r.g.fleet)
+	}
+}
