Give up a counter's answer that has begun and does not end after 20 ms

Lines at fault, in part: link.read waited four time-outs (320 ms) for the rest of a line that never ends, while all calls of a quarter of the customers ran out of time behind it.

--- a/internal/ingress/counter.go
+++ b/internal/ingress/counter.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"hash/fnv"
 	"math"
@@ -15,11 +16,12 @@
 )
 
 const (
-	counterLinks   = 4               // connections; calls of one name share one, so that they stay in order
-	counterQueue   = 512             // calls that wait for a connection, or on it for an answer
-	counterIdle    = 3 * time.Second // a connection without a call for so long is closed, before the counter does
-	counterSilence = 4               // time-outs: one without an answer for so long is dead, its line of calls is no longer
-	mostTotal      = 1e12            // a total beyond is none
+	counterLinks   = 4                     // connections; calls of one name share one, so that they stay in order
+	counterQueue   = 512                   // calls that wait for a connection, or on it for an answer
+	counterIdle    = 3 * time.Second       // a connection without a call for so long is closed, before the counter does
+	counterSilence = 4                     // time-outs: one without an answer for so long is dead, its line of calls is no longer
+	counterRest    = 20 * time.Millisecond // for the rest of an answer: a few bytes
+	mostTotal      = 1e12                  // a total beyond is none
 )
 
 // call is one call of the shared counter. The gateway may take it back for as long as it is unwritten.
@@ -188,7 +190,7 @@
 func (l *link) read(nc net.Conn, pending <-chan *call, idle chan<- struct{}) {
 	in := bufio.NewReaderSize(nc, 1<<10)
 	for {
-		line, err := in.ReadSlice('\n')
+		line, err := readLine(nc, in)
 		if len(pending) == 0 || err != nil && len(line) == 0 {
 			return
 		}
@@ -213,6 +215,18 @@
 	}
 }
 
+// readLine waits for an answer; once one has begun its end must come too, or the calls behind it would wait for
+// nothing.
+func readLine(nc net.Conn, in *bufio.Reader) ([]byte, error) {
+	if _, err := in.Peek(1); err != nil {
+		return nil, err
+	}
+	if begun, _ := in.Peek(in.Buffered()); bytes.IndexByte(begun, '\n') < 0 {
+		nc.SetReadDeadline(time.Now().Add(counterRest))
+	}
+	return in.ReadSlice('\n')
+}
+
 // limit sets how long the counter may say nothing.
 func (l *link) limit(nc net.Conn, waits bool) {
 	d := counterIdle
--- a/internal/ingress/counter_test.go
+++ b/internal/ingress/counter_test.go
@@ -60,7 +60,13 @@
 // After an answer that cannot be read its connection is of no use: the call was added, the one behind it may have been,
 // and the next goes out on a new connection at once. Once the calls of such a connection timed out for 3 s.
 func TestCounterSpoiltAnswer(t *testing.T) {
-	for _, spoilt := range []string{"ok NaN\r\n", "ok +Inf\r\n", "ok 1e99\r\n", "ok x\r\n", "ok\r\n", "\x00\x7f\r\n", strings.Repeat("x", 5000)} {
+	began := time.Now()
+	defer func() {
+		if took := time.Since(began); took > 10*time.Second { // half of the silence that ends a connection here
+			t.Fatalf("took %v", took)
+		}
+	}()
+	for _, spoilt := range []string{"ok NaN\r\n", "ok +Inf\r\n", "ok 1e99\r\n", "ok x\r\n", "ok\r\n", "ok 12", "\x00\x7f\r\n", strings.Repeat("x", 5000)} {
 		var conns atomic.Int32
 		l, events := startLink(t, func(nc net.Conn, in *bufio.Reader) {
 			n := conns.Add(1)
