Make two tests independent of the machine's pace

The second copy of an answer is on its way before the next request goes out, and SIGHUP never meets its default in the test's process, even if the program had ended early.

--- a/cmd/hitchspring/main_test.go
+++ b/cmd/hitchspring/main_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -16,6 +17,9 @@
 // SIGHUP once ended the process. It moves discovery to the address that the file names now; a bad file changes
 // nothing, nor does one in the middle of a shutdown.
 func TestHangup(t *testing.T) {
+	ours := make(chan os.Signal, 1) // whatever the program does, the test goes on
+	signal.Notify(ours, syscall.SIGHUP)
+	defer signal.Stop(ours)
 	asked := make(chan int, 16)
 	var discovery [3]string
 	for i := range discovery {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -581,12 +581,15 @@
 	value := func(args []string) string {
 		return "*3\r\n$16\r\n" + args[2] + "\r\n$-1\r\n$4\r\nqps=\r\n"
 	}
+	sent := make(chan struct{}, 1) // what stands behind the answer is on its way too
 	for name, say := range map[string]func(n int, args []string, nc net.Conn) string{
 		"second copy":  func(_ int, args []string, _ net.Conn) string { return value(args) + value(args) },
 		"noise behind": func(_ int, args []string, _ net.Conn) string { return value(args) + "\x00\xff" },
 		"copy apart": func(_ int, args []string, nc net.Conn) string {
 			io.WriteString(nc, value(args))
-			return value(args)
+			io.WriteString(nc, value(args))
+			sent <- struct{}{}
+			return ""
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -599,6 +602,9 @@
 				if a, b := line(t, in), line(t, in); a != "$16" || b != fmt.Sprintf("%016x", i) {
 					t.Fatalf("request %d: answer %q %q", i, a, b)
 				}
+				if name == "copy apart" {
+					<-sent
+				}
 			}
 			if n := be.conns.Load(); n != 20 {
 				t.Fatalf("%d connections, want a new one each time", n)
