Put the shared counter behind a store seam; word answers in the front

Need: other installations have Redis, and the gateway's goroutine knew both the tally service and RESP2.

internal/store holds the seam: a call is answered added, surely not, or maybe, and its owner can take it back until a store has taken it. tally moves behind it as it was, with its tests.

--- a/internal/ingress/backend.go
+++ b/internal/ingress/backend.go
@@ -14,6 +14,7 @@
 
 	"github.com/tidwall/redcon"
 
+	"larchwick/internal/resp"
 	"larchwick/logic"
 )
 
@@ -40,6 +41,24 @@
 	ended  bool
 }
 
+// command is what an attempt writes: the client's own, with the time that is left for it.
+func (a *attempt) command(now time.Duration) []byte {
+	if a.req == nil {
+		return redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(nil, 2), "INFO"), "load")
+	}
+	r := a.req
+	b := redcon.AppendArray(make([]byte, 0, 192+len(r.args[len(r.args)-1])), len(r.args))
+	for i, arg := range r.args {
+		if i == 3 {
+			fields := append(make([]byte, 0, len(arg)+8), arg[:r.dFrom]...)
+			fields = strconv.AppendInt(fields, max(1, (a.stop-now).Milliseconds()), 10)
+			arg = append(fields, arg[r.dTo:]...)
+		}
+		b = redcon.AppendBulk(b, arg)
+	}
+	return b
+}
+
 // backend is what the gateway's goroutine keeps of a server: its entry, its connections, and the attempts
 // that wait for one. A connection carries one attempt at a time, so that giving one up hurts no other.
 type backend struct {
@@ -59,7 +78,7 @@
 	addr    string
 	nc      net.Conn // set before connUp is posted
 	raw     syscall.RawConn
-	frames  *budget
+	frames  *resp.Budget
 	work    chan job
 	dead    chan struct{}
 	writing sync.Mutex              // held from before a command's first byte until whole tells of it
@@ -126,17 +145,17 @@
 // read posts answers until the connection ends or is of no further use: bytes behind an answer may be a second copy of
 // it, which must never be taken for the answer to the next command.
 func (c *conn) read(post func(event)) {
-	in := inbox{budget: c.frames}
-	defer in.close()
+	in := resp.Inbox{Budget: c.frames}
+	defer in.Close()
 	limited := false
 	for {
-		f, err := in.next()
+		f, err := in.Next()
 		switch {
 		case err != nil:
 			return
 		case f != nil:
 			rep := parseReply(f)
-			rep.keep = rep.keep && !in.partial()
+			rep.keep = rep.keep && !in.Partial()
 			c.writing.Lock()
 			to := c.whole.Load()
 			c.writing.Unlock()
@@ -145,14 +164,14 @@
 				return
 			}
 			continue
-		case in.partial() && !limited:
+		case in.Partial() && !limited:
 			c.nc.SetReadDeadline(time.Now().Add(answerTime))
 			limited = true
-		case limited && !in.partial():
+		case limited && !in.Partial():
 			c.nc.SetReadDeadline(time.Time{})
 			limited = false
 		}
-		if in.fill(c.nc.Read) != nil {
+		if in.Fill(c.nc.Read) != nil {
 			return
 		}
 	}
@@ -289,7 +308,7 @@
 func (g *Gateway) write(c *conn, a *attempt) {
 	a.conn, c.cur, a.handed = c, a, g.now
 	select {
-	case c.work <- job{a, g.command(a)}:
+	case c.work <- job{a, a.command(g.now)}:
 	default: // it has answered what was not written yet: the order is lost, and this goroutine must not wait
 		c.nc.Close()
 	}
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/tidwall/redcon"
 
+	"larchwick/internal/resp"
 	"larchwick/logic"
 )
 
@@ -36,8 +37,8 @@
 // request is a client's command, and the gateway's books on it.
 type request struct {
 	logic.Request
-	key      uint64 // the client's id
-	slot     *slot
+	key      uint64   // the client's id
+	place    Place    // of its one final answer
 	args     [][]byte // the command as it came: name, customer, id, fields, body
 	size     int      // of the args
 	dFrom    int      // where the value of d stands in the fields
@@ -52,7 +53,7 @@
 	ln         net.Listener
 	gw         *Gateway
 	slots      chan struct{} // one for each connection that may be open
-	frames     *budget       // memory of commands that are coming in
+	frames     *resp.Budget  // memory of commands that are coming in
 	unsent     atomic.Int64
 	mostUnsent int64 // bytes of answers that clients have not read, all together
 	mu         sync.Mutex
@@ -95,7 +96,7 @@
 )
 
 func newFront(ln net.Listener, gw *Gateway, most, memory int) *front {
-	return &front{ln: ln, gw: gw, slots: make(chan struct{}, most), frames: newBudget(memory),
+	return &front{ln: ln, gw: gw, slots: make(chan struct{}, most), frames: resp.NewBudget(memory),
 		mostUnsent: int64(memory), clients: map[*client]bool{}}
 }
 
@@ -292,11 +293,11 @@
 
 // read takes commands until the connection ends; it says whether that was for nonsense.
 func (c *client) read() (lost bool) {
-	in := inbox{budget: c.f.frames}
-	defer in.close()
+	in := resp.Inbox{Budget: c.f.frames}
+	defer in.Close()
 	limited, paused := false, int32(0)
 	for {
-		f, err := in.next()
+		f, err := in.Next()
 		switch {
 		case f != nil:
 			c.command(f, time.Now())
@@ -309,18 +310,18 @@
 		case err == nil:
 			// Only the rest of a command has a time limit, from its beginning on; setting one for each read would
 			// cost CPU.
-			if in.partial() && !limited {
+			if in.Partial() && !limited {
 				c.nc.SetReadDeadline(time.Now().Add(firstCommand))
 				limited = true
-			} else if limited && !in.partial() && !c.hasEnded() {
+			} else if limited && !in.Partial() && !c.hasEnded() {
 				c.nc.SetReadDeadline(time.Time{})
 				limited = false
 			}
-			err = in.fill(c.nc.Read)
+			err = in.Fill(c.nc.Read)
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, errFraming) || errors.Is(err, errTooLong) || errors.Is(err, errMemory):
+		case errors.Is(err, resp.ErrFraming) || errors.Is(err, resp.ErrTooLong) || errors.Is(err, resp.ErrMemory):
 			c.fault(err.Error())
 			return true
 		case errors.Is(err, os.ErrDeadlineExceeded) && limited:
@@ -373,7 +374,7 @@
 			return
 		}
 		if s := c.open(r); s != nil {
-			r.slot = s
+			r.place = s
 			c.f.gw.post(arrived{r})
 		}
 	default:
@@ -407,6 +408,26 @@
 	}
 }
 
+// Answer words the final answer of a request.
+func (s *slot) Answer(a Answer) {
+	switch a.Kind {
+	case Served:
+		s.answer(redcon.AppendBulk(make([]byte, 0, len(a.Value)+16), a.Value))
+	case Refused:
+		b := []byte("-BUSY\r\n")
+		if a.RetryAfter > 0 {
+			b = strconv.AppendInt(append(b[:5], ' '), max(1, a.RetryAfter.Milliseconds()), 10)
+			b = append(b, '\r', '\n')
+		}
+		s.answer(b)
+	case Repeated:
+		s.c.faults.Add(1)
+		s.answer([]byte("-ERR a request of this id is being served\r\n"))
+	default:
+		s.answer([]byte("-ERR failed\r\n"))
+	}
+}
+
 // answer fills the slot and never blocks. Clients that leave their answers unread lose their connections before they
 // can fill the memory.
 func (s *slot) answer(b []byte) {
@@ -464,7 +485,7 @@
 				<-c.room
 			}
 		}
-		if cap(buf) > smallBuffer {
+		if cap(buf) > resp.SmallBuffer {
 			buf = nil
 		}
 		if last { // the end is told first, so that no answer is lost to a reset
--- a/internal/ingress/discovery.go
+++ b/internal/ingress/discovery.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"larchwick/internal/store"
 	"larchwick/logic"
 )
 
@@ -63,14 +64,14 @@
 	url    string
 	rev    int64
 	client *http.Client
-	moves  latest
+	moves  store.Latest[string]
 	post   func(event)
 	first  chan struct{} // closed after the first list, or when that failed
 	log    *slog.Logger
 }
 
 func newDiscovery(addr string, rev int64, post func(event), log *slog.Logger) *discovery {
-	return &discovery{url: listURL(addr), rev: rev, moves: newLatest(), post: post, log: log,
+	return &discovery{url: listURL(addr), rev: rev, moves: store.NewLatest[string](), post: post, log: log,
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true}}, first: make(chan struct{})}
 }
 
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -10,12 +10,12 @@
 	"log/slog"
 	"math"
 	"net"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/tidwall/redcon"
-
+	"larchwick/internal/resp"
+	"larchwick/internal/store"
+	"larchwick/internal/store/tally"
 	"larchwick/internal/wire"
 	"larchwick/logic"
 )
@@ -29,6 +29,7 @@
 	overdue      = 8 * time.Millisecond   // into the margin: the module should have answered by now
 	firstList    = 300 * time.Millisecond // what a start waits for discovery before it serves from the known list
 	idleCheck    = time.Second
+	fullRetry    = 250 * time.Millisecond  // when to come back to an ingress whose memory is full
 	graceOpen    = 600 * time.Millisecond  // after SIGTERM: new connections go on being served
 	graceAll     = 3300 * time.Millisecond // after SIGTERM: everything is answered by then
 	spare        = 32                      // descriptors for the counter, discovery, the listener and the runtime
@@ -42,9 +43,31 @@
 	Memory                     int // bytes that it may use; 0: not told
 	Known                      Fleet
 	Settings                   logic.Settings
+	Store                      func(store.Sink) store.Counter // makes the shared counter; nil: tally at Counter
 	Connections                wire.Connections
 }
 
+// Kind is what a final answer says.
+type Kind uint8
+
+// The kinds of final answers.
+const (
+	Failed   Kind = iota // it promises nothing
+	Served               // with a node's value
+	Refused              // trying again is harmless
+	Repeated             // a request of the same id is open: that one is served, this was not taken
+)
+
+// Answer is the one final answer to a request; a front words it in its protocol.
+type Answer struct {
+	Kind       Kind
+	Value      []byte
+	RetryAfter time.Duration // of a refusal; 0: no advice
+}
+
+// Place is where a front waits for the one final answer. Answer never blocks, and is called once.
+type Place interface{ Answer(Answer) }
+
 // event is what the gateway's goroutine is told by the others.
 type event any
 
@@ -59,7 +82,7 @@
 	log     *slog.Logger
 	classes map[string]logic.Class
 	plans   map[string]bool
-	counter *counter
+	counter store.Counter // nil: the settings know none
 	disc    *discovery
 	events  chan event
 	stopped chan struct{}
@@ -83,10 +106,10 @@
 	actions   []logic.Action
 	queue     []logic.Event // for the module, from actions that ended at once
 
-	mostConns int     // of conns
-	mostHeld  int     // of heldBytes
-	mostUnits float64 // of one request
-	frames    *budget // memory of answers that are coming in
+	mostConns int          // of conns
+	mostHeld  int          // of heldBytes
+	mostUnits float64      // of one request
+	frames    *resp.Budget // memory of answers that are coming in
 }
 
 // New checks the configuration and returns an ingress that does not run yet.
@@ -94,7 +117,7 @@
 	if cfg.Sockets < 128 {
 		return nil, fmt.Errorf("%d sockets are too few: 128 at least", cfg.Sockets)
 	}
-	if cfg.Settings.Counter && cfg.Counter == "" {
+	if cfg.Settings.Counter && cfg.Counter == "" && cfg.Store == nil {
 		return nil, fmt.Errorf("the settings name a shared counter, the configuration has no address of it")
 	}
 	for _, addr := range []string{cfg.Listen, cfg.Discovery, cfg.Counter} {
@@ -118,20 +141,25 @@
 	if cfg.Memory <= 0 {
 		cfg.Memory = usualMemory
 	}
+	if cfg.Store == nil {
+		cfg.Store = func(s store.Sink) store.Counter { return tally.New(cfg.Counter, cfg.Settings.CounterTimeout, s) }
+	}
 	start := time.Now()
 	g := &Gateway{cfg: cfg, net: cfg.Connections, log: log, classes: map[string]logic.Class{}, plans: map[string]bool{},
 		events: make(chan event, eventQueue), stopped: make(chan struct{}), ready: make(chan struct{}), start: start,
 		epoch: time.Duration(start.UnixNano()), mod: mod, requests: map[logic.RequestID]*request{},
 		keys: map[uint64]bool{}, backends: map[logic.ServerID]*backend{}, mostConns: cfg.Sockets * 3 / 8,
 		mostHeld: cfg.Memory / memoryShare, mostUnits: cmp.Or(cfg.Settings.MaxUnits, math.MaxFloat64),
-		frames: newBudget(cfg.Memory / memoryShare)}
+		frames: resp.NewBudget(cfg.Memory / memoryShare)}
 	for _, c := range cfg.Settings.Classes {
 		g.classes[c.Name] = c
 	}
 	for _, p := range cfg.Settings.Plans {
 		g.plans[p.Name] = true
 	}
-	g.counter = newCounter(cfg.Counter, cfg.Settings.CounterTimeout, g.post)
+	if cfg.Settings.Counter {
+		g.counter = cfg.Store(func(k *store.Call, r store.Result) { g.post(counted{k, r}) })
+	}
 	g.disc = newDiscovery(cfg.Discovery, cfg.Known.Rev, g.post, log)
 	return g, nil
 }
@@ -145,28 +173,9 @@
 // Move goes over to discovery and a counter at other addresses. It waits for nothing, may come at any time, and
 // the last of several counts. Clients, backends and the module's books are left as they are.
 func (g *Gateway) Move(discovery, counter string) {
-	g.disc.moves.set(discovery)
-	for _, l := range g.counter.links {
-		l.moves.set(counter)
-	}
-}
-
-// latest is a place for one address; one that is put there takes the place of one that was not fetched.
-type latest chan string
-
-func newLatest() latest { return make(latest, 1) }
-
-func (l latest) set(addr string) {
-	for {
-		select {
-		case l <- addr:
-			return
-		default:
-		}
-		select {
-		case <-l:
-		default:
-		}
+	g.disc.moves.Set(discovery)
+	if g.counter != nil {
+		g.counter.Move(counter)
 	}
 }
 
@@ -180,8 +189,8 @@
 	g.ctx = life
 	g.known()
 	g.spawn(g.loop)
-	for _, l := range g.counter.links {
-		g.spawn(l.run)
+	if g.counter != nil {
+		g.spawn(g.counter.Run)
 	}
 	g.spawn(g.disc.run)
 	select {
@@ -327,14 +336,9 @@
 			g.giveUp(r.attempts[a.Attempt], logic.Cancelled)
 		}
 	case logic.Refuse:
-		b := []byte("-BUSY\r\n")
-		if a.RetryAfter > 0 {
-			b = strconv.AppendInt(append(b[:5], ' '), max(1, a.RetryAfter.Milliseconds()), 10)
-			b = append(b, '\r', '\n')
-		}
-		g.answer(g.requests[a.ID], b)
+		g.answer(g.requests[a.ID], Answer{Kind: Refused, RetryAfter: a.RetryAfter})
 	case logic.Fail:
-		g.answer(g.requests[a.ID], []byte("-ERR failed\r\n"))
+		g.answer(g.requests[a.ID], Answer{Kind: Failed})
 	case logic.SetTimer:
 		g.after(a.After, func() { g.tell(logic.TimerFired{}) })
 	case logic.Count:
@@ -362,13 +366,12 @@
 	// Many clients with large bodies must not fill the memory: beyond the bounds nothing is taken.
 	if len(g.requests) >= g.net.MaxOpen || g.heldBytes+r.size > g.mostHeld {
 		r.final = true
-		r.slot.answer([]byte("-BUSY 250\r\n"))
+		r.place.Answer(Answer{Kind: Refused, RetryAfter: fullRetry})
 		return
 	}
 	if g.keys[r.key] { // the one who asked first has its answer, and nobody else
 		r.final = true
-		r.slot.c.faults.Add(1)
-		r.slot.answer([]byte("-ERR a request of this id is being served\r\n"))
+		r.place.Answer(Answer{Kind: Repeated})
 		return
 	}
 	g.lastID++
@@ -383,12 +386,12 @@
 }
 
 // answer gives the final answer, once.
-func (g *Gateway) answer(r *request, b []byte) {
+func (g *Gateway) answer(r *request, a Answer) {
 	if r == nil || r.final {
 		return
 	}
 	r.final = true
-	r.slot.answer(b)
+	r.place.Answer(a)
 	g.forget(r)
 }
 
@@ -408,7 +411,7 @@
 		return
 	}
 	g.log.Warn("no answer in time", "class", r.Class, "attempts", len(r.attempts))
-	g.answer(r, []byte("-ERR failed\r\n"))
+	g.answer(r, Answer{Kind: Failed})
 	g.tell(logic.Abandoned{ID: r.ID})
 }
 
@@ -416,7 +419,7 @@
 	if r.final && r.out == 0 {
 		g.heldBytes -= r.size
 		delete(g.requests, r.ID)
-		r.args, r.slot, r.attempts = nil, nil, nil // its timer may hold it for seconds more
+		r.args, r.place, r.attempts = nil, nil, nil // its timer may hold it for seconds more
 	}
 }
 
@@ -444,24 +447,6 @@
 	g.place(a)
 }
 
-// command is what an attempt writes: the client's own, with the time that is left for it.
-func (g *Gateway) command(a *attempt) []byte {
-	if a.req == nil {
-		return redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(nil, 2), "INFO"), "load")
-	}
-	r := a.req
-	b := redcon.AppendArray(make([]byte, 0, 192+len(r.args[len(r.args)-1])), len(r.args))
-	for i, arg := range r.args {
-		if i == 3 {
-			fields := append(make([]byte, 0, len(arg)+8), arg[:r.dFrom]...)
-			fields = strconv.AppendInt(fields, max(1, (a.stop-g.now).Milliseconds()), 10)
-			arg = append(fields, arg[r.dTo:]...)
-		}
-		b = redcon.AppendBulk(b, arg)
-	}
-	return b
-}
-
 // end tells the module how an attempt ended, once; the first that is served answers the client.
 func (g *Gateway) end(a *attempt, o logic.Outcome, rep reply) {
 	if a.ended {
@@ -478,7 +463,7 @@
 	}
 	if o == logic.Done && !r.final {
 		r.final = true
-		r.slot.answer(redcon.AppendBulk(make([]byte, 0, len(rep.value)+16), rep.value))
+		r.place.Answer(Answer{Kind: Served, Value: rep.value})
 	}
 	r.out--
 	g.tell(logic.AttemptEnded{ID: r.ID, Attempt: a.n, Server: a.be.ID, Outcome: o, Took: g.now - a.began,
@@ -536,25 +521,43 @@
 	return ev
 }
 
+// counted is the event of an answer of the shared counter.
+type counted struct {
+	call   *store.Call
+	result store.Result
+}
+
 func (g *Gateway) count(a logic.Count) {
-	k := &call{name: a.Name, add: a.Add, keep: a.Keep}
-	g.counter.add(k)
+	k := &store.Call{Name: a.Name, Amount: a.Add, Keep: a.Keep}
+	if g.counter == nil {
+		g.counted(counted{k, store.Result{Certainty: store.NotAdded}})
+		return
+	}
+	g.counter.Add(k)
 	g.after(g.cfg.Settings.CounterTimeout, func() {
-		if k.state.CompareAndSwap(callQueued, callDropped) {
-			g.counted(counted{call: k, outcome: logic.NoConnect}) // never written, and never will be
-			return
+		var r store.Result
+		if k.Withdraw() {
+			r.Certainty = store.NotAdded // never written, and never will be
 		}
-		g.counted(counted{call: k, outcome: logic.TimedOut})
+		g.counted(counted{k, r})
 	})
 }
 
-// counted passes a call's reply on, once: an answer after the time-out is dropped.
+// counted passes a call's answer on, once: one after the time-out is dropped.
 func (g *Gateway) counted(ev counted) {
-	if ev.call.ended {
+	if !ev.call.End() {
 		return
 	}
-	ev.call.ended = true
-	g.tell(logic.CountReply{Name: ev.call.name, Outcome: ev.outcome, Total: ev.total})
+	o := logic.TimedOut // may have been added
+	switch {
+	case ev.result.Certainty == store.NotAdded:
+		o = logic.NoConnect
+	case ev.result.Certainty == store.Added && ev.result.Seen:
+		o = logic.Done
+	case ev.result.Certainty == store.Added:
+		o = logic.Failed
+	}
+	g.tell(logic.CountReply{Name: ev.call.Name, Outcome: o, Total: ev.result.Total})
 }
 
 // --- timers ---
--- /dev/null
+++ b/internal/ingress/store_test.go
@@ -0,0 +1,77 @@
+package ingress
+
+import (
+	"container/heap"
+	"context"
+	"testing"
+	"time"
+
+	"larchwick/internal/store"
+	"larchwick/logic"
+)
+
+// heldStore keeps the calls that it is given and answers none.
+type heldStore struct{ calls []*store.Call }
+
+func (h *heldStore) Add(k *store.Call)     { h.calls = append(h.calls, k) }
+func (*heldStore) Run(ctx context.Context) { <-ctx.Done() }
+func (*heldStore) Move(string)             {}
+
+// The module hears of each call once: an answer after the time-out is dropped.
+func TestCounterLateAnswerIsDropped(t *testing.T) {
+	g, err := New(testConfig("", Fleet{}), quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := &store.Call{Name: "a"}
+	g.counted(counted{k, store.Result{}})
+	g.counted(counted{k, store.Result{Certainty: store.Added, Seen: true, Total: 7}})
+	if len(g.queue) != 1 || g.queue[0].(logic.CountReply).Outcome != logic.TimedOut {
+		t.Fatalf("told: %v", g.queue)
+	}
+}
+
+// What a store is sure of reaches the module as just that.
+func TestCounterCertainty(t *testing.T) {
+	for want, r := range map[logic.Outcome]store.Result{
+		logic.Done:      {Certainty: store.Added, Seen: true, Total: 3},
+		logic.Failed:    {Certainty: store.Added},
+		logic.NoConnect: {Certainty: store.NotAdded},
+		logic.TimedOut:  {},
+	} {
+		g := idleGateway(t, "127.0.0.1:1")
+		g.counted(counted{&store.Call{Name: "a"}, r})
+		if ev := g.queue[len(g.queue)-1].(logic.CountReply); ev.Outcome != want || ev.Total != r.Total {
+			t.Errorf("%+v: told %+v, want outcome %v", r, ev, want)
+		}
+	}
+}
+
+// A counter that says nothing is given up in time; a call that was never written has added nothing.
+func TestSilentCounterTimesOut(t *testing.T) {
+	for name, c := range map[string]struct {
+		taken bool
+		want  logic.Outcome
+	}{"unwritten": {false, logic.NoConnect}, "written": {true, logic.TimedOut}} {
+		t.Run(name, func(t *testing.T) {
+			g := idleGateway(t, "127.0.0.1:1")
+			held := &heldStore{}
+			g.counter = held
+			g.cfg.Settings.CounterTimeout = 80 * time.Millisecond
+			g.count(logic.Count{Name: "a", Add: 1})
+			if c.taken {
+				held.calls[0].Take()
+			}
+			g.now += g.cfg.Settings.CounterTimeout
+			for len(g.queue) == 0 && len(g.alarms) > 0 && g.alarms[0].at <= g.now {
+				heap.Pop(&g.alarms).(alarm).ring()
+			}
+			if ev, ok := g.queue[len(g.queue)-1].(logic.CountReply); !ok || ev.Outcome != c.want {
+				t.Fatalf("told %v, want outcome %v", g.queue, c.want)
+			}
+			if held.calls[0].Take() {
+				t.Fatal("a call that was answered may still be sent")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,107 @@
+// Package store is the seam between the core and the shared counter: named numbers to which every instance adds and
+// whose totals it reads back. It says what an add may answer and who may still take it back; what stands behind it
+// (tally, Redis) is known to the implementations alone.
+package store
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+// Certainty says how sure it is that an add took effect.
+type Certainty uint8
+
+// The certainties. The zero value is the one that promises least.
+const (
+	Maybe    Certainty = iota // it may have been added, or may yet be: it counts as spent
+	Added                     // it was added, once
+	NotAdded                  // it was not, and never will be
+)
+
+// String names the certainty for logs and test failures.
+func (c Certainty) String() string {
+	switch c {
+	case Added:
+		return "added"
+	case NotAdded:
+		return "not added"
+	}
+	return "maybe"
+}
+
+// Result is the answer to an add.
+type Result struct {
+	Certainty Certainty
+	Seen      bool    // Total was read; an add may have landed with an answer that could not be
+	Total     float64 // units, with this add in it: never less than what this instance knows to be spent
+}
+
+// The states of a call.
+const (
+	queued int32 = iota
+	taken
+	withdrawn
+)
+
+// Call is one add. Its fields are set before it is handed to a store and not changed after.
+type Call struct {
+	Name   string        // 1 to 64 bytes, no spaces
+	Amount float64       // units; below 0 gives back
+	Keep   time.Duration // the life of a new name, from its first add on
+	state  atomic.Int32
+	ended  bool
+}
+
+// Take is the store's: it claims a call before anything of it leaves the process, and reports false for one that was
+// withdrawn, which must then not be sent.
+func (c *Call) Take() bool { return c.state.CompareAndSwap(queued, taken) }
+
+// Withdraw is the caller's: it reports whether the call was taken back before a store took it, so that it is surely not
+// added.
+func (c *Call) Withdraw() bool { return c.state.CompareAndSwap(queued, withdrawn) }
+
+// Open reports whether nobody has taken or withdrawn the call.
+func (c *Call) Open() bool { return c.state.Load() == queued }
+
+// End is the caller's, on one goroutine: it reports whether this is the call's first answer.
+func (c *Call) End() bool {
+	first := !c.ended
+	c.ended = true
+	return first
+}
+
+// Sink is told the answer to a call, once at most, from a goroutine of the store. A caller that waits no longer
+// withdraws the call or counts it as Maybe; a later answer is the caller's to drop.
+type Sink func(*Call, Result)
+
+// Counter is a shared counter. Answers to the calls of one name come in the order in which the calls were added.
+type Counter interface {
+	// Add queues a call and never blocks; where there is no room the call stays unanswered and may be withdrawn.
+	Add(*Call)
+	// Run serves the calls until ctx ends, and leaves no goroutine behind.
+	Run(ctx context.Context)
+	// Move goes over to another address; it waits for nothing, may come at any time, and the last of several counts.
+	Move(addr string)
+}
+
+// Latest is a place for one value; one that is put there takes the place of one that was not fetched.
+type Latest[T any] chan T
+
+// NewLatest returns an empty place.
+func NewLatest[T any]() Latest[T] { return make(Latest[T], 1) }
+
+// Set never blocks; it is for one goroutine at a time.
+func (l Latest[T]) Set(v T) {
+	for {
+		select {
+		case l <- v:
+			return
+		default:
+		}
+		select {
+		case <-l:
+		default:
+		}
+	}
+}
--- a/internal/ingress/counter.go
+++ b/internal/store/tally/tally.go
@@ -1,4 +1,5 @@
-package ingress
+// Package tally is the client of the platform's shared counter service: lines of text over TCP, answered in order.
+package tally
 
 import (
 	"bufio"
@@ -9,10 +10,10 @@
 	"net"
 	"strconv"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"time"
 
-	"larchwick/logic"
+	"larchwick/internal/store"
 )
 
 const (
@@ -24,31 +25,8 @@
 	mostTotal      = 1e12                  // a total beyond is none
 )
 
-// call is one call of the shared counter. The gateway may take it back for as long as it is unwritten.
-type call struct {
-	name  string
-	add   float64
-	keep  time.Duration
-	state atomic.Int32 // callQueued, then one of the others
-	short bool         // its last byte was never written
-	ended bool         // the gateway's: its reply has been given
-}
-
-const (
-	callQueued int32 = iota
-	callWritten
-	callDropped
-)
-
-// counted is the event of a call's end.
-type counted struct {
-	call    *call
-	outcome logic.Outcome
-	total   float64
-}
-
-// counter is the client of the shared counter service.
-type counter struct {
+// Counter is the client of the shared counter service.
+type Counter struct {
 	links [counterLinks]*link
 }
 
@@ -56,24 +34,48 @@
 type link struct {
 	addr    string
 	timeout time.Duration
-	calls   chan *call
-	moves   latest
-	post    func(event)
+	calls   chan *store.Call
+	moves   store.Latest[string]
+	sink    store.Sink
+}
+
+// written is a call that is on its way; short says that its last byte was never written.
+type written struct {
+	*store.Call
+	short bool
 }
 
-func newCounter(addr string, timeout time.Duration, post func(event)) *counter {
-	c := &counter{}
+// New returns a counter at addr that does not run yet. A connection that is not up after timeout has failed, and one on
+// which calls wait four times as long for an answer is dead.
+func New(addr string, timeout time.Duration, sink store.Sink) *Counter {
+	c := &Counter{}
 	for i := range c.links {
-		c.links[i] = &link{addr: addr, timeout: timeout, calls: make(chan *call, counterQueue), moves: newLatest(),
-			post: post}
+		c.links[i] = &link{addr: addr, timeout: timeout, calls: make(chan *store.Call, counterQueue),
+			moves: store.NewLatest[string](), sink: sink}
 	}
 	return c
 }
 
-// add queues a call; where the queue is full the call just times out unwritten, in its order.
-func (c *counter) add(k *call) {
+// Run serves until ctx ends.
+func (c *Counter) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, l := range c.links {
+		wg.Go(func() { l.run(ctx) })
+	}
+	wg.Wait()
+}
+
+// Move goes over to a counter at another address.
+func (c *Counter) Move(addr string) {
+	for _, l := range c.links {
+		l.moves.Set(addr)
+	}
+}
+
+// Add queues a call; where the queue is full the call just times out unwritten, in its order.
+func (c *Counter) Add(k *store.Call) {
 	h := fnv.New32a()
-	h.Write([]byte(k.name))
+	h.Write([]byte(k.Name))
 	select {
 	case c.links[h.Sum32()%counterLinks].calls <- k:
 	default:
@@ -92,7 +94,7 @@
 			case l.addr = <-l.moves:
 			default:
 			}
-			if k.state.Load() == callQueued { // else it has timed out: no connection for its sake
+			if k.Open() { // else it has timed out: no connection for its sake
 				l.serve(ctx, k)
 			}
 		}
@@ -102,14 +104,14 @@
 // serve opens a connection for the first call and writes calls to it until it breaks, falls silent or the counter
 // moves. On a move the calls that are out have their time for an answer before later ones go elsewhere: answers for
 // one name come in the order of its calls.
-func (l *link) serve(ctx context.Context, first *call) {
+func (l *link) serve(ctx context.Context, first *store.Call) {
 	d := net.Dialer{Timeout: l.timeout}
 	nc, err := d.DialContext(ctx, "tcp", l.addr)
 	if err != nil {
-		l.post(counted{call: first, outcome: logic.NoConnect})
+		l.sink(first, store.Result{Certainty: store.NotAdded})
 		return
 	}
-	pending, broken, idle := make(chan *call, counterQueue), make(chan struct{}), make(chan struct{}, 1)
+	pending, broken, idle := make(chan *written, counterQueue), make(chan struct{}), make(chan struct{}, 1)
 	go func() {
 		defer close(broken)
 		l.read(nc, pending, idle)
@@ -118,7 +120,8 @@
 	defer stop()
 	var buf []byte
 	var ends []int
-	batch := []*call{first}
+	batch := []*store.Call{first}
+	var sent []*written
 	for open := true; open; {
 		for more := true; more && len(batch) < counterQueue/2; {
 			select {
@@ -132,20 +135,21 @@
 			l.limit(nc, true)
 		}
 		buf, ends = buf[:0], ends[:0]
-		written := batch[:0]
+		sent = sent[:0]
 		for _, k := range batch {
-			if len(pending) == cap(pending) || !k.state.CompareAndSwap(callQueued, callWritten) {
+			if len(pending) == cap(pending) || !k.Take() {
 				continue // times out unwritten, or has already
 			}
 			buf = appendCall(buf, k)
 			ends = append(ends, len(buf))
-			written = append(written, k)
-			pending <- k
+			w := &written{Call: k}
+			sent = append(sent, w)
+			pending <- w
 		}
 		nc.SetWriteDeadline(time.Now().Add(l.timeout))
 		n, err := nc.Write(buf)
-		for i, k := range written {
-			k.short = ends[i] > n
+		for i, w := range sent {
+			w.short = ends[i] > n
 		}
 		batch = batch[:0]
 		if err != nil {
@@ -173,34 +177,34 @@
 	nc.Close()
 	<-broken
 	for len(pending) > 0 {
-		k := <-pending
-		o := logic.Reset
-		if k.short {
-			o = logic.NoConnect
+		w := <-pending
+		var r store.Result
+		if w.short {
+			r.Certainty = store.NotAdded
 		}
-		l.post(counted{call: k, outcome: o})
+		l.sink(w.Call, r)
 	}
 	for _, k := range batch { // read from the queue, never written
-		l.post(counted{call: k, outcome: logic.NoConnect})
+		l.sink(k, store.Result{Certainty: store.NotAdded})
 	}
 }
 
 // read hands the answers to the calls in their order, and tells idle when none is out any more; a late answer is for
 // the gateway to drop. It ends at an answer that cannot be read: that call was added, and nothing more comes.
-func (l *link) read(nc net.Conn, pending <-chan *call, idle chan<- struct{}) {
+func (l *link) read(nc net.Conn, pending <-chan *written, idle chan<- struct{}) {
 	in := bufio.NewReaderSize(nc, 1<<10)
 	for {
 		line, err := readLine(nc, in)
 		if len(pending) == 0 || err != nil && len(line) == 0 {
 			return
 		}
-		ev := counted{call: <-pending, outcome: logic.Failed}
+		k, r := (<-pending).Call, spoilt
 		if err == nil {
-			ev.outcome, ev.total = parseAnswer(string(line))
+			r = parseAnswer(string(line))
 			l.limit(nc, len(pending) > 0)
 		}
-		l.post(ev)
-		if ev.outcome == logic.Failed {
+		l.sink(k, r)
+		if r == spoilt {
 			return
 		}
 		if len(pending) == 0 {
@@ -236,25 +240,26 @@
 	nc.SetReadDeadline(time.Now().Add(d))
 }
 
-// parseAnswer reads one line of the counter; Failed stands for one that cannot be read.
-func parseAnswer(s string) (logic.Outcome, float64) {
+// spoilt stands for an answer that cannot be read: the amount was added.
+var spoilt = store.Result{Certainty: store.Added}
+
+// parseAnswer reads one line of the counter.
+func parseAnswer(s string) store.Result {
 	s = strings.TrimSuffix(strings.TrimSuffix(s, "\n"), "\r")
-	switch total, ok := strings.CutPrefix(s, "ok "); {
-	case s == "busy":
-		return logic.Full, 0
-	case s == "error": // no such call: nothing was added
-		return logic.Moot, 0
-	case ok:
+	if s == "busy" || s == "error" { // turned away, no such call
+		return store.Result{Certainty: store.NotAdded}
+	}
+	if total, ok := strings.CutPrefix(s, "ok "); ok {
 		if t, err := strconv.ParseFloat(total, 64); err == nil && math.Abs(t) <= mostTotal {
-			return logic.Done, t
+			return store.Result{Certainty: store.Added, Seen: true, Total: t}
 		}
 	}
-	return logic.Failed, 0
+	return spoilt
 }
 
-func appendCall(b []byte, k *call) []byte {
-	b = append(append(b, "tally "...), k.name...)
-	b = strconv.AppendFloat(append(b, ' '), k.add, 'f', -1, 64)
-	b = strconv.AppendInt(append(b, ' '), max(1, k.keep.Milliseconds()), 10)
+func appendCall(b []byte, k *store.Call) []byte {
+	b = append(append(b, "tally "...), k.Name...)
+	b = strconv.AppendFloat(append(b, ' '), k.Amount, 'f', -1, 64)
+	b = strconv.AppendInt(append(b, ' '), max(1, k.Keep.Milliseconds()), 10)
 	return append(b, '\r', '\n')
 }
