--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -535,15 +535,17 @@
 	}
 	g.counter.Add(k)
 	g.after(g.cfg.Settings.CounterTimeout, func() {
-		var r store.Result
-		if k.Withdraw() {
-			r.Certainty = store.NotAdded // never written, and never will be
+		switch {
+		case k.Withdraw(): // never written, and never will be
+			g.counted(counted{k, store.Result{Certainty: store.NotAdded}})
+		case k.Lapse():
+			g.counted(counted{k, store.Result{}})
 		}
-		g.counted(counted{k, r})
 	})
 }
 
-// counted passes a call's answer on, once: one after the time-out is dropped.
+// counted passes a call's answer on, once: one after the time-out is dropped. A store that has refused a call at the
+// time-out is believed: its answer is under way.
 func (g *Gateway) counted(ev counted) {
 	if !ev.call.End() {
 		return
--- /dev/null
+++ b/internal/standin/fault/fault_test.go
@@ -0,0 +1,60 @@
+package fault
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestParse(t *testing.T) {
+	for line, want := range map[string]Rule{
+		"stall 2s":                               {Kind: Stall, For: 2 * time.Second},
+		"delay 50ms for 3s caller a share 0.25":  {Kind: Delay, By: 50 * time.Millisecond, For: 3 * time.Second, Caller: "a", Share: 0.25},
+		"drop-after on EVALSHA after 37 times 1": {Kind: DropAfter, On: "EVALSHA", After: 37, Times: 1},
+		"fail 1s text OOM command not allowed":   {Kind: Fail, For: time.Second, Text: "OOM command not allowed"},
+	} {
+		if got, err := Parse(line); err != nil || got != want {
+			t.Errorf("%s: %+v, %v", line, got, err)
+		}
+	}
+	for _, line := range []string{"", "stall 2s at", "delay 1s odd 3", "cut after x", "cut share 2", "delay -1s"} {
+		if got, err := Parse(line); err == nil || !strings.Contains(err.Error(), "fault ") {
+			t.Errorf("%q: %+v, error %v", line, got, err)
+		}
+	}
+}
+
+// A rule hits the calls that it names, so many of them, and only in its time.
+func TestScript(t *testing.T) {
+	s := New(1)
+	s.Add(0, Rule{Kind: Cut, On: "get", After: 1, Times: 2})
+	s.Add(0, Rule{Kind: Stall, Caller: "b", For: time.Second})
+	got := ""
+	for _, c := range []struct {
+		at           time.Duration
+		name, caller string
+	}{{0, "GET", "a"}, {0, "SET", "a"}, {0, "GET", "a"}, {0, "GET", "b"}, {0, "GET", "a"},
+		{700 * time.Millisecond, "SET", "b"}, {time.Second, "SET", "b"}} {
+		r, left, hit := s.Next(c.at, c.name, c.caller)
+		if hit {
+			got += string(r.Kind) + " "
+		} else {
+			got += "- "
+		}
+		if r.Kind == Stall && left != 300*time.Millisecond {
+			t.Errorf("%v left of the window", left)
+		}
+	}
+	if got != "- - cut cut - stall - " {
+		t.Fatal(got)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add("delay 50ms for 3s caller a share 0.25")
+	f.Fuzz(func(t *testing.T, line string) {
+		if r, err := Parse(line); err == nil && (r.By < 0 || r.For < 0 || r.Times < 0 || r.After < 0) {
+			t.Fatalf("%q: %+v", line, r)
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/redis/proto.go
@@ -0,0 +1,246 @@
+package redis
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+)
+
+// Bounds on what a client may send. The real ones are far larger; nothing here needs them.
+const (
+	mostInline = 64 << 10
+	mostArgs   = 64 << 10
+	mostBulk   = 4 << 20
+	mostCmd    = 16 << 20
+)
+
+// protoError is answered as -ERR Protocol error and ends the connection.
+type protoError string
+
+func (e protoError) Error() string { return "Protocol error: " + string(e) }
+
+// readCommand reads one command: an array of bulk strings, or an inline one. An empty result is an empty command, which
+// has no answer.
+func readCommand(in *bufio.Reader) ([]string, error) {
+	head, err := readLine(in)
+	if err != nil {
+		return nil, err
+	}
+	if head == "" {
+		return nil, nil
+	}
+	if head[0] != '*' {
+		return splitInline(head)
+	}
+	n, err := strconv.Atoi(head[1:])
+	if err != nil || n > mostArgs {
+		return nil, protoError("invalid multibulk length")
+	}
+	if n <= 0 {
+		return nil, nil
+	}
+	args, size := make([]string, 0, min(n, 64)), 0
+	for range n {
+		line, err := readLine(in)
+		if err != nil {
+			return nil, err
+		}
+		if line == "" || line[0] != '$' {
+			return nil, protoError(fmt.Sprintf("expected '$', got '%.1s'", line+" "))
+		}
+		l, err := strconv.Atoi(line[1:])
+		if err != nil || l < 0 || l > mostBulk {
+			return nil, protoError("invalid bulk length")
+		}
+		if size += l; size > mostCmd {
+			return nil, protoError("command too large")
+		}
+		b := make([]byte, l+2)
+		if _, err := io.ReadFull(in, b); err != nil {
+			return nil, err
+		}
+		if b[l] != '\r' || b[l+1] != '\n' {
+			return nil, protoError("bulk string without its end")
+		}
+		args = append(args, string(b[:l]))
+	}
+	return args, nil
+}
+
+// readLine reads to the end of a line, which is not in the result.
+func readLine(in *bufio.Reader) (string, error) {
+	var b []byte
+	for {
+		part, err := in.ReadSlice('\n')
+		b = append(b, part...)
+		if len(b) > mostInline {
+			return "", protoError("too big inline request")
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			return "", err
+		}
+		return strings.TrimSuffix(string(b[:len(b)-1]), "\r"), nil
+	}
+}
+
+// splitInline splits a line as a shell would: words, 'single' and "double" quotes with escapes.
+func splitInline(s string) ([]string, error) {
+	var args []string
+	bad := protoError("unbalanced quotes in request")
+	for i := 0; ; {
+		for i < len(s) && (s[i] == ' ' || s[i] == '\t') {
+			i++
+		}
+		if i == len(s) {
+			return args, nil
+		}
+		var word []byte
+		for i < len(s) && s[i] != ' ' && s[i] != '\t' {
+			quote := s[i]
+			if quote != '"' && quote != '\'' {
+				word = append(word, quote)
+				i++
+				continue
+			}
+			for i++; ; i++ {
+				if i >= len(s) {
+					return nil, bad
+				}
+				if s[i] == quote {
+					break
+				}
+				if s[i] != '\\' || i+1 >= len(s) {
+					word = append(word, s[i])
+					continue
+				}
+				i++
+				switch {
+				case quote == '\'':
+					if s[i] != '\'' {
+						word = append(word, '\\')
+					}
+					word = append(word, s[i])
+				case s[i] == 'x' && i+2 < len(s):
+					if n, err := strconv.ParseUint(s[i+1:i+3], 16, 8); err == nil {
+						word = append(word, byte(n))
+						i += 2
+						continue
+					}
+					word = append(word, 'x')
+				default:
+					if j := strings.IndexByte("nrtba", s[i]); j >= 0 {
+						word = append(word, "\n\r\t\b\a"[j])
+					} else {
+						word = append(word, s[i])
+					}
+				}
+			}
+			if i++; i < len(s) && s[i] != ' ' && s[i] != '\t' {
+				return nil, bad
+			}
+		}
+		args = append(args, string(word))
+	}
+}
+
+// kind is the type of a reply.
+type kind byte
+
+const (
+	kStatus kind = '+'
+	kError  kind = '-'
+	kInt    kind = ':'
+	kBulk   kind = '$'
+	kNull   kind = '_'
+	kArray  kind = '*'
+	kNulls  kind = 'n' // the null array of RESP2
+	kMap    kind = '%' // list holds keys and values in turn
+	kDouble kind = ','
+	kPush   kind = '>'
+	kNone   kind = 0 // no reply at all
+)
+
+// value is a reply.
+type value struct {
+	kind kind
+	str  string
+	n    int64
+	f    float64
+	list []value
+}
+
+var (
+	okReply = value{kind: kStatus, str: "OK"}
+	null    = value{kind: kNull}
+)
+
+func status(s string) value       { return value{kind: kStatus, str: s} }
+func failure(s string) value      { return value{kind: kError, str: s} }
+func integer(n int64) value       { return value{kind: kInt, n: n} }
+func bulk(s string) value         { return value{kind: kBulk, str: s} }
+func array(list ...value) value   { return value{kind: kArray, list: list} }
+func mapping(list ...value) value { return value{kind: kMap, list: list} }
+
+func errorf(format string, args ...any) value { return failure(fmt.Sprintf("ERR "+format, args...)) }
+
+// append writes a reply in the connection's version of the protocol.
+func (v value) append(b []byte, proto int) []byte {
+	head := func(c byte, n int) { b = append(strconv.AppendInt(append(b, c), int64(n), 10), '\r', '\n') }
+	switch v.kind {
+	case kNone:
+	case kStatus, kError:
+		clean := strings.NewReplacer("\r", " ", "\n", " ").Replace(v.str)
+		b = append(append(append(b, byte(v.kind)), clean...), '\r', '\n')
+	case kInt:
+		head(':', int(v.n))
+	case kBulk:
+		head('$', len(v.str))
+		b = append(append(b, v.str...), '\r', '\n')
+	case kNull, kNulls:
+		switch {
+		case proto >= 3:
+			b = append(b, "_\r\n"...)
+		case v.kind == kNull:
+			b = append(b, "$-1\r\n"...)
+		default:
+			b = append(b, "*-1\r\n"...)
+		}
+	case kDouble:
+		text := formatFloat(v.f)
+		if proto >= 3 {
+			b = append(append(append(b, ','), text...), '\r', '\n')
+		} else {
+			b = bulk(text).append(b, proto)
+		}
+	case kArray, kMap, kPush:
+		switch {
+		case v.kind == kMap && proto >= 3:
+			head('%', len(v.list)/2)
+		case v.kind == kPush && proto >= 3:
+			head('>', len(v.list))
+		default:
+			head('*', len(v.list))
+		}
+		for _, e := range v.list {
+			b = e.append(b, proto)
+		}
+	}
+	return b
+}
+
+// formatFloat writes a number as INCRBYFLOAT does: no exponent, no trailing noughts.
+func formatFloat(f float64) string {
+	if math.IsInf(f, 1) {
+		return "inf"
+	} else if math.IsInf(f, -1) {
+		return "-inf"
+	}
+	return strconv.FormatFloat(f, 'f', -1, 64)
+}
--- /dev/null
+++ b/internal/standin/redis/script.go
@@ -0,0 +1,305 @@
+package redis
+
+import (
+	"context"
+	"crypto/sha1"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	lua "github.com/yuin/gopher-lua"
+	"github.com/yuin/gopher-lua/parse"
+)
+
+const (
+	scriptTime   = 5 * time.Second // the real limit after which others are answered BUSY; here the script ends
+	mostScripts  = 1000
+	mostLuaDepth = 16
+)
+
+// scripts is a server's cache of compiled scripts and the interpreter that runs them, one at a time.
+type scripts struct {
+	protos map[string]*lua.FunctionProto
+	vm     *lua.LState
+	x      *call // the one that runs
+}
+
+func sha(text string) string {
+	sum := sha1.Sum([]byte(text))
+	return hex.EncodeToString(sum[:])
+}
+
+func addScripts(t map[string]command) {
+	run := func(byText bool) func(*call, []string) value {
+		return func(x *call, a []string) value {
+			n, err := strconv.Atoi(a[2])
+			switch {
+			case err != nil:
+				return failure(notInt)
+			case n < 0:
+				return errorf("Number of keys can't be negative")
+			case n > len(a)-3:
+				return errorf("Number of keys can't be greater than number of args")
+			}
+			id := strings.ToLower(a[1])
+			if byText {
+				if id, err = x.s.scripts.load(a[1]); err != nil {
+					return errorf("Error compiling script: %v", err)
+				}
+			}
+			return x.s.scripts.run(x, id, a[3:3+n], a[3+n:])
+		}
+	}
+	t["EVAL"] = command{-3, false, true, [3]int{}, run(true)}
+	t["EVALSHA"] = command{-3, false, true, [3]int{}, run(false)}
+	t["SCRIPT"] = command{-2, false, true, [3]int{}, func(x *call, a []string) value {
+		switch sub := strings.ToUpper(a[1]); {
+		case sub == "LOAD" && len(a) == 3:
+			id, err := x.s.scripts.load(a[2])
+			if err != nil {
+				return errorf("Error compiling script: %v", err)
+			}
+			return bulk(id)
+		case sub == "EXISTS" && len(a) > 2:
+			out := array()
+			for _, id := range a[2:] {
+				n := int64(0)
+				if x.s.scripts.protos[strings.ToLower(id)] != nil {
+					n = 1
+				}
+				out.list = append(out.list, integer(n))
+			}
+			return out
+		case sub == "FLUSH":
+			x.s.scripts.flush()
+			return okReply
+		}
+		return errorf("unknown subcommand or wrong number of arguments for '%s'", a[1])
+	}}
+}
+
+func (s *scripts) flush() { s.protos = map[string]*lua.FunctionProto{} }
+
+func (s *scripts) load(text string) (string, error) {
+	id := sha(text)
+	if s.protos[id] != nil {
+		return id, nil
+	}
+	if len(s.protos) >= mostScripts {
+		s.flush()
+	}
+	chunk, err := parse.Parse(strings.NewReader(text), "@user_script")
+	if err != nil {
+		return "", fmt.Errorf("user_script: %w", err)
+	}
+	proto, err := lua.Compile(chunk, "@user_script")
+	if err != nil {
+		return "", fmt.Errorf("user_script: %w", err)
+	}
+	if s.protos == nil {
+		s.flush()
+	}
+	s.protos[id] = proto
+	return id, nil
+}
+
+// open makes the interpreter: no files, no processes, no globals of the script's own.
+func (s *scripts) open() {
+	s.vm = lua.NewState(lua.Options{SkipOpenLibs: true, RegistrySize: 1 << 12, RegistryMaxSize: 1 << 18})
+	for name, open := range map[string]lua.LGFunction{lua.BaseLibName: lua.OpenBase, lua.TabLibName: lua.OpenTable,
+		lua.StringLibName: lua.OpenString, lua.MathLibName: lua.OpenMath} {
+		s.vm.Push(s.vm.NewFunction(open))
+		s.vm.Push(lua.LString(name))
+		s.vm.Call(1, 0)
+	}
+	for _, name := range []string{"dofile", "loadfile", "print", "require", "module"} {
+		s.vm.SetGlobal(name, lua.LNil)
+	}
+	api := s.vm.NewTable()
+	s.vm.SetFuncs(api, map[string]lua.LGFunction{
+		"call":         func(l *lua.LState) int { return s.call(l, true) },
+		"pcall":        func(l *lua.LState) int { return s.call(l, false) },
+		"error_reply":  func(l *lua.LState) int { return replyTable(l, "err") },
+		"status_reply": func(l *lua.LState) int { return replyTable(l, "ok") },
+		"sha1hex": func(l *lua.LState) int {
+			l.Push(lua.LString(sha(l.CheckString(1))))
+			return 1
+		},
+		"log": func(*lua.LState) int { return 0 },
+	})
+	for i, name := range []string{"LOG_DEBUG", "LOG_VERBOSE", "LOG_NOTICE", "LOG_WARNING"} {
+		api.RawSetString(name, lua.LNumber(i))
+	}
+	s.vm.SetGlobal("redis", api)
+	meta := s.vm.NewTable()
+	s.vm.SetFuncs(meta, map[string]lua.LGFunction{
+		"__newindex": func(l *lua.LState) int {
+			l.RaiseError("Attempt to modify a readonly table: global variable '%s'", l.CheckAny(2).String())
+			return 0
+		},
+		"__index": func(l *lua.LState) int {
+			l.RaiseError("Script attempted to access nonexistent global variable '%s'", l.CheckAny(2).String())
+			return 0
+		},
+	})
+	s.vm.SetMetatable(s.vm.Get(lua.GlobalsIndex), meta)
+}
+
+func replyTable(l *lua.LState, field string) int {
+	t := l.NewTable()
+	text := l.CheckString(1)
+	if field == "err" && !strings.HasPrefix(text, "-") && !strings.Contains(text, " ") {
+		text = "ERR " + text
+	}
+	t.RawSetString(field, lua.LString(strings.TrimPrefix(text, "-")))
+	l.Push(t)
+	return 1
+}
+
+// run runs a script; what it wrote before an error stays written.
+func (s *scripts) run(x *call, id string, keys, argv []string) value {
+	proto := s.protos[id]
+	if proto == nil {
+		return failure("NOSCRIPT No matching script. Please use EVAL.")
+	}
+	if s.vm == nil {
+		s.open()
+	}
+	list := func(from []string) *lua.LTable {
+		t := s.vm.CreateTable(len(from), 0)
+		for _, v := range from {
+			t.Append(lua.LString(v))
+		}
+		return t
+	}
+	globals := s.vm.Get(lua.GlobalsIndex).(*lua.LTable)
+	globals.RawSetString("KEYS", list(keys))
+	globals.RawSetString("ARGV", list(argv))
+	ctx, cancel := context.WithTimeout(context.Background(), scriptTime)
+	defer cancel()
+	s.vm.SetContext(ctx)
+	inner := *x
+	inner.script = true
+	s.x = &inner
+	defer func() {
+		s.x = nil
+		s.vm.SetTop(0)
+		s.vm.RemoveContext()
+	}()
+	s.vm.Push(s.vm.NewFunctionFromProto(proto))
+	if err := s.vm.PCall(0, 1, nil); err != nil {
+		var api *lua.ApiError
+		text := err.Error()
+		if errors.As(err, &api) {
+			if t, ok := api.Object.(*lua.LTable); ok {
+				text = t.RawGetString("err").String()
+				if text == "" {
+					text = "ERR unknown error"
+				}
+				return failure(text + " script: " + id + ", on @user_script.")
+			}
+			text = api.Object.String()
+		}
+		return errorf("Error running script: %s", text)
+	}
+	return fromLua(s.vm.Get(-1), 0)
+}
+
+// call is redis.call and redis.pcall.
+func (s *scripts) call(l *lua.LState, raise bool) int {
+	args := make([]string, 0, l.GetTop())
+	var v value
+	for i := 1; i <= l.GetTop(); i++ {
+		switch a := l.Get(i).(type) {
+		case lua.LString:
+			args = append(args, string(a))
+		case lua.LNumber:
+			args = append(args, formatNumber(float64(a)))
+		default:
+			v = failure("ERR Lua redis lib command arguments must be strings or integers")
+		}
+	}
+	if len(args) == 0 && v.kind == kNone {
+		v = failure("ERR Please specify at least one argument for this redis.call() call")
+	}
+	if v.kind == kNone {
+		v = s.x.s.execute(s.x, args)
+	}
+	if v.kind == kError && raise {
+		l.Error(toLua(l, v), 1)
+	}
+	l.Push(toLua(l, v))
+	return 1
+}
+
+// formatNumber writes a number as scripts hand it on: integers whole, others with 17 digits.
+func formatNumber(f float64) string {
+	if f == math.Trunc(f) && math.Abs(f) < 1e17 {
+		return strconv.FormatInt(int64(f), 10)
+	}
+	return strconv.FormatFloat(f, 'g', 17, 64)
+}
+
+func toLua(l *lua.LState, v value) lua.LValue {
+	wrap := func(field string) lua.LValue {
+		t := l.NewTable()
+		t.RawSetString(field, lua.LString(v.str))
+		return t
+	}
+	switch v.kind {
+	case kStatus:
+		return wrap("ok")
+	case kError:
+		return wrap("err")
+	case kInt:
+		return lua.LNumber(v.n)
+	case kBulk:
+		return lua.LString(v.str)
+	case kDouble:
+		return lua.LString(formatFloat(v.f))
+	case kArray, kMap:
+		t := l.NewTable()
+		for i, e := range v.list {
+			t.RawSetInt(i+1, toLua(l, e))
+		}
+		return t
+	}
+	return lua.LFalse
+}
+
+// fromLua: numbers lose their fraction, true is 1, false and nil are null, a table ends at its first nil.
+func fromLua(v lua.LValue, depth int) value {
+	switch v := v.(type) {
+	case lua.LString:
+		return bulk(string(v))
+	case lua.LNumber:
+		return integer(int64(v))
+	case lua.LBool:
+		if v {
+			return integer(1)
+		}
+	case *lua.LTable:
+		if depth > mostLuaDepth {
+			return errorf("reached lua stack limit")
+		}
+		if e, ok := v.RawGetString("err").(lua.LString); ok {
+			return failure(string(e))
+		}
+		if o, ok := v.RawGetString("ok").(lua.LString); ok {
+			return status(string(o))
+		}
+		out := array()
+		for i := 1; ; i++ {
+			e := v.RawGetInt(i)
+			if e == lua.LNil {
+				return out
+			}
+			out.list = append(out.list, fromLua(e, depth+1))
+		}
+	}
+	return null
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -42,9 +42,13 @@
 	queued int32 = iota
 	taken
 	withdrawn
+	lapsed
+	refused
 )
 
-// Call is one add. Its fields are set before it is handed to a store and not changed after.
+// Call is one add. Its fields are set before it is handed to a store and not changed after. The caller and the store
+// decide between them, in any order and from any goroutine, who has the last word on it: a call that its caller has
+// counted as added is never taken out of the total again.
 type Call struct {
 	Name   string        // 1 to 64 bytes, no spaces
 	Amount float64       // units; below 0 gives back
@@ -61,6 +65,14 @@
 // added.
 func (c *Call) Withdraw() bool { return c.state.CompareAndSwap(queued, withdrawn) }
 
+// Lapse is the caller's, for a call that it could not withdraw and waits for no longer: it counts as added from then on.
+// False means that the store has refused it, and says so presently.
+func (c *Call) Lapse() bool { return c.state.CompareAndSwap(taken, lapsed) }
+
+// Refuse is the store's, before it takes the amount of a call that it took out of the total: false means that the caller
+// has counted the call as added, and added it must stay.
+func (c *Call) Refuse() bool { return c.state.CompareAndSwap(taken, refused) }
+
 // Open reports whether nobody has taken or withdrawn the call.
 func (c *Call) Open() bool { return c.state.Load() == queued }
 
--- /dev/null
+++ b/internal/store/tally/conformance_test.go
@@ -0,0 +1,22 @@
+package tally
+
+import (
+	"testing"
+	"time"
+
+	standin "larchwick/internal/standin/tally"
+	"larchwick/internal/store"
+	"larchwick/internal/store/storetest"
+)
+
+func TestConformance(t *testing.T) {
+	storetest.Run(t, func(t *testing.T) storetest.Backend {
+		s, err := standin.Start("", 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		return storetest.Backend{Addr: s.Addr(), Total: s.Total, Stop: s.Stop, Listen: func() { s.Listen() },
+			New: func(sink store.Sink) store.Counter { return New(s.Addr(), time.Second, sink) }}
+	})
+}
