Read an options file; start with a store on Redis; hitchspring check

Need: what the platform's configuration has no word for wants a file of its own, strict and checked before anything starts.

--- a/cmd/hitchspring/main.go
+++ b/cmd/hitchspring/main.go
@@ -5,27 +5,72 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"flag"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"syscall"
+	"time"
 
+	"larchwick/internal/config"
 	"larchwick/internal/ingress"
+	"larchwick/internal/store"
+	"larchwick/internal/store/redis"
 	"larchwick/internal/wire"
 )
 
+const usage = `usage: hitchspring [--options FILE]         serve, as ROUTER_CONFIG says
+       hitchspring check [--options FILE]   say what is wrong with the settings, or print those in force
+`
+
 func main() {
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
-	if err := run(log); err != nil {
+	if err := command(os.Args[1:], os.Stdout, log); err != nil {
 		fmt.Fprintln(os.Stderr, "hitchspring:", err)
 		os.Exit(1)
 	}
 }
 
+// command runs the program as its arguments say.
+func command(args []string, out io.Writer, log *slog.Logger) error {
+	check := len(args) > 0 && args[0] == "check"
+	if check {
+		args = args[1:]
+	}
+	fs := flag.NewFlagSet("hitchspring", flag.ContinueOnError)
+	fs.SetOutput(io.Discard)
+	options := fs.String("options", os.Getenv("HITCHSPRING_OPTIONS"), "")
+	switch err := fs.Parse(args); {
+	case errors.Is(err, flag.ErrHelp):
+		_, err := io.WriteString(out, usage)
+		return err
+	case err != nil:
+		return fmt.Errorf("%w; %s", err, strings.ReplaceAll(strings.TrimSpace(usage), "\n", ";"))
+	case fs.NArg() > 0:
+		return fmt.Errorf("unknown argument %q; %s", fs.Arg(0), strings.ReplaceAll(strings.TrimSpace(usage), "\n", ";"))
+	}
+	if !check {
+		return run(*options, log)
+	}
+	o, err := config.Load(*options)
+	if err != nil {
+		return err
+	}
+	if path := os.Getenv("ROUTER_CONFIG"); path != "" {
+		if _, _, err := load(path, o, slog.New(slog.DiscardHandler)); err != nil {
+			return err
+		}
+	}
+	_, err = io.WriteString(out, o.Text())
+	return err
+}
+
 // configFile is the form of the configuration.
 type configFile struct {
 	Listen    string        `json:"listen"`
@@ -41,8 +86,8 @@
 	Settings json.RawMessage `json:"settings"`
 }
 
-// load reads the configuration file and checks it whole.
-func load(path string, log *slog.Logger) (ingress.Config, *configFile, error) {
+// load reads the configuration file and checks it whole, with the options.
+func load(path string, o *config.Options, log *slog.Logger) (ingress.Config, *configFile, error) {
 	var f configFile
 	fail := func(err error) (ingress.Config, *configFile, error) {
 		return ingress.Config{}, nil, fmt.Errorf("configuration %s: %w", path, err)
@@ -67,13 +112,32 @@
 	}
 	cfg := ingress.Config{Listen: f.Listen, Discovery: f.Discovery, Counter: f.Counter, Seed: seed,
 		Sockets: f.Limits.Sockets, Memory: int(f.Limits.MemoryMB << 20), Known: f.Known, Settings: *settings, Connections: conns}
+	if st := o.Store; st != nil && st.Kind == config.KindRedis {
+		cfg.Counter = st.Address
+		cfg.Store = func(sink store.Sink) (store.Counter, error) {
+			return redis.New(redisOptions(st, settings.CounterTimeout), log, sink)
+		}
+	}
 	if _, err := ingress.New(cfg, log); err != nil { // one that is not run holds nothing
 		return fail(err)
 	}
 	return cfg, &f, nil
 }
 
-func run(log *slog.Logger) error {
+// redisOptions are the options of a store on Redis; timeout is that of a call.
+func redisOptions(s *config.Store, timeout time.Duration) redis.Options {
+	o := redis.Options{Address: s.Address, Sentinels: s.Sentinels, Master: s.Master, Username: s.Username, Database: s.Database,
+		Prefix: s.Prefix, Lanes: s.Lanes, ConnectTimeout: time.Duration(s.ConnectTimeout), Timeout: timeout}
+	if s.PasswordFile != "" {
+		o.Password = s.Password
+	}
+	if s.TLS != nil {
+		o.TLS = s.TLS.Config
+	}
+	return o
+}
+
+func run(options string, log *slog.Logger) error {
 	// From the start on, so that a SIGHUP never meets the default, which ends the process.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
@@ -82,7 +146,11 @@
 	if path == "" {
 		return errors.New("ROUTER_CONFIG names no configuration file")
 	}
-	cfg, f, err := load(path, log)
+	o, err := config.Load(options)
+	if err != nil {
+		return err
+	}
+	cfg, f, err := load(path, o, log)
 	if err != nil {
 		return err
 	}
@@ -103,18 +171,28 @@
 		case err := <-ended:
 			return err
 		case <-hup: // also during a shutdown, where it must do no harm
-			reload(path, gw, log)
+			reload(path, options, o, gw, log)
 		}
 	}
 }
 
-// reload moves the ingress to the addresses that the file names now; a bad file changes nothing.
-func reload(path string, gw *ingress.Gateway, log *slog.Logger) {
-	cfg, _, err := load(path, log)
+// reload moves the ingress to the addresses that the files name now; a bad file changes nothing. began are the options
+// of the start: what else has changed in them waits for the next one.
+func reload(path, options string, began *config.Options, gw *ingress.Gateway, log *slog.Logger) {
+	o, err := config.Load(options)
+	if err != nil {
+		log.Error("the old options are kept", "err", err)
+		return
+	}
+	cfg, _, err := load(path, o, log)
 	if err != nil {
 		log.Error("the old configuration is kept", "err", err)
 		return
 	}
+	if !o.Store.SameButAddress(began.Store) {
+		log.Error("the old options are kept: of the store only the address can change in service", "options", options)
+		return
+	}
 	log.Info("new configuration", "discovery", cfg.Discovery, "counter", cfg.Counter)
 	gw.Move(cfg.Discovery, cfg.Counter)
 }
--- a/internal/ingress/gateway.go
+++ b/internal/ingress/gateway.go
@@ -43,7 +43,7 @@
 	Memory                     int // bytes that it may use; 0: not told
 	Known                      Fleet
 	Settings                   logic.Settings
-	Store                      func(store.Sink) store.Counter // makes the shared counter; nil: tally at Counter
+	Store                      func(store.Sink) (store.Counter, error) // makes the shared counter; nil: tally at Counter
 	Connections                wire.Connections
 }
 
@@ -142,7 +142,9 @@
 		cfg.Memory = usualMemory
 	}
 	if cfg.Store == nil {
-		cfg.Store = func(s store.Sink) store.Counter { return tally.New(cfg.Counter, cfg.Settings.CounterTimeout, s) }
+		cfg.Store = func(s store.Sink) (store.Counter, error) {
+			return tally.New(cfg.Counter, cfg.Settings.CounterTimeout, s), nil
+		}
 	}
 	start := time.Now()
 	g := &Gateway{cfg: cfg, net: cfg.Connections, log: log, classes: map[string]logic.Class{}, plans: map[string]bool{},
@@ -158,7 +160,10 @@
 		g.plans[p.Name] = true
 	}
 	if cfg.Settings.Counter {
-		g.counter = cfg.Store(func(k *store.Call, r store.Result) { g.post(counted{k, r}) })
+		g.counter, err = cfg.Store(func(k *store.Call, r store.Result) { g.post(counted{k, r}) })
+		if err != nil {
+			return nil, err
+		}
 	}
 	g.disc = newDiscovery(cfg.Discovery, cfg.Known.Rev, g.post, log)
 	return g, nil
--- a/internal/standin/redis/proto.go
+++ b/internal/standin/redis/proto.go
@@ -164,7 +164,8 @@
 	kMap    kind = '%' // list holds keys and values in turn
 	kDouble kind = ','
 	kPush   kind = '>'
-	kNone   kind = 0 // no reply at all
+	kEach   kind = 'e' // each of list is an answer of its own
+	kNone   kind = 0   // no reply at all
 )
 
 // value is a reply.
@@ -219,6 +220,10 @@
 		} else {
 			b = bulk(text).append(b, proto)
 		}
+	case kEach:
+		for _, e := range v.list {
+			b = e.append(b, proto)
+		}
 	case kArray, kMap, kPush:
 		switch {
 		case v.kind == kMap && proto >= 3:
--- a/internal/standin/redis/server.go
+++ b/internal/standin/redis/server.go
@@ -277,7 +277,9 @@
 	queue   [][]string
 	watched map[string]*entry // as they were
 	dirty   bool
-	push    chan []byte // messages of channels that it listens to; nil: none
+	push    chan []byte   // messages of channels that it listens to; nil: none
+	pushes  <-chan []byte // the same, until someone sends them
+	writing sync.Mutex
 }
 
 func (s *Server) accept(ln net.Listener) {
@@ -359,12 +361,25 @@
 	if len(c.out) == 0 {
 		return true
 	}
-	c.nc.SetWriteDeadline(time.Now().Add(writeTime))
-	_, err := c.nc.Write(c.out)
+	err := c.send(c.out)
 	c.out = c.out[:0]
+	if c.pushes != nil {
+		messages := c.pushes
+		c.pushes = nil
+		c.s.wg.Go(func() { c.sendPushes(messages) })
+	}
 	return err == nil
 }
 
+// send writes answers or a message, never both at once.
+func (c *client) send(b []byte) error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	c.nc.SetWriteDeadline(time.Now().Add(writeTime))
+	_, err := c.nc.Write(b)
+	return err
+}
+
 // handle runs one command by the fault script; it reports whether the connection goes on.
 func (c *client) handle(args []string) bool {
 	s := c.s
@@ -419,7 +434,7 @@
 	case fault.Swallow:
 		run()
 	case fault.Late:
-		at := *c // what the connection is now: it may be closed by then
+		at := client{s: s, nc: c.nc, id: c.id, proto: c.proto, db: c.db, name: c.name, authed: c.authed} // it may be closed by then
 		s.wg.Go(func() {
 			if s.sleep(r.By) {
 				at.run(name, args)
--- a/internal/standin/redis/topology.go
+++ b/internal/standin/redis/topology.go
@@ -205,26 +205,28 @@
 	c.push = nil
 }
 
+// subscribe answers with a confirmation for each channel, in its place among the other answers. Messages follow on a
+// goroutine of their own, which begins once the first confirmations are out.
 func subscribe(x *call, a []string) value {
 	c := x.c
 	if c.push == nil {
 		c.push = make(chan []byte, 64)
-		messages := c.push
-		x.s.wg.Go(func() {
-			for b := range messages {
-				c.nc.SetWriteDeadline(time.Now().Add(writeTime))
-				if _, err := c.nc.Write(b); err != nil {
-					c.nc.Close()
-				}
-			}
-		})
+		c.pushes = c.push
 	}
+	out := value{kind: kEach}
 	for i, ch := range a[1:] {
 		x.s.group.listeners[ch] = append(x.s.group.listeners[ch], c)
-		// The confirmations go the way of the messages, so that nothing is written from two sides at once.
-		c.push <- value{kind: kPush, list: []value{bulk(strings.ToLower(a[0])), bulk(ch), integer(int64(i + 1))}}.append(nil, c.proto)
+		out.list = append(out.list, value{kind: kPush, list: []value{bulk(strings.ToLower(a[0])), bulk(ch), integer(int64(i + 1))}})
+	}
+	return out
+}
+
+func (c *client) sendPushes(messages <-chan []byte) {
+	for b := range messages {
+		if c.send(b) != nil {
+			c.nc.Close()
+		}
 	}
-	return value{}
 }
 
 // --- ROLE, WAIT, Sentinel ---
