Add the lab: a whole service on loopback, with faults, judged by the peers' records

Need: later subsystems are to be proved against peers that misbehave, not against the program's own books.

--- /dev/null
+++ b/internal/standin/tally/control.go
@@ -0,0 +1,37 @@
+package tally
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"larchwick/internal/standin/fault"
+)
+
+// Do carries out one line: stop DURATION, restart DURATION (which forgets everything), or a fault rule for calls.
+func (s *Server) Do(line string) error {
+	words := strings.Fields(line)
+	if len(words) == 2 && (words[0] == "stop" || words[0] == "restart") {
+		d, err := time.ParseDuration(words[1])
+		if err != nil || d < 0 {
+			return fmt.Errorf("fault %q: %q is no duration", line, words[1])
+		}
+		if words[0] == "restart" {
+			s.Restart(d)
+			return nil
+		}
+		s.Stop()
+		s.wg.Go(func() {
+			if s.sleep(d) {
+				s.Listen()
+			}
+		})
+		return nil
+	}
+	r, err := fault.Parse(line)
+	if err != nil {
+		return err
+	}
+	s.Fault(r)
+	return nil
+}
