Measure adds against tally; book answers and calls of the Redis store in lots

One lock now covers a lot of calls or answers, and a deadline that is near enough stays as it is. The benchmark runs each stand-in as a process of its own, so that only the store's CPU counts.

--- /dev/null
+++ b/internal/store/bench_test.go
@@ -0,0 +1,151 @@
+package store_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"larchwick/internal/standin/fault"
+	standredis "larchwick/internal/standin/redis"
+	standtally "larchwick/internal/standin/tally"
+	"larchwick/internal/store"
+	"larchwick/internal/store/redis"
+	"larchwick/internal/store/storetest"
+	"larchwick/internal/store/tally"
+)
+
+const (
+	standinEnv = "STORE_BENCH_STANDIN"
+	slowEnv    = "STORE_BENCH_SLOW" // each answer takes 1 ms more
+)
+
+// TestMain is a stand-in where it was started as one: its CPU must not count as the store's.
+func TestMain(m *testing.M) {
+	var addr string
+	slow := os.Getenv(slowEnv) != ""
+	switch kind := os.Getenv(standinEnv); kind {
+	case "":
+		os.Exit(m.Run())
+	case "redis":
+		s, err := standredis.Start(standredis.Options{})
+		if err != nil {
+			panic(err)
+		}
+		addr = s.Addr()
+		if slow {
+			s.Fault(fault.Rule{Kind: fault.Delay, On: "EVALSHA", By: time.Millisecond})
+		}
+	case "tally":
+		s, err := standtally.Start("", 1)
+		if err != nil {
+			panic(err)
+		}
+		addr = s.Addr()
+		if slow {
+			s.Fault(fault.Rule{Kind: fault.Delay, By: time.Millisecond})
+		}
+	}
+	fmt.Println(addr)
+	os.Stdin.Read(make([]byte, 1)) // until the benchmark ends
+}
+
+// standIn starts a stand-in as a process of its own.
+func standIn(b *testing.B, kind string, slow bool) (addr string) {
+	b.Helper()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), standinEnv+"="+kind)
+	if slow {
+		cmd.Env = append(cmd.Env, slowEnv+"=1")
+	}
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() {
+		in.Close()
+		cmd.Wait()
+	})
+	if _, err := fmt.Fscan(bufio.NewReader(out), &addr); err != nil {
+		b.Fatal(err)
+	}
+	return addr
+}
+
+func cpu() time.Duration {
+	var u syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkAdds keeps so many adds in flight and tells adds a second, CPU of this process for each and allocations.
+func BenchmarkAdds(b *testing.B) {
+	for _, c := range []struct {
+		flying int
+		slow   bool // both stand-ins answer after a millisecond, so that both wait for the same
+	}{{1, false}, {1, true}, {64, false}, {512, false}} {
+		for _, kind := range []string{"tally", "redis"} {
+			flying := c.flying
+			b.Run(fmt.Sprintf("%s/flying=%d/slow=%v", kind, flying, c.slow), func(b *testing.B) {
+				addr := standIn(b, kind, c.slow)
+				free := make(chan struct{}, flying)
+				for range flying {
+					free <- struct{}{}
+				}
+				var lost int
+				sink := func(k *store.Call, r store.Result) {
+					if !r.Seen {
+						lost++
+					}
+					free <- struct{}{}
+				}
+				var c store.Counter = tally.New(addr, time.Second, sink)
+				if kind == "redis" {
+					r, err := redis.New(redis.Options{Address: addr, Prefix: "bench", Timeout: time.Second}, storetest.Quiet, sink)
+					if err != nil {
+						b.Fatal(err)
+					}
+					c = r
+				}
+				ctx, cancel := context.WithCancel(context.Background())
+				var wg sync.WaitGroup
+				wg.Go(func() { c.Run(ctx) })
+				names := make([]string, 200)
+				for i := range names {
+					names[i] = fmt.Sprintf("%016x:%d", i, 6)
+				}
+				b.ReportAllocs()
+				b.ResetTimer()
+				before := cpu()
+				for i := range b.N {
+					<-free
+					c.Add(&store.Call{Name: names[i%len(names)], Amount: 1.5, Keep: time.Minute})
+				}
+				for range flying {
+					<-free
+				}
+				took := cpu() - before
+				b.StopTimer()
+				cancel()
+				wg.Wait()
+				b.ReportMetric(float64(took.Nanoseconds())/float64(b.N), "cpu-ns/add")
+				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "adds/s")
+				if lost > 0 {
+					b.Fatalf("%d adds were not confirmed", lost)
+				}
+			})
+		}
+	}
+}
--- a/internal/store/redis/conn.go
+++ b/internal/store/redis/conn.go
@@ -30,6 +30,8 @@
 	kick    chan struct{}              // the reader has something for the writer
 	leave   atomic.Pointer[redisError] // the error that says that this is not the server to ask
 	useful  atomic.Bool                // an add was confirmed
+	readBy  atomic.Int64               // the read deadline, Unix time in ns
+	writeBy time.Time                  // the write deadline; the writer's
 	err     error                      // why the reader ended; to be read after broken
 	head    []item                     // the write whose answer was none; the same
 }
@@ -222,34 +224,97 @@
 	return net.JoinHostPort(parts[0], parts[1]), nil
 }
 
+// told is a confirmed add.
+type told struct {
+	call  *store.Call
+	total float64
+}
+
 // read hands answers to the writes in their order until the connection ends or its order is lost.
 func (l *lane) read(c *conn) error {
 	defer c.in.Close()
+	done := make([]told, 0, mostBatch)
 	for {
-		f, err := c.in.Next()
+		var rest []byte
+		var err error
+		done, rest, err = l.confirmed(c, done[:0])
+		for _, t := range done {
+			l.sink(t.call, store.Result{Certainty: store.Added, Seen: true, Total: t.total})
+		}
+		if err == nil && rest != nil {
+			err = l.refusal(c, rest)
+		}
 		if err != nil {
 			l.spoilt()
 			return err
 		}
-		if f == nil {
+		if rest == nil && len(done) < cap(done) {
 			if err := l.fill(c); err != nil {
 				return err
 			}
-			continue
 		}
-		var it item
-		select {
-		case it = <-c.pending:
-		default:
-			l.spoilt()
-			return errOrder
+	}
+}
+
+// confirmed books the answers that have come, up to one that confirms nothing, which is returned.
+func (l *lane) confirmed(c *conn, done []told) (_ []told, rest []byte, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lost := ""
+	for len(done) < cap(done) {
+		f, err := c.in.Next()
+		if f == nil || err != nil || f[0] == '-' {
+			rest = f
+			if err != nil {
+				return done, nil, err
+			}
+			break
+		}
+		it, ok := c.next()
+		if !ok {
+			return done, nil, errOrder
 		}
-		if err := l.answered(c, it, f); err != nil {
-			it.sent = true // its fate is open
+		seq, a, ok := parseAdd(f)
+		if !ok || seq != it.w.Seq { // its fate is open
+			it.sent = true
 			c.head = append(c.head, it)
-			l.spoilt()
-			return err
+			return done, nil, errOrder
+		}
+		v := l.books.Answered(l.now(), it.w, a)
+		if v.Lost {
+			l.stats.Lost++
+			lost = it.w.Name
 		}
+		if it.call == nil {
+			continue
+		}
+		l.stats.Added++
+		if v.Landed {
+			l.stats.Landed++
+		}
+		done = append(done, told{it.call, v.Total})
+	}
+	if len(done) > 0 {
+		l.byText = false
+		c.useful.Store(true)
+	}
+	if lost != "" && !l.complained {
+		l.complained = true
+		l.log.Warn("Redis has lost adds that it had confirmed: they are told again", "name", lost)
+	}
+	if l.books.Dirty() {
+		c.wake()
+	}
+	return done, rest, nil
+}
+
+// next takes the write whose answer is due.
+func (c *conn) next() (item, bool) {
+	select {
+	case it := <-c.pending:
+		return it, true
+	default:
+		return item{}, false
 	}
 }
 
@@ -259,22 +324,29 @@
 	l.stats.Spoilt++
 }
 
+// until gives the reader about d more. Setting a deadline costs as much as reading a short answer does, so one that is
+// near enough stays: it comes out up to a quarter shorter or longer.
+func (c *conn) until(now time.Time, d time.Duration) {
+	want := now.Add(d).UnixNano()
+	if off := want - c.readBy.Load(); off > int64(d)/4 || off < -int64(d)/4 {
+		c.readBy.Store(want)
+		c.nc.SetReadDeadline(time.Unix(0, want))
+	}
+}
+
 // fill reads once. A connection is given silence while something is out on it, and the rest of an answer that has begun
 // must come at once.
 func (l *lane) fill(c *conn) error {
-	limit := func() {
-		d := idleRead
-		switch {
-		case c.in.Partial():
-			d = answerRest
-		case len(c.pending) > 0:
-			d = silence * l.opt.Timeout
+	switch now := time.Now(); {
+	case c.in.Partial():
+		c.until(now, answerRest)
+	case len(c.pending) > 0:
+		c.until(now, silence*l.opt.Timeout)
+	case c.readBy.Load() <= now.UnixNano(): // else the last answer's limit stands: it runs out in vain
+		c.until(now, idleRead)
+		if len(c.pending) > 0 { // the writer has begun since
+			c.until(now, silence*l.opt.Timeout)
 		}
-		c.nc.SetReadDeadline(time.Now().Add(d))
-	}
-	limit()
-	if len(c.pending) > 0 { // the writer may have begun since the first look
-		limit()
 	}
 	err := c.in.Fill(c.nc.Read)
 	switch {
@@ -292,65 +364,37 @@
 	return err
 }
 
-// answered gives a write its answer; an error means that it was none of its own.
-func (l *lane) answered(c *conn, it item, f []byte) error {
-	if f[0] == '-' {
-		e := redisError(bytes.TrimSpace(f[1:]))
-		if e.word() == "NOSCRIPT" {
-			l.mu.Lock()
-			l.byText = true
-			it.sent = true
-			l.retry = append(l.retry, it)
-			l.mu.Unlock()
-			c.wake()
-			return nil
-		}
-		l.refused(it, f)
-		if e.elsewhere() {
-			c.leave.CompareAndSwap(nil, &e)
-			c.wake()
-		} else {
-			l.complain(e)
-		}
-		return nil
-	}
-	seq, a, ok := parseAdd(f)
-	if !ok || seq != it.w.Seq {
+// refusal gives a write its error line.
+func (l *lane) refusal(c *conn, f []byte) error {
+	it, ok := c.next()
+	if !ok {
 		return errOrder
 	}
-	l.mu.Lock()
-	v := l.books.Answered(l.now(), it.w, a)
-	l.byText = false
-	if it.call != nil {
-		l.stats.Added++
-		if v.Landed {
-			l.stats.Landed++
-		}
-	}
-	lost := v.Lost
-	if lost {
-		l.stats.Lost++
-	}
-	dirty := l.books.Dirty()
-	l.mu.Unlock()
-	c.useful.Store(true)
-	if lost && l.complained.CompareAndSwap(false, true) {
-		l.log.Warn("Redis has lost adds that it had confirmed: they are told again", "name", it.w.Name)
-	}
-	if dirty {
+	e := redisError(bytes.TrimSpace(f[1:]))
+	switch {
+	case e.word() == "NOSCRIPT":
+		it.sent = true
+		l.mu.Lock()
+		l.byText = true
+		l.retry = append(l.retry, it)
+		l.mu.Unlock()
 		c.wake()
+		return nil
+	case e.elsewhere():
+		c.leave.CompareAndSwap(nil, &e)
+		c.wake()
+	default:
+		l.complain(e)
 	}
-	if it.call != nil {
-		l.sink(it.call, store.Result{Certainty: store.Added, Seen: true, Total: v.Total})
-	}
+	l.refused(it, f)
 	return nil
 }
 
 // complain logs a refusal of Redis, each kind once until another one comes or the connection is a new one.
 func (l *lane) complain(e redisError) {
 	l.mu.Lock()
-	known := l.refusal == e.word()
-	l.refusal = e.word()
+	known := l.refusedBy == e.word()
+	l.refusedBy = e.word()
 	l.mu.Unlock()
 	if !known {
 		l.log.Warn("Redis refuses adds: each instance keeps its fair share of every quota until it takes them", "err", e)
--- a/internal/store/redis/lane.go
+++ b/internal/store/redis/lane.go
@@ -8,7 +8,6 @@
 	"net"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"larchwick/internal/store"
@@ -50,15 +49,14 @@
 	said   string    // what was last logged of it
 	saidAt time.Time
 
-	complained atomic.Bool // of adds that were lost, on this connection
-
-	mu      sync.Mutex // of all below
-	books   *ledger.Ledger
-	stats   Stats
-	retry   []item    // what the reader hands back, in order
-	byText  bool      // the server lacks the script
-	refusal string    // the error word that was last logged
-	rested  time.Time // no figure is told again before
+	mu         sync.Mutex // of all below
+	books      *ledger.Ledger
+	stats      Stats
+	retry      []item    // what the reader hands back, in order
+	byText     bool      // the server lacks the script
+	complained bool      // of adds that were lost, on this connection
+	refusedBy  string    // the error word that was last logged
+	rested     time.Time // no figure is told again before
 }
 
 // item is a write on its way, for a call or, where that is nil, for the ledger's own sake.
@@ -235,9 +233,8 @@
 	if !first {
 		l.books.Doubt(l.now())
 	}
-	l.byText, l.refusal = false, ""
+	l.byText, l.complained, l.refusedBy = false, false, ""
 	l.mu.Unlock()
-	l.complained.Store(false)
 	switch {
 	case !l.downAt.IsZero():
 		l.log.Info("back: quotas are shared again, and what was added meanwhile is told", "addr", l.addr,
@@ -296,14 +293,6 @@
 	var err error
 	short := 0 // items that did not go out whole: the last of pending
 	for open := true; open; {
-		for more := true; more && len(batch) < mostBatch; {
-			select {
-			case k := <-l.calls:
-				batch = l.put(batch, k)
-			default:
-				more = false
-			}
-		}
 		if n := min(len(batch), cap(c.pending)-len(c.pending), mostBatch); n > 0 {
 			var whole int
 			buf, ends, whole, err = l.write(c, batch[:n], buf[:0], ends[:0])
@@ -406,22 +395,34 @@
 	l.again = append(l.again, batch...)
 }
 
-// put takes a call into the ledger and the batch.
+// put takes a call, and those that wait behind it, into the ledger and the batch.
 func (l *lane) put(batch []item, k *store.Call) []item {
-	if !k.Take() {
-		return batch
-	}
+	var none []*store.Call
 	l.mu.Lock()
-	w, err := l.books.Put(l.now(), k.Name, k.Amount, k.Keep)
-	if err != nil {
-		l.stats.Refused++
+	now := l.now()
+	for more := true; more; {
+		if k.Take() {
+			if w, err := l.books.Put(now, k.Name, k.Amount, k.Keep); err == nil {
+				batch = append(batch, item{w: w, call: k})
+			} else {
+				l.stats.Refused++
+				none = append(none, k)
+			}
+		}
+		more = false
+		if len(batch) < mostBatch {
+			select {
+			case k = <-l.calls:
+				more = true
+			default:
+			}
+		}
 	}
 	l.mu.Unlock()
-	if err != nil {
+	for _, k := range none {
 		l.sink(k, store.Result{Certainty: store.NotAdded})
-		return batch
 	}
-	return append(batch, item{w: w, call: k})
+	return batch
 }
 
 // retold adds a lot of the figures that the server may not hold, where it is not busy.
@@ -453,9 +454,12 @@
 	}
 	now := time.Now()
 	if idle {
-		c.nc.SetReadDeadline(now.Add(silence * l.opt.Timeout))
+		c.until(now, silence*l.opt.Timeout)
+	}
+	if most := silence * l.opt.Timeout; c.writeBy.Sub(now) < most {
+		c.writeBy = now.Add(2 * most)
+		c.nc.SetWriteDeadline(c.writeBy)
 	}
-	c.nc.SetWriteDeadline(now.Add(silence * l.opt.Timeout))
 	n, err := c.nc.Write(buf)
 	for whole < len(ends) && ends[whole] <= n {
 		whole++
