Compare two commits' ingresses in one run: two processes of each under one load

Need: a try's CPU differs by 30% from one run to the next on this machine, so two runs cannot tell 2%.

lab compare builds another commit's ingress from git and plays four ingresses at once, two of each, in turns of place.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -24,6 +24,7 @@
 const usage = `usage: lab demo  [--for 20s] [--store tally|redis|redis-sentinel] [--fault "store:stall 2s at 5s"]... [--seed N] [--json FILE]
                  [--hot TIMES] [--rate TIMES] [--nodes N] [--ingresses N] [--ingress PROGRAM] [--logs FILE] [--quiet]
        lab soak  [--seeds N] and the flags of demo: one run for each seed, a line each
+       lab compare [--base COMMIT] [--rounds N] and the flags of demo: CPU and memory of this ingress against another commit's
        lab redis --listen 127.0.0.1:PORT [--control 127.0.0.1:PORT] [--password-file FILE]
 `
 
@@ -53,6 +54,8 @@
 		return demo(ctx, args[1:], out)
 	case "soak":
 		return soak(ctx, args[1:], out)
+	case "compare":
+		return compare(ctx, args[1:], out)
 	case "redis":
 		return redisServer(ctx, args[1:], out)
 	case "help", "-h", "--help":
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -24,6 +24,7 @@
 // Process is what one ingress took.
 type Process struct {
 	Name   string
+	Tries  int
 	CPUS   float64 // seconds over the load
 	PeakMB float64
 }
@@ -89,7 +90,7 @@
 	for i, g := range w.ingresses {
 		u := g.now()
 		cpu += u.CPU - before[i].CPU
-		procs = append(procs, Process{g.name, (u.CPU - before[i].CPU).Seconds(), float64(u.PeakKB) / 1024})
+		procs = append(procs, Process{Name: g.name, CPUS: (u.CPU - before[i].CPU).Seconds(), PeakMB: float64(u.PeakKB) / 1024})
 	}
 	seconds := time.Since(began).Seconds()
 	cancel()
@@ -131,6 +132,11 @@
 	slices.SortFunc(w.load.tried, func(a, b tried) int { return cmp.Compare(a.Sent, b.Sent) })
 	inside := newWishes()
 	for _, t := range w.load.tried {
+		for i := range r.Processes {
+			if r.Processes[i].Name == t.Instance {
+				r.Processes[i].Tries++
+			}
+		}
 		k := key{t.class.name, t.ch.plan.name}
 		row := byKey[k]
 		if row == nil {
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -53,6 +53,7 @@
 	Rate      float64  // times the usual load
 	Hot       float64  // one channel of storby asks for so many times its quota; 0: none does
 	Ingress   string   // the program; empty: it is built from this module's source
+	Mixed     []string // programs that the ingresses are in turn, in place of Ingress
 	MemoryMB  int
 	Tolerance time.Duration // of the rules' time limits; 0: the platform's 50 ms
 	Live      io.Writer     // a table each second; nil: none
@@ -205,7 +206,7 @@
 		return err
 	}
 	program := w.cfg.Ingress
-	if program == "" {
+	if program == "" && len(w.cfg.Mixed) == 0 {
 		program = filepath.Join(w.dir, "hitchspring")
 		build := exec.CommandContext(ctx, "go", "build", "-o", program, "larchwick/cmd/hitchspring")
 		if out, err := build.CombinedOutput(); err != nil {
@@ -213,6 +214,9 @@
 		}
 	}
 	for i := range w.cfg.Ingresses {
+		if n := len(w.cfg.Mixed); n > 0 {
+			program = w.cfg.Mixed[i%n]
+		}
 		g, err := w.newIngress(i, program)
 		if err != nil {
 			return err
