Split the ingress into core and front; the core knows neither RESP2 clients nor tally

Need: further fronts are to hand requests to the same core, and the goroutine that owns the module was one package with the RESP2 server.

internal/core owns the module, its clock, the requests, attempts, nodes and discovery; a front hands in a Request with a Place for its answer and a Command that is worded for the nodes. internal/front/resp is the platform's protocol, behind a small interface of the core. internal/ingress only puts them together, with tally where no store is given.

--- a/cmd/hitchspring/main.go
+++ b/cmd/hitchspring/main.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"larchwick/internal/config"
+	"larchwick/internal/core"
 	"larchwick/internal/ingress"
 	"larchwick/internal/store"
 	"larchwick/internal/store/redis"
@@ -73,11 +74,11 @@
 
 // configFile is the form of the configuration.
 type configFile struct {
-	Listen    string        `json:"listen"`
-	Discovery string        `json:"discovery"`
-	Counter   string        `json:"counter"`
-	Seed      string        `json:"seed"`
-	Known     ingress.Fleet `json:"known"`
+	Listen    string     `json:"listen"`
+	Discovery string     `json:"discovery"`
+	Counter   string     `json:"counter"`
+	Seed      string     `json:"seed"`
+	Known     core.Fleet `json:"known"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
 		MemoryMB int64   `json:"memory_mb"`
@@ -110,8 +111,8 @@
 	if err != nil {
 		return fail(err)
 	}
-	cfg := ingress.Config{Listen: f.Listen, Discovery: f.Discovery, Counter: f.Counter, Seed: seed,
-		Sockets: f.Limits.Sockets, Memory: int(f.Limits.MemoryMB << 20), Known: f.Known, Settings: *settings, Connections: conns}
+	cfg := ingress.Config{Listen: f.Listen, Counter: f.Counter, Config: core.Config{Discovery: f.Discovery, Seed: seed,
+		Sockets: f.Limits.Sockets, Memory: int(f.Limits.MemoryMB << 20), Known: f.Known, Settings: *settings, Connections: conns}}
 	if st := o.Store; st != nil && st.Kind == config.KindRedis {
 		cfg.Counter = st.Address
 		cfg.Store = func(sink store.Sink) (store.Counter, error) {
--- a/internal/ingress/backend.go
+++ b/internal/core/backend.go
@@ -1,4 +1,4 @@
-package ingress
+package core
 
 import (
 	"context"
@@ -30,7 +30,7 @@
 
 // attempt is one command on its way to a backend: of a request, or a probe.
 type attempt struct {
-	req    *request // nil: a probe
+	req    *Request // nil: a probe
 	n      int
 	be     *backend
 	began  time.Duration
@@ -41,25 +41,15 @@
 	ended  bool
 }
 
-// command is what an attempt writes: the client's own, with the time that is left for it.
+// command is what an attempt writes: the client's own, with the time that is left for it, or a probe.
 func (a *attempt) command(now time.Duration) []byte {
 	if a.req == nil {
 		return redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(nil, 2), "INFO"), "load")
 	}
-	r := a.req
-	b := redcon.AppendArray(make([]byte, 0, 192+len(r.args[len(r.args)-1])), len(r.args))
-	for i, arg := range r.args {
-		if i == 3 {
-			fields := append(make([]byte, 0, len(arg)+8), arg[:r.dFrom]...)
-			fields = strconv.AppendInt(fields, max(1, (a.stop-now).Milliseconds()), 10)
-			arg = append(fields, arg[r.dTo:]...)
-		}
-		b = redcon.AppendBulk(b, arg)
-	}
-	return b
+	return a.req.Command.Encode(a.stop - now)
 }
 
-// backend is what the gateway's goroutine keeps of a server: its entry, its connections, and the attempts
+// backend is what the core's goroutine keeps of a server: its entry, its connections, and the attempts
 // that wait for one. A connection carries one attempt at a time, so that giving one up hurts no other.
 type backend struct {
 	logic.Server
@@ -270,10 +260,10 @@
 	return load
 }
 
-// --- the pool: everything below runs on the gateway's goroutine ---
+// --- the pool: everything below runs on the core's goroutine ---
 
 // place gives an attempt the warmest idle connection, or lets it wait for one.
-func (g *Gateway) place(a *attempt) {
+func (g *Core) place(a *attempt) {
 	be := a.be
 	for n := len(be.idle); n > 0; n = len(be.idle) {
 		c := be.idle[n-1]
@@ -296,7 +286,7 @@
 }
 
 // unwait takes an attempt out of those that wait for a connection.
-func (g *Gateway) unwait(a *attempt) bool {
+func (g *Core) unwait(a *attempt) bool {
 	i := slices.Index(a.be.waiting, a)
 	if i >= 0 {
 		a.be.waiting = slices.Delete(a.be.waiting, i, i+1)
@@ -305,7 +295,7 @@
 }
 
 // write hands an attempt to a free connection.
-func (g *Gateway) write(c *conn, a *attempt) {
+func (g *Core) write(c *conn, a *attempt) {
 	a.conn, c.cur, a.handed = c, a, g.now
 	select {
 	case c.work <- job{a, a.command(g.now)}:
@@ -315,7 +305,7 @@
 }
 
 // dial opens connections for those that wait, within the caps.
-func (g *Gateway) dial(be *backend) {
+func (g *Core) dial(be *backend) {
 	for be.dialing+be.resting < len(be.waiting) && be.conns < mostPerBackend {
 		if g.conns >= g.mostConns && !g.closeOldestIdle() {
 			g.starved = true
@@ -330,7 +320,7 @@
 }
 
 // free takes a connection that has nothing to do: for the first that waits, or to the idle ones.
-func (g *Gateway) free(c *conn) {
+func (g *Core) free(c *conn) {
 	be := c.be
 	if c.down || c.addr != be.addr || be.State == logic.Gone || !c.quiet() {
 		c.nc.Close()
@@ -353,7 +343,7 @@
 }
 
 // feed lets those dial that found all connections in use elsewhere; without it they would wait for good.
-func (g *Gateway) feed() {
+func (g *Core) feed() {
 	if !g.starved {
 		return
 	}
@@ -365,7 +355,7 @@
 
 // retireIdle closes connections that the backend is about to close: a command that crossed that would be a
 // reset, and may not be sent again.
-func (g *Gateway) retireIdle() {
+func (g *Core) retireIdle() {
 	for _, be := range g.backends {
 		for len(be.idle) > 0 && (be.State != logic.Running || be.idle[0].addr != be.addr ||
 			g.now-be.idle[0].since > g.net.Idle*2/3) {
@@ -375,13 +365,13 @@
 }
 
 // closeIdle closes the backend's coldest idle connection; connDown does the books.
-func (g *Gateway) closeIdle(be *backend) {
+func (g *Core) closeIdle(be *backend) {
 	be.idle[0].nc.Close()
 	be.idle = be.idle[1:]
 }
 
 // closeOldestIdle makes room for a new connection.
-func (g *Gateway) closeOldestIdle() bool {
+func (g *Core) closeOldestIdle() bool {
 	var oldest *backend
 	for _, be := range g.backends {
 		if len(be.idle) > 0 && (oldest == nil || be.idle[0].since < oldest.idle[0].since) {
@@ -396,7 +386,7 @@
 
 // giveUp ends an attempt from our side. One that waits was never sent, one that is written has its outcome at
 // once. Of one in between only the connection knows: it is closed, and its last event tells.
-func (g *Gateway) giveUp(a *attempt, why logic.Outcome) {
+func (g *Core) giveUp(a *attempt, why logic.Outcome) {
 	switch {
 	case a.ended || a.why != still:
 	case a.conn == nil:
@@ -419,13 +409,13 @@
 	}
 }
 
-func (g *Gateway) connUp(ev connUp) {
+func (g *Core) connUp(ev connUp) {
 	ev.c.be.dialing--
 	ev.c.be.heard = g.now
 	g.free(ev.c)
 }
 
-func (g *Gateway) replied(ev replied) {
+func (g *Core) replied(ev replied) {
 	c, a := ev.c, ev.c.cur
 	c.be.heard = g.now
 	if a == nil || ev.to != a { // nobody asked for it, or it came before its command was out: the order is lost
@@ -449,7 +439,7 @@
 	}
 }
 
-func (g *Gateway) connDown(ev connDown) {
+func (g *Core) connDown(ev connDown) {
 	be := ev.c.be
 	ev.c.down = true
 	be.conns--
@@ -482,7 +472,7 @@
 }
 
 // drop forgets a backend that is gone for good once nothing is out or open there: ids are ever new.
-func (g *Gateway) drop(be *backend) {
+func (g *Core) drop(be *backend) {
 	if be.State == logic.Gone && be.conns == 0 && len(be.waiting) == 0 && g.backends[be.ID] == be {
 		delete(g.backends, be.ID)
 	}
--- a/internal/ingress/gateway.go
+++ b/internal/core/core.go
@@ -1,11 +1,12 @@
-// Package ingress is the real ingress: it turns what comes on sockets into the decision module's events and
-// carries out its actions. It decides nothing itself.
-package ingress
+// Package core owns the decision module: its clock, its timers, the table of requests, the attempts at nodes and the
+// list of them. Fronts hand it requests and wait for one final answer; it decides nothing itself and waits for nobody.
+package core
 
 import (
 	"cmp"
 	"container/heap"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math"
@@ -15,7 +16,6 @@
 
 	"larchwick/internal/resp"
 	"larchwick/internal/store"
-	"larchwick/internal/store/tally"
 	"larchwick/internal/wire"
 	"larchwick/logic"
 )
@@ -25,26 +25,22 @@
 	memoryShare  = 8         // of the memory: commands held, commands coming in, answers unread, answers coming in
 	usualMemory  = 256 << 20 // where no limit is told
 	mostBatch    = 256
-	answerMargin = 20 * time.Millisecond  // before the client gives up: the way back, and a busy machine
-	overdue      = 8 * time.Millisecond   // into the margin: the module should have answered by now
-	firstList    = 300 * time.Millisecond // what a start waits for discovery before it serves from the known list
+	answerMargin = 20 * time.Millisecond // before the client gives up: the way back, and a busy machine
+	overdue      = 8 * time.Millisecond  // into the margin: the module should have answered by now
 	idleCheck    = time.Second
-	fullRetry    = 250 * time.Millisecond  // when to come back to an ingress whose memory is full
-	graceOpen    = 600 * time.Millisecond  // after SIGTERM: new connections go on being served
-	graceAll     = 3300 * time.Millisecond // after SIGTERM: everything is answered by then
-	spare        = 32                      // descriptors for the counter, discovery, the listener and the runtime
+	fullRetry    = 250 * time.Millisecond // when to come back to an ingress whose memory is full
 )
 
-// Config is all that an ingress is told.
+// Config is all that the core is told.
 type Config struct {
-	Listen, Discovery, Counter string
-	Seed                       uint64
-	Sockets                    int // descriptors that it may hold
-	Memory                     int // bytes that it may use; 0: not told
-	Known                      Fleet
-	Settings                   logic.Settings
-	Store                      func(store.Sink) (store.Counter, error) // makes the shared counter; nil: tally at Counter
-	Connections                wire.Connections
+	Discovery                  string
+	Seed               uint64
+	Sockets            int // descriptors that it may hold
+	Memory             int // bytes that it may use; 0: not told
+	Known              Fleet
+	Settings           logic.Settings
+	Store              func(store.Sink) (store.Counter, error) // makes the shared counter; nil: the settings know none
+	Connections        wire.Connections
 }
 
 // Kind is what a final answer says.
@@ -68,15 +64,40 @@
 // Place is where a front waits for the one final answer. Answer never blocks, and is called once.
 type Place interface{ Answer(Answer) }
 
-// event is what the gateway's goroutine is told by the others.
+// Command is what an attempt writes to a node.
+type Command interface {
+	// Encode returns the command in the nodes' protocol, with the time that is left for its answer.
+	Encode(left time.Duration) []byte
+}
+
+// Request is a client's request as a front hands it in. Its exported fields are set before and not changed after, but by
+// the core, which numbers it.
+type Request struct {
+	logic.Request
+	Key      uint64 // the client's own id: of two open requests of one id, the later is answered Repeated
+	Place    Place
+	Command  Command
+	Size     int // bytes that it holds
+	attempts []*attempt
+	out      int
+	final    bool
+}
+
+// The events of a front.
+type (
+	arrived   struct{ r *Request }
+	abandoned struct{ reqs []*Request }
+)
+
+// event is what the core's goroutine is told by the others.
 type event any
 
 // endAll asks for a final answer to everything, at the end of a shutdown.
 type endAll struct{}
 
-// Gateway owns the decision module: its clock, its timers and the table of requests. Its goroutine never
-// waits for a peer.
-type Gateway struct {
+// Core is one instance. Its goroutine owns everything but what is said to be otherwise, and never waits for a peer; its
+// exported methods are safe for many goroutines.
+type Core struct {
 	cfg     Config
 	net     wire.Connections
 	log     *slog.Logger
@@ -88,15 +109,14 @@
 	stopped chan struct{}
 	spawned sync.WaitGroup
 	ctx     context.Context // of the goroutines that it spawns
-	ready   chan struct{}
-	addr    net.Addr
+	stop    context.CancelFunc
 	start   time.Time
 	epoch   time.Duration // start on the clock that all ingresses share
 
 	mod       *logic.Gateway
 	now       time.Duration
 	alarms    alarms
-	requests  map[logic.RequestID]*request
+	requests  map[logic.RequestID]*Request
 	keys      map[uint64]bool // ids of requests whose time is not up, ended or not
 	lastID    logic.RequestID
 	backends  map[logic.ServerID]*backend
@@ -112,15 +132,15 @@
 	frames    *resp.Budget // memory of answers that are coming in
 }
 
-// New checks the configuration and returns an ingress that does not run yet.
-func New(cfg Config, log *slog.Logger) (*Gateway, error) {
+// New checks the configuration and returns a core that does not run yet.
+func New(cfg Config, log *slog.Logger) (*Core, error) {
 	if cfg.Sockets < 128 {
 		return nil, fmt.Errorf("%d sockets are too few: 128 at least", cfg.Sockets)
 	}
-	if cfg.Settings.Counter && cfg.Counter == "" && cfg.Store == nil {
-		return nil, fmt.Errorf("the settings name a shared counter, the configuration has no address of it")
+	if cfg.Settings.Counter && cfg.Store == nil {
+		return nil, errors.New("the settings name a shared counter, and there is none")
 	}
-	for _, addr := range []string{cfg.Listen, cfg.Discovery, cfg.Counter} {
+	for _, addr := range []string{cfg.Discovery} {
 		if _, _, err := net.SplitHostPort(addr); addr != "" && err != nil {
 			return nil, fmt.Errorf("not an address: %w", err)
 		}
@@ -141,15 +161,10 @@
 	if cfg.Memory <= 0 {
 		cfg.Memory = usualMemory
 	}
-	if cfg.Store == nil {
-		cfg.Store = func(s store.Sink) (store.Counter, error) {
-			return tally.New(cfg.Counter, cfg.Settings.CounterTimeout, s), nil
-		}
-	}
 	start := time.Now()
-	g := &Gateway{cfg: cfg, net: cfg.Connections, log: log, classes: map[string]logic.Class{}, plans: map[string]bool{},
-		events: make(chan event, eventQueue), stopped: make(chan struct{}), ready: make(chan struct{}), start: start,
-		epoch: time.Duration(start.UnixNano()), mod: mod, requests: map[logic.RequestID]*request{},
+	g := &Core{cfg: cfg, net: cfg.Connections, log: log, classes: map[string]logic.Class{}, plans: map[string]bool{},
+		events: make(chan event, eventQueue), stopped: make(chan struct{}), start: start,
+		epoch: time.Duration(start.UnixNano()), mod: mod, requests: map[logic.RequestID]*Request{},
 		keys: map[uint64]bool{}, backends: map[logic.ServerID]*backend{}, mostConns: cfg.Sockets * 3 / 8,
 		mostHeld: cfg.Memory / memoryShare, mostUnits: cmp.Or(cfg.Settings.MaxUnits, math.MaxFloat64),
 		frames: resp.NewBudget(cfg.Memory / memoryShare)}
@@ -169,65 +184,73 @@
 	return g, nil
 }
 
-// Ready closes when clients are taken.
-func (g *Gateway) Ready() <-chan struct{} { return g.ready }
-
-// Addr is where, once Ready has closed.
-func (g *Gateway) Addr() net.Addr { return g.addr }
-
 // Move goes over to discovery and a counter at other addresses. It waits for nothing, may come at any time, and
 // the last of several counts. Clients, backends and the module's books are left as they are.
-func (g *Gateway) Move(discovery, counter string) {
+func (g *Core) Move(discovery, counter string) {
 	g.disc.moves.Set(discovery)
 	if g.counter != nil {
 		g.counter.Move(counter)
 	}
 }
 
-// Run serves until ctx ends, then answers what it has taken and returns.
-func (g *Gateway) Run(ctx context.Context) error {
-	life, stop := context.WithCancel(context.Background())
-	defer func() {
-		stop()
-		g.spawned.Wait()
-	}()
-	g.ctx = life
+// Start begins to decide, from the known list, and to follow discovery; End ends it.
+func (g *Core) Start() {
+	g.ctx, g.stop = context.WithCancel(context.Background())
 	g.known()
 	g.spawn(g.loop)
 	if g.counter != nil {
 		g.spawn(g.counter.Run)
 	}
 	g.spawn(g.disc.run)
-	select {
-	case <-g.disc.first:
-	case <-time.After(firstList):
-	case <-ctx.Done():
-		return nil
-	}
-	ln, err := net.Listen("tcp", g.cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("listening: %w", err)
-	}
-	f := newFront(ln, g, g.cfg.Sockets-g.mostConns-spare, g.cfg.Memory/memoryShare)
-	g.spawn(func(context.Context) { f.accept() })
-	g.spawn(f.tidy)
-	g.addr = ln.Addr()
-	close(g.ready)
-	g.log.Info("serving", "listen", g.cfg.Listen)
-
-	<-ctx.Done()
-	g.log.Info("shutting down")
-	limit, cancel := context.WithTimeout(life, graceAll)
-	defer cancel()
-	time.Sleep(graceOpen)
-	last := time.AfterFunc(graceAll-graceOpen-100*time.Millisecond, func() { g.post(endAll{}) })
-	defer last.Stop()
-	f.drain(limit)
-	return nil
-}
-
-// spawn starts a goroutine that ends with the gateway's life, and is waited for.
-func (g *Gateway) spawn(run func(context.Context)) {
+}
+
+// Listed closes when discovery has brought a first list, or that has failed.
+func (g *Core) Listed() <-chan struct{} { return g.disc.first }
+
+// End stops at once, whatever is open, and waits for all goroutines.
+func (g *Core) End() {
+	g.stop()
+	g.spawned.Wait()
+}
+
+// Submit hands a request in; its Place is answered once, unless it is abandoned first.
+func (g *Core) Submit(r *Request) { g.post(arrived{r}) }
+
+// Abandon tells that the clients of requests have gone: nothing waits for their answers any more.
+func (g *Core) Abandon(reqs []*Request) { g.post(abandoned{reqs}) }
+
+// EndAll gives a final answer to all that is open.
+func (g *Core) EndAll() { g.post(endAll{}) }
+
+// Class returns a class of the settings by its name.
+func (g *Core) Class(name string) (logic.Class, bool) {
+	c, ok := g.classes[name]
+	return c, ok
+}
+
+// Plan reports whether the settings know a plan.
+func (g *Core) Plan(name string) bool { return g.plans[name] }
+
+// Gateways is how many instances there are.
+func (g *Core) Gateways() int { return g.cfg.Settings.Gateways }
+
+// MostUnits is the most that one request may take.
+func (g *Core) MostUnits() float64 { return g.mostUnits }
+
+// Room is what is left for fronts: descriptors, and bytes for each kind of what they hold.
+func (g *Core) Room() (sockets, memory int) {
+	return g.cfg.Sockets - g.mostConns, g.cfg.Memory / memoryShare
+}
+
+// GiveUpAt is when a client gives up that says so at a time, and will wait for so long; d is not believed beyond twice
+// the class's deadline. The answer goes out a little before.
+func (g *Core) GiveUpAt(c logic.Class, at time.Time, d time.Duration) time.Duration {
+	wait := min(d, 2*c.Deadline)
+	return g.clock(at) + wait - min(answerMargin, wait/4)
+}
+
+// spawn starts a goroutine that ends with the core's life, and is waited for.
+func (g *Core) spawn(run func(context.Context)) {
 	g.spawned.Add(1)
 	go func() {
 		defer g.spawned.Done()
@@ -235,8 +258,8 @@
 	}()
 }
 
-// post tells the gateway's goroutine; after its end nothing is told any more.
-func (g *Gateway) post(ev event) {
+// post tells the core's goroutine; after its end nothing is told any more.
+func (g *Core) post(ev event) {
 	select {
 	case g.events <- ev:
 	case <-g.stopped:
@@ -244,10 +267,10 @@
 }
 
 // clock is the time that all ingresses share, advanced by the monotonic one.
-func (g *Gateway) clock(t time.Time) time.Duration { return g.epoch + t.Sub(g.start) }
+func (g *Core) clock(t time.Time) time.Duration { return g.epoch + t.Sub(g.start) }
 
 // known hands the module the list that the configuration brought, before anything else.
-func (g *Gateway) known() {
+func (g *Core) known() {
 	g.now = g.clock(time.Now())
 	f := g.cfg.Known.usable(g.log)
 	f.All = true
@@ -255,7 +278,7 @@
 }
 
 // loop is the goroutine that owns all below.
-func (g *Gateway) loop(ctx context.Context) {
+func (g *Core) loop(ctx context.Context) {
 	defer close(g.stopped)
 	g.after(idleCheck, g.checkIdle)
 	timer := time.NewTimer(0)
@@ -279,19 +302,19 @@
 }
 
 // ring does what is due.
-func (g *Gateway) ring() {
+func (g *Core) ring() {
 	for len(g.alarms) > 0 && g.alarms[0].at <= g.now {
 		heap.Pop(&g.alarms).(alarm).ring()
 		g.flush()
 	}
 }
 
-func (g *Gateway) checkIdle() {
+func (g *Core) checkIdle() {
 	g.retireIdle()
 	g.after(idleCheck, g.checkIdle)
 }
 
-func (g *Gateway) handle(ev event) {
+func (g *Core) handle(ev event) {
 	switch ev := ev.(type) {
 	case arrived:
 		g.arrived(ev.r)
@@ -318,10 +341,10 @@
 }
 
 // tell queues an event for the module; flush hands it over.
-func (g *Gateway) tell(ev logic.Event) { g.queue = append(g.queue, ev) }
+func (g *Core) tell(ev logic.Event) { g.queue = append(g.queue, ev) }
 
 // flush lets the module handle what is queued and carries out its actions, which may queue more.
-func (g *Gateway) flush() {
+func (g *Core) flush() {
 	for i := 0; i < len(g.queue); i++ {
 		g.actions = g.mod.Handle(g.now, g.queue[i], g.actions[:0])
 		for _, a := range g.actions {
@@ -332,7 +355,7 @@
 	g.queue = g.queue[:0]
 }
 
-func (g *Gateway) act(a logic.Action) {
+func (g *Core) act(a logic.Action) {
 	switch a := a.(type) {
 	case logic.Send:
 		g.send(a)
@@ -367,41 +390,41 @@
 
 // --- requests ---
 
-func (g *Gateway) arrived(r *request) {
+func (g *Core) arrived(r *Request) {
 	// Many clients with large bodies must not fill the memory: beyond the bounds nothing is taken.
-	if len(g.requests) >= g.net.MaxOpen || g.heldBytes+r.size > g.mostHeld {
+	if len(g.requests) >= g.net.MaxOpen || g.heldBytes+r.Size > g.mostHeld {
 		r.final = true
-		r.place.Answer(Answer{Kind: Refused, RetryAfter: fullRetry})
+		r.Place.Answer(Answer{Kind: Refused, RetryAfter: fullRetry})
 		return
 	}
-	if g.keys[r.key] { // the one who asked first has its answer, and nobody else
+	if g.keys[r.Key] { // the one who asked first has its answer, and nobody else
 		r.final = true
-		r.place.Answer(Answer{Kind: Repeated})
+		r.Place.Answer(Answer{Kind: Repeated})
 		return
 	}
 	g.lastID++
 	r.ID = g.lastID
-	g.requests[r.ID], g.keys[r.key] = r, true
-	g.heldBytes += r.size
+	g.requests[r.ID], g.keys[r.Key] = r, true
+	g.heldBytes += r.Size
 	g.tell(logic.Arrival{Request: r.Request})
 	g.at(r.GiveUpAt+overdue, func() {
-		delete(g.keys, r.key)
+		delete(g.keys, r.Key)
 		g.cutOff(r)
 	})
 }
 
 // answer gives the final answer, once.
-func (g *Gateway) answer(r *request, a Answer) {
+func (g *Core) answer(r *Request, a Answer) {
 	if r == nil || r.final {
 		return
 	}
 	r.final = true
-	r.place.Answer(a)
+	r.Place.Answer(a)
 	g.forget(r)
 }
 
 // abandon ends a request whose client has gone.
-func (g *Gateway) abandon(r *request) {
+func (g *Core) abandon(r *Request) {
 	if r.final {
 		return
 	}
@@ -411,7 +434,7 @@
 }
 
 // cutOff fails a request that the module has left unanswered until the last moment.
-func (g *Gateway) cutOff(r *request) {
+func (g *Core) cutOff(r *Request) {
 	if r.final {
 		return
 	}
@@ -420,17 +443,17 @@
 	g.tell(logic.Abandoned{ID: r.ID})
 }
 
-func (g *Gateway) forget(r *request) {
+func (g *Core) forget(r *Request) {
 	if r.final && r.out == 0 {
-		g.heldBytes -= r.size
+		g.heldBytes -= r.Size
 		delete(g.requests, r.ID)
-		r.args, r.place, r.attempts = nil, nil, nil // its timer may hold it for seconds more
+		r.Command, r.Place, r.attempts = nil, nil, nil // its timer may hold it for seconds more
 	}
 }
 
 // --- attempts ---
 
-func (g *Gateway) send(s logic.Send) {
+func (g *Core) send(s logic.Send) {
 	r, be := g.requests[s.ID], g.backends[s.Server]
 	if r == nil {
 		return
@@ -453,7 +476,7 @@
 }
 
 // end tells the module how an attempt ended, once; the first that is served answers the client.
-func (g *Gateway) end(a *attempt, o logic.Outcome, rep reply) {
+func (g *Core) end(a *attempt, o logic.Outcome, rep reply) {
 	if a.ended {
 		return
 	}
@@ -468,7 +491,7 @@
 	}
 	if o == logic.Done && !r.final {
 		r.final = true
-		r.place.Answer(Answer{Kind: Served, Value: rep.value})
+		r.Place.Answer(Answer{Kind: Served, Value: rep.value})
 	}
 	r.out--
 	g.tell(logic.AttemptEnded{ID: r.ID, Attempt: a.n, Server: a.be.ID, Outcome: o, Took: g.now - a.began,
@@ -476,7 +499,7 @@
 	g.forget(r)
 }
 
-func (g *Gateway) probe(id logic.ServerID) {
+func (g *Core) probe(id logic.ServerID) {
 	be := g.backends[id]
 	if be == nil {
 		return
@@ -488,7 +511,7 @@
 
 // --- the list and the counter ---
 
-func (g *Gateway) fleet(f Fleet) {
+func (g *Core) fleet(f Fleet) {
 	ev := logic.FleetChanged{Whole: f.All}
 	if f.All {
 		for _, be := range g.backends {
@@ -516,7 +539,7 @@
 }
 
 // held is the list as it stands.
-func (g *Gateway) held() logic.Event {
+func (g *Core) held() logic.Event {
 	ev := logic.FleetChanged{Whole: true}
 	for _, be := range g.backends {
 		if be.State != logic.Gone {
@@ -532,7 +555,7 @@
 	result store.Result
 }
 
-func (g *Gateway) count(a logic.Count) {
+func (g *Core) count(a logic.Count) {
 	k := &store.Call{Name: a.Name, Amount: a.Add, Keep: a.Keep}
 	if g.counter == nil {
 		g.counted(counted{k, store.Result{Certainty: store.NotAdded}})
@@ -551,7 +574,7 @@
 
 // counted passes a call's answer on, once: one after the time-out is dropped. A store that has refused a call at the
 // time-out is believed: its answer is under way.
-func (g *Gateway) counted(ev counted) {
+func (g *Core) counted(ev counted) {
 	if !ev.call.End() {
 		return
 	}
@@ -593,6 +616,6 @@
 	return last
 }
 
-func (g *Gateway) at(t time.Duration, ring func()) { heap.Push(&g.alarms, alarm{t, ring}) }
+func (g *Core) at(t time.Duration, ring func()) { heap.Push(&g.alarms, alarm{t, ring}) }
 
-func (g *Gateway) after(d time.Duration, ring func()) { g.at(g.now+d, ring) }
+func (g *Core) after(d time.Duration, ring func()) { g.at(g.now+d, ring) }
--- a/internal/ingress/discovery.go
+++ b/internal/core/discovery.go
@@ -1,4 +1,4 @@
-package ingress
+package core
 
 import (
 	"bufio"
--- a/internal/ingress/client.go
+++ b/internal/front/resp/client.go
@@ -1,4 +1,5 @@
-package ingress
+// Package resp is the front for the platform's clients: commands in RESP2 in, answers out in their order, within bounds.
+package resp
 
 import (
 	"context"
@@ -15,6 +16,7 @@
 
 	"github.com/tidwall/redcon"
 
+	"larchwick/internal/core"
 	"larchwick/internal/resp"
 	"larchwick/logic"
 )
@@ -34,24 +36,42 @@
 	mostFaults    = 10                    // pieces of nonsense before a connection ends
 )
 
-// request is a client's command, and the gateway's books on it.
-type request struct {
-	logic.Request
-	key      uint64   // the client's id
-	place    Place    // of its one final answer
-	args     [][]byte // the command as it came: name, customer, id, fields, body
-	size     int      // of the args
-	dFrom    int      // where the value of d stands in the fields
-	dTo      int
-	attempts []*attempt
-	out      int
-	final    bool
+// command is a request as it came, to be passed on to a node.
+type command struct {
+	args  [][]byte // name, customer, id, fields, body
+	dFrom int      // where the value of d stands in the fields
+	dTo   int
 }
 
-// front is the server side: it accepts clients on one address.
-type front struct {
+// Encode is the client's own command, with the time that is left for it.
+func (c *command) Encode(left time.Duration) []byte {
+	b := redcon.AppendArray(make([]byte, 0, 192+len(c.args[len(c.args)-1])), len(c.args))
+	for i, arg := range c.args {
+		if i == 3 {
+			fields := append(make([]byte, 0, len(arg)+8), arg[:c.dFrom]...)
+			fields = strconv.AppendInt(fields, max(1, left.Milliseconds()), 10)
+			arg = append(fields, arg[c.dTo:]...)
+		}
+		b = redcon.AppendBulk(b, arg)
+	}
+	return b
+}
+
+// Core is what the front needs of the core.
+type Core interface {
+	Submit(*core.Request)
+	Abandon([]*core.Request)
+	Class(name string) (logic.Class, bool)
+	Plan(name string) bool
+	Gateways() int
+	MostUnits() float64
+	GiveUpAt(c logic.Class, at time.Time, d time.Duration) time.Duration
+}
+
+// Front is the server side: it accepts clients on one address.
+type Front struct {
 	ln         net.Listener
-	gw         *Gateway
+	core       Core
 	slots      chan struct{} // one for each connection that may be open
 	frames     *resp.Budget  // memory of commands that are coming in
 	unsent     atomic.Int64
@@ -59,12 +79,14 @@
 	mu         sync.Mutex
 	clients    map[*client]bool
 	draining   bool
-	wg         sync.WaitGroup
+	wg         sync.WaitGroup // of clients
+	stop       context.CancelFunc
+	own        sync.WaitGroup // of the goroutines that accept and tidy
 }
 
 // client is one connection: a goroutine that reads, one that writes. Answers go out in the order of commands.
 type client struct {
-	f       *front
+	f       *Front
 	nc      net.Conn
 	room    chan struct{} // taken by each command until its answer is written
 	wake    chan struct{}
@@ -86,22 +108,26 @@
 type slot struct {
 	c     *client
 	reply []byte // nil until answered
-	req   *request
+	req   *core.Request
 }
 
-// The events of a client.
-type (
-	arrived   struct{ r *request }
-	abandoned struct{ reqs []*request }
-)
-
-func newFront(ln net.Listener, gw *Gateway, most, memory int) *front {
-	return &front{ln: ln, gw: gw, slots: make(chan struct{}, most), frames: resp.NewBudget(memory),
+// New returns a front on ln for at most so many connections, and so many bytes each of commands that come in and of
+// answers that are unread. It does not serve yet.
+func New(ln net.Listener, c Core, most, memory int) *Front {
+	return &Front{ln: ln, core: c, slots: make(chan struct{}, most), frames: resp.NewBudget(memory),
 		mostUnsent: int64(memory), clients: map[*client]bool{}}
 }
 
+// Start serves until Drain.
+func (f *Front) Start() {
+	ctx, stop := context.WithCancel(context.Background())
+	f.stop = stop
+	f.own.Go(f.accept)
+	f.own.Go(func() { f.tidy(ctx) })
+}
+
 // accept takes connections until the listener closes.
-func (f *front) accept() {
+func (f *Front) accept() {
 	for {
 		f.takeSlot()
 		nc, err := f.ln.Accept()
@@ -126,14 +152,14 @@
 	}
 }
 
-func newClient(f *front, nc net.Conn) *client {
+func newClient(f *Front, nc net.Conn) *client {
 	return &client{f: f, nc: nc, room: make(chan struct{}, mostPipelined), wake: make(chan struct{}, 1),
 		written: make(chan struct{}), used: time.Now()}
 }
 
 // takeSlot waits for the place of a further connection. Clients keep idle ones for good and hundreds may say nothing at
 // all, so where all places are taken one of these is closed.
-func (f *front) takeSlot() {
+func (f *Front) takeSlot() {
 	for {
 		select {
 		case f.slots <- struct{}{}:
@@ -151,7 +177,7 @@
 
 // closeIdlest closes the oldest connection that has said nothing yet, or else the one that has been between requests
 // for the longest.
-func (f *front) closeIdlest(now time.Time) {
+func (f *Front) closeIdlest(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var idlest *client
@@ -172,7 +198,7 @@
 
 // tidy closes, until ctx ends, the connections that have been without an open request for too long: every one of them
 // keeps memory and a descriptor, and some clients ask once and stay for good, or never ask.
-func (f *front) tidy(ctx context.Context) {
+func (f *Front) tidy(ctx context.Context) {
 	tick := time.NewTicker(tidyEvery)
 	defer tick.Stop()
 	for {
@@ -196,7 +222,7 @@
 }
 
 // closeFullest closes the connection of the slowest reader.
-func (f *front) closeFullest() {
+func (f *Front) closeFullest() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var fullest *client
@@ -213,9 +239,14 @@
 	}
 }
 
-// drain closes the listener, and every connection as soon as nothing on it waits for an answer.
-func (f *front) drain(ctx context.Context) {
+// Drain closes the listener, and every connection as soon as nothing on it waits for an answer; where ctx ends first, at
+// once. It returns when all have ended.
+func (f *Front) Drain(ctx context.Context) {
 	f.ln.Close()
+	defer func() {
+		f.stop()
+		f.own.Wait()
+	}()
 	f.mu.Lock()
 	f.draining = true
 	for c := range f.clients {
@@ -258,7 +289,7 @@
 	close(done)
 	<-c.written
 	c.mu.Lock()
-	var left []*request
+	var left []*core.Request
 	for _, s := range c.waiting {
 		if s.reply == nil {
 			left = append(left, s.req)
@@ -268,7 +299,7 @@
 	c.f.unsent.Add(-int64(c.unsent))
 	c.mu.Unlock()
 	if len(left) > 0 {
-		c.f.gw.post(abandoned{left})
+		c.f.core.Abandon(left)
 	}
 	c.f.mu.Lock()
 	delete(c.f.clients, c)
@@ -300,7 +331,7 @@
 		f, err := in.Next()
 		switch {
 		case f != nil:
-			c.command(f, time.Now())
+			c.take(f, time.Now())
 			if n := c.faults.Load(); n >= mostFaults {
 				return true
 			} else if n > paused { // of a fault that the gateway found
@@ -357,8 +388,8 @@
 	return c.ended
 }
 
-// command takes one whole command.
-func (c *client) command(f []byte, at time.Time) {
+// take takes one whole command.
+func (c *client) take(f []byte, at time.Time) {
 	whole, args, _, _, err := redcon.ReadNextCommand(f, nil)
 	if err != nil || !whole || len(args) == 0 {
 		c.fault("a command is an array of bulk strings")
@@ -368,14 +399,14 @@
 	case "PING":
 		c.reply(redcon.AppendString(nil, "PONG"))
 	case "Q.ASK", "Q.DO":
-		r, err := c.f.gw.parse(args, at)
+		r, err := c.f.parse(args, at)
 		if err != nil {
 			c.fault(err.Error())
 			return
 		}
 		if s := c.open(r); s != nil {
-			r.place = s
-			c.f.gw.post(arrived{r})
+			r.Place = s
+			c.f.core.Submit(r)
 		}
 	default:
 		c.fault("unknown command")
@@ -383,7 +414,7 @@
 }
 
 // open keeps a place for an answer; nil when the connection takes no more.
-func (c *client) open(r *request) *slot {
+func (c *client) open(r *core.Request) *slot {
 	select {
 	case c.room <- struct{}{}: // freed as answers are written, and each request has a time limit
 	case <-c.written:
@@ -409,18 +440,18 @@
 }
 
 // Answer words the final answer of a request.
-func (s *slot) Answer(a Answer) {
+func (s *slot) Answer(a core.Answer) {
 	switch a.Kind {
-	case Served:
+	case core.Served:
 		s.answer(redcon.AppendBulk(make([]byte, 0, len(a.Value)+16), a.Value))
-	case Refused:
+	case core.Refused:
 		b := []byte("-BUSY\r\n")
 		if a.RetryAfter > 0 {
 			b = strconv.AppendInt(append(b[:5], ' '), max(1, a.RetryAfter.Milliseconds()), 10)
 			b = append(b, '\r', '\n')
 		}
 		s.answer(b)
-	case Repeated:
+	case core.Repeated:
 		s.c.faults.Add(1)
 		s.answer([]byte("-ERR a request of this id is being served\r\n"))
 	default:
@@ -499,7 +530,7 @@
 }
 
 // parse checks a request; it goes on only if a backend would take it.
-func (g *Gateway) parse(args [][]byte, at time.Time) (*request, error) {
+func (f *Front) parse(args [][]byte, at time.Time) (*core.Request, error) {
 	do := string(args[0]) == "Q.DO"
 	if len(args) < 4 || len(args) > 5 {
 		return nil, fmt.Errorf("%s wants a customer, an id, fields and at most a body", args[0])
@@ -508,8 +539,8 @@
 	if err != nil || customer >= 1<<33 {
 		return nil, errors.New("the customer is not 16 hex digits below 2^33")
 	}
-	r := &request{}
-	if r.key, err = hex16(args[2]); err != nil {
+	r, cmd := &core.Request{}, &command{}
+	if r.Key, err = hex16(args[2]); err != nil {
 		return nil, errors.New("the id is not 16 hex digits")
 	}
 	fields := string(args[3])
@@ -532,7 +563,7 @@
 			r.Plan = v
 		case "d":
 			d, err = strconv.ParseUint(v, 10, 31)
-			r.dFrom, r.dTo = from+2, from+len(part)
+			cmd.dFrom, cmd.dTo = from+2, from+len(part)
 		case "k":
 			key = v
 		case "units":
@@ -550,11 +581,11 @@
 		}
 		from += len(part) + 1
 	}
-	class, known := g.classes[r.Class]
+	class, known := f.core.Class(r.Class)
 	switch {
 	case !known:
 		return nil, errors.New("unknown class")
-	case !g.plans[r.Plan]:
+	case !f.core.Plan(r.Plan):
 		return nil, errors.New("unknown plan")
 	case do == (class.Effect == logic.Safe):
 		return nil, errors.New("the class does not go with the command")
@@ -562,20 +593,20 @@
 		return nil, errors.New("field k is missing or too long")
 	case d == 0 || !seen["first"]:
 		return nil, errors.New("field d or first is missing or nought")
-	case spread == 0 || spread > uint64(g.cfg.Settings.Gateways) || first >= uint64(g.cfg.Settings.Gateways):
+	case spread == 0 || spread > uint64(f.core.Gateways()) || first >= uint64(f.core.Gateways()):
 		return nil, errors.New("there is no such set of gateways")
-	case !(r.Units > 0) || r.Units > g.mostUnits:
+	case !(r.Units > 0) || r.Units > f.core.MostUnits():
 		return nil, errors.New("field units is missing or out of range")
 	}
 	// The module takes a customer's plan and set from the first request that names it, so only what can be true
 	// goes on. A client that says it will wait for ever is not believed.
 	r.Spread, r.First = int(spread), int(first)
-	wait := min(time.Duration(d)*time.Millisecond, 2*class.Deadline)
-	r.GiveUpAt = g.clock(at) + wait - min(answerMargin, wait/4)
+	r.GiveUpAt = f.core.GiveUpAt(class, at, time.Duration(d)*time.Millisecond)
 	for _, a := range args { // the buffer is the connection's
-		r.args = append(r.args, append(make([]byte, 0, len(a)), a...))
-		r.size += len(a)
+		cmd.args = append(cmd.args, append(make([]byte, 0, len(a)), a...))
+		r.Size += len(a)
 	}
+	r.Command = cmd
 	return r, nil
 }
 
--- a/internal/store/tally/tally_test.go
+++ b/internal/store/tally/tally_test.go
@@ -6,11 +6,11 @@
 	"io"
 	"net"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"larchwick/internal/standin/scripted"
 	"larchwick/internal/store"
 )
 
@@ -20,37 +20,10 @@
 	result store.Result
 }
 
-// listen opens an ephemeral port on the loopback address and hands every connection to serve.
-func listen(t *testing.T, serve func(net.Conn)) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var wg sync.WaitGroup
-	wg.Go(func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			wg.Go(func() {
-				defer nc.Close()
-				serve(nc)
-			})
-		}
-	})
-	t.Cleanup(func() {
-		ln.Close()
-		wg.Wait()
-	})
-	return ln.Addr().String()
-}
-
 // startLink runs one link to a counter that serve plays, and returns it with the events that it posts.
 func startLink(t *testing.T, serve func(nc net.Conn, lines *bufio.Reader)) (*link, <-chan told) {
 	events := make(chan told, 64)
-	addr := listen(t, func(nc net.Conn) { serve(nc, bufio.NewReader(nc)) })
+	addr := scripted.Listen(t, func(nc net.Conn) { serve(nc, bufio.NewReader(nc)) })
 	l := &link{addr: addr, timeout: 5 * time.Second, calls: make(chan *store.Call, 16), moves: store.NewLatest[string](), sink: func(k *store.Call, r store.Result) { events <- told{k, r} }}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -188,7 +161,7 @@
 		io.WriteString(nc, "ok 1\r\n")
 		in.ReadString('\n') // until it is closed
 	})
-	next := listen(t, func(nc net.Conn) {
+	next := scripted.Listen(t, func(nc net.Conn) {
 		if _, err := bufio.NewReader(nc).ReadString('\n'); err == nil {
 			io.WriteString(nc, "ok 2\r\n")
 		}
