--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,14 +33,14 @@
 
 // Config is all that the core is told.
 type Config struct {
-	Discovery                  string
-	Seed               uint64
-	Sockets            int // descriptors that it may hold
-	Memory             int // bytes that it may use; 0: not told
-	Known              Fleet
-	Settings           logic.Settings
-	Store              func(store.Sink) (store.Counter, error) // makes the shared counter; nil: the settings know none
-	Connections        wire.Connections
+	Discovery   string
+	Seed        uint64
+	Sockets     int // descriptors that it may hold
+	Memory      int // bytes that it may use; 0: not told
+	Known       Fleet
+	Settings    logic.Settings
+	Store       func(store.Sink) (store.Counter, error) // makes the shared counter; nil: the settings know none
+	Connections wire.Connections
 }
 
 // Kind is what a final answer says.
