--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -269,7 +269,54 @@
 	return b.String()
 }
 
-// show prints a table each second.
+// blockEvery is the seconds from one table by class and plan to the next.
+const blockEvery = 5
+
+// block prints what the tries from one to another came to, by class and plan.
+func (w *World) block(out io.Writer, from, to int) {
+	type cell struct {
+		served, refused int
+		took            []float64
+	}
+	cells := map[string]*cell{}
+	w.load.mu.Lock()
+	for _, t := range w.load.tried[from:to] {
+		k := t.class.name + " " + t.ch.plan.name
+		c := cells[k]
+		if c == nil {
+			c = &cell{}
+			cells[k] = c
+		}
+		switch {
+		case len(t.Answers) == 0:
+		case t.Answers[0].Kind == "served":
+			c.served++
+			c.took = append(c.took, float64((t.Answers[0].At-t.Sent).Microseconds())/1000)
+		case t.Answers[0].Kind == "refused":
+			c.refused++
+		}
+	}
+	w.load.mu.Unlock()
+	fmt.Fprintf(out, "   %-14s", "served/refused")
+	for _, p := range plans {
+		fmt.Fprintf(out, " %-28s", p.name+" (p50, p99 ms)")
+	}
+	fmt.Fprintln(out)
+	for _, c := range classes {
+		fmt.Fprintf(out, "   %-14s", c.name)
+		for _, p := range plans {
+			x := cells[c.name+" "+p.name]
+			if x == nil {
+				x = &cell{}
+			}
+			slices.Sort(x.took)
+			fmt.Fprintf(out, " %-28s", fmt.Sprintf("%d/%d (%.0f, %.0f)", x.served, x.refused, quantile(x.took, 0.5), quantile(x.took, 0.99)))
+		}
+		fmt.Fprintln(out)
+	}
+}
+
+// show prints a line each second, and now and then a table.
 func (w *World) show(ctx context.Context) {
 	out := w.cfg.Live
 	if out == nil {
@@ -279,7 +326,8 @@
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
 	from, sentFrom, last := 0, 0, time.Now()
-	for {
+	began := 0 // of the tries that the next block is about
+	for n := 1; ; n++ {
 		select {
 		case <-ctx.Done():
 			return
@@ -287,6 +335,10 @@
 		}
 		from, sentFrom = w.line(out, from, sentFrom, time.Since(last))
 		last = time.Now()
+		if n%blockEvery == 0 {
+			w.block(out, began, from)
+			began = from
+		}
 	}
 }
 
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -259,11 +259,16 @@
 			return err
 		}
 		w.onClose(replica.Close)
-		w.store = s
+		w.store = redisStore{s}
 	}
 	return nil
 }
 
+// redisStore hands the timeline's words to whoever is the primary by then.
+type redisStore struct{ *redis.Server }
+
+func (s redisStore) Do(line string) error { return s.Group().Primary().Do(line) }
+
 func (w *World) openFleet() error {
 	work := map[string]node.Work{}
 	for _, c := range classes {
@@ -360,7 +365,7 @@
 		options := filepath.Join(w.dir, g.name+".toml")
 		where := fmt.Sprintf("address = %q\n", w.store.Addr())
 		if w.cfg.Store == StoreSentinel {
-			s, name, err := w.store.(*redis.Server).Group().AddSentinel(redis.Options{})
+			s, name, err := w.store.(redisStore).Group().AddSentinel(redis.Options{})
 			if err != nil {
 				return nil, err
 			}
--- a/internal/store/redis/redis_test.go
+++ b/internal/store/redis/redis_test.go
@@ -594,3 +594,55 @@
 		}
 	})
 }
+
+// An answer that was worded before another instance's add is older than it: the next one shows both, and no total ever
+// shows less than this instance has spent itself.
+func TestOlderTotal(t *testing.T) {
+	s := startServer(t, standin.Options{})
+	x, y := start(t, options(s.Addr())), start(t, options(s.Addr()))
+	x.Do(t, "a", 1)
+	y.Do(t, "a", 1)
+	hold := on(fault.Hold, 1)
+	hold.By = 200 * time.Millisecond
+	s.Fault(hold)
+	k := &store.Call{Name: "a", Amount: 10, Keep: time.Minute}
+	x.Add(k)
+	storetest.Until(t, "the add to land", func() bool { return total(s, "a") == 12 })
+	if r := y.Do(t, "a", 100); r.Total != 112 {
+		t.Fatalf("the later add: %+v", r)
+	}
+	if a := x.Next(t); a.Call != k || a.Result.Total != 12 {
+		t.Fatalf("the held answer: %+v", a.Result)
+	}
+	if r := x.Do(t, "a", 0); r.Total != 112 {
+		t.Fatalf("the next: %+v", r)
+	}
+}
+
+// An outage is two lines of the log, however many calls and attempts to connect there were: what holds, and that it is over.
+func TestOutageIsLoggedOnce(t *testing.T) {
+	s := startServer(t, standin.Options{})
+	var text strings.Builder
+	opt := options(s.Addr())
+	opt.Timeout = 50 * time.Millisecond
+	i := storetest.Start(t, func(sink store.Sink) store.Counter {
+		c, err := New(opt, logTo(&text), sink)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	})
+	i.Do(t, "a", 1)
+	s.Stop()
+	for range 20 {
+		i.Do(t, "a", 1)
+		time.Sleep(5 * time.Millisecond)
+	}
+	s.Listen()
+	storetest.Until(t, "the way back", func() bool { return i.Do(t, "a", 1).Certainty == store.Added })
+	for line, want := range map[string]int{"connected": 1, "no store: each instance keeps its fair share": 1, "back: quotas are shared again": 1} {
+		if n := strings.Count(text.String(), line); n != want {
+			t.Errorf("%q stands %d times, want %d:\n%s", line, n, want, text.String())
+		}
+	}
+}
