--- a/internal/standin/node/node_test.go
+++ b/internal/standin/node/node_test.go
@@ -123,3 +123,14 @@
 type nopListener struct{ net.Listener }
 
 func (nopListener) Close() error { return nil }
+
+// Whatever comes, a node either can read it or says so.
+func FuzzParse(f *testing.F) {
+	f.Add("0000000000000001", idA, "c=read,t=p,d=1000,units=1,spread=1,first=0")
+	f.Fuzz(func(t *testing.T, customer, id, fields string) {
+		r, ok := parse([][]byte{[]byte("Q.ASK"), []byte(customer), []byte(id), []byte(fields)})
+		if ok && (r.Class == "" || r.Plan == "" || !(r.Units > 0) || len(r.ID) != 16) {
+			t.Fatalf("%q: %+v", fields, r)
+		}
+	})
+}
--- a/internal/store/bench_test.go
+++ b/internal/store/bench_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"sync"
@@ -11,13 +13,18 @@
 	"testing"
 	"time"
 
+	"larchwick/internal/core"
+	"larchwick/internal/ingress"
 	"larchwick/internal/standin/fault"
 	standredis "larchwick/internal/standin/redis"
+	"larchwick/internal/standin/scripted"
 	standtally "larchwick/internal/standin/tally"
 	"larchwick/internal/store"
 	"larchwick/internal/store/redis"
 	"larchwick/internal/store/storetest"
 	"larchwick/internal/store/tally"
+	"larchwick/internal/wire"
+	"larchwick/logic"
 )
 
 const (
@@ -149,3 +156,77 @@
 		}
 	}
 }
+
+// BenchmarkRequest is a whole ingress in this process between a client and a node that allocate nothing, with the store's
+// stand-in as a process of its own: what is allocated for a request is the ingress's.
+func BenchmarkRequest(b *testing.B) {
+	for _, kind := range []string{"tally", "redis"} {
+		b.Run(kind, func(b *testing.B) {
+			addr := standIn(b, kind, false)
+			node, agent := silentPeers(b)
+			cfg := ingress.Config{Listen: "127.0.0.1:0", Counter: addr, Config: core.Config{Discovery: agent, Sockets: 256,
+				Known: core.Fleet{Rev: 1, All: true, Targets: []core.Target{{UID: "s", Endpoint: node, State: "SERVING"}}},
+				Settings: logic.Settings{Gateways: 1, MaxAttempts: 1, MayCancel: true, MaxUnits: 4, Counter: true, CounterTimeout: time.Second,
+					Classes: []logic.Class{{Name: "read", Worth: 1, Aim: 10 * time.Second, Deadline: 20 * time.Second, Effect: logic.Safe}},
+					Plans:   []logic.Plan{{Name: "p", Price: 1, Rate: 1e6, Burst: 1e5}}},
+				Connections: wire.Connections{Idle: time.Minute, ConnectTimeout: time.Second}}}
+			if kind == "redis" {
+				cfg.Store = func(sink store.Sink) (store.Counter, error) {
+					return redis.New(redis.Options{Address: addr, Prefix: "bench", Timeout: time.Second}, storetest.Quiet, sink)
+				}
+			}
+			g, err := ingress.New(cfg, storetest.Quiet)
+			if err != nil {
+				b.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan error, 1)
+			go func() { done <- g.Run(ctx) }()
+			<-g.Ready()
+			nc, err := net.Dial("tcp", g.Addr().String())
+			if err != nil {
+				b.Fatal(err)
+			}
+			fields := "c=read,t=p,d=9000,units=1,spread=1,first=0"
+			command := []byte(fmt.Sprintf("*4\r\n$5\r\nQ.ASK\r\n$16\r\n00000000b4d65521\r\n$16\r\n0000000000000000\r\n$%d\r\n%s\r\n", len(fields), fields))
+			id := command[bytes.Index(command, []byte("0000000000000000\r\n")):][:16]
+			var in [64]byte
+			b.ReportAllocs()
+			b.ResetTimer()
+			before := cpu()
+			for i := range b.N {
+				for j, n := 15, i; j >= 0; j, n = j-1, n>>4 {
+					id[j] = "0123456789abcdef"[n&15]
+				}
+				if _, err := nc.Write(command); err != nil {
+					b.Fatal(err)
+				}
+				if n, err := nc.Read(in[:]); err != nil || in[0] != '$' {
+					b.Fatalf("%q %v", in[:n], err)
+				}
+			}
+			took := cpu() - before
+			b.StopTimer()
+			b.ReportMetric(float64(took.Nanoseconds())/float64(b.N), "cpu-ns/req")
+			nc.Close()
+			cancel()
+			<-done
+		})
+	}
+}
+
+// silentPeers are a node that answers whatever comes with one value, and a registry that says nothing.
+func silentPeers(b *testing.B) (node, agent string) {
+	return scripted.Listen(b, func(nc net.Conn) {
+		var in [1024]byte
+		answer := []byte(scripted.Served)
+		for {
+			if _, err := nc.Read(in[:]); err != nil {
+				return
+			}
+			if _, err := nc.Write(answer); err != nil {
+				return
+			}
+		}
+	}), scripted.Listen(b, func(nc net.Conn) { nc.Read(make([]byte, 1)) })
+}
--- a/internal/store/redis/lane.go
+++ b/internal/store/redis/lane.go
@@ -109,14 +109,15 @@
 		l.up()
 		err = l.serve(ctx, c, first)
 		first = nil
-		if c.useful.Load() {
-			l.fails = 0
-		}
 		if ctx.Err() == nil && err != nil {
 			l.lapsed(err)
-			if l.fails > 0 { // once at once, then with pauses
-				l.rest(ctx, sweep.C)
-			}
+		}
+		switch {
+		case c.useful.Load():
+			l.fails = 0
+		case l.fails > 0: // a server that takes connections and nothing else: once more at once, then with pauses
+			l.rest(ctx, sweep.C)
+		default:
 			l.fails++
 		}
 	}
