--- a/cmd/hitchspring/main.go
+++ b/cmd/hitchspring/main.go
@@ -18,12 +18,12 @@
 	"syscall"
 	"time"
 
-	"larchwick/internal/config"
-	"larchwick/internal/core"
-	"larchwick/internal/ingress"
-	"larchwick/internal/store"
-	"larchwick/internal/store/redis"
-	"larchwick/internal/wire"
+	"hitchspring/internal/config"
+	"hitchspring/internal/core"
+	"hitchspring/internal/ingress"
+	"hitchspring/internal/store"
+	"hitchspring/internal/store/redis"
+	"hitchspring/internal/wire"
 )
 
 const usage = `usage: hitchspring [--options FILE]         serve, as ROUTER_CONFIG says
--- a/cmd/hitchspring/main_test.go
+++ b/cmd/hitchspring/main_test.go
@@ -17,7 +17,7 @@
 	"testing"
 	"time"
 
-	standin "larchwick/internal/standin/redis"
+	standin "hitchspring/internal/standin/redis"
 )
 
 // SIGHUP once ended the process. It moves discovery to the address that the file names now; a bad file changes
--- a/cmd/lab/compare.go
+++ b/cmd/lab/compare.go
@@ -11,7 +11,7 @@
 	"slices"
 	"strings"
 
-	"larchwick/internal/lab"
+	"hitchspring/internal/lab"
 )
 
 // subject is a program with a store, as compare plays it.
@@ -64,7 +64,7 @@
 	if err := command(ctx, tree, "go", "build", "-o", before, "./cmd/hitchspring"); err != nil {
 		return failed, err
 	}
-	if err := command(ctx, "", "go", "build", "-o", now, "larchwick/cmd/hitchspring"); err != nil {
+	if err := command(ctx, "", "go", "build", "-o", now, "hitchspring/cmd/hitchspring"); err != nil {
 		return failed, err
 	}
 	was, is, redis := &subject{name: *base + " tally"}, &subject{name: "now tally"}, &subject{name: "now redis"}
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -17,8 +17,8 @@
 	"syscall"
 	"time"
 
-	"larchwick/internal/lab"
-	"larchwick/internal/standin/redis"
+	"hitchspring/internal/lab"
+	"hitchspring/internal/standin/redis"
 )
 
 const usage = `usage: lab demo  [--for 20s] [--store tally|redis|redis-sentinel] [--fault "store:stall 2s at 5s"]... [--seed N] [--json FILE]
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"os"
 
-	"larchwick/internal/wire"
+	"hitchspring/internal/wire"
 )
 
 func main() {
--- a/internal/core/backend.go
+++ b/internal/core/backend.go
@@ -14,8 +14,8 @@
 
 	"github.com/tidwall/redcon"
 
-	"larchwick/internal/resp"
-	"larchwick/logic"
+	"hitchspring/internal/resp"
+	"hitchspring/logic"
 )
 
 const (
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,10 +14,10 @@
 	"sync"
 	"time"
 
-	"larchwick/internal/resp"
-	"larchwick/internal/store"
-	"larchwick/internal/wire"
-	"larchwick/logic"
+	"hitchspring/internal/resp"
+	"hitchspring/internal/store"
+	"hitchspring/internal/wire"
+	"hitchspring/logic"
 )
 
 const (
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -13,9 +13,9 @@
 	"testing"
 	"time"
 
-	"larchwick/internal/standin/scripted"
-	"larchwick/internal/wire"
-	"larchwick/logic"
+	"hitchspring/internal/standin/scripted"
+	"hitchspring/internal/wire"
+	"hitchspring/logic"
 )
 
 var quiet = slog.New(slog.DiscardHandler)
--- a/internal/core/discovery.go
+++ b/internal/core/discovery.go
@@ -16,8 +16,8 @@
 	"sync"
 	"time"
 
-	"larchwick/internal/store"
-	"larchwick/logic"
+	"hitchspring/internal/store"
+	"hitchspring/logic"
 )
 
 const (
--- a/internal/core/store_test.go
+++ b/internal/core/store_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"larchwick/internal/store"
-	"larchwick/logic"
+	"hitchspring/internal/store"
+	"hitchspring/logic"
 )
 
 // heldStore keeps the calls that it is given and answers none.
--- a/internal/front/resp/client.go
+++ b/internal/front/resp/client.go
@@ -16,9 +16,9 @@
 
 	"github.com/tidwall/redcon"
 
-	"larchwick/internal/core"
-	"larchwick/internal/resp"
-	"larchwick/logic"
+	"hitchspring/internal/core"
+	"hitchspring/internal/resp"
+	"hitchspring/logic"
 )
 
 const (
--- a/internal/front/resp/client_test.go
+++ b/internal/front/resp/client_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/tidwall/redcon"
 
-	"larchwick/internal/core"
+	"hitchspring/internal/core"
 )
 
 // fakeCore notes the requests that are abandoned.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -9,10 +9,10 @@
 	"net"
 	"time"
 
-	"larchwick/internal/core"
-	"larchwick/internal/front/resp"
-	"larchwick/internal/store"
-	"larchwick/internal/store/tally"
+	"hitchspring/internal/core"
+	"hitchspring/internal/front/resp"
+	"hitchspring/internal/store"
+	"hitchspring/internal/store/tally"
 )
 
 const (
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -14,11 +14,11 @@
 
 	"github.com/tidwall/redcon"
 
-	"larchwick/internal/core"
-	"larchwick/internal/resp"
-	"larchwick/internal/standin/scripted"
-	"larchwick/internal/wire"
-	"larchwick/logic"
+	"hitchspring/internal/core"
+	"hitchspring/internal/resp"
+	"hitchspring/internal/standin/scripted"
+	"hitchspring/internal/wire"
+	"hitchspring/logic"
 )
 
 func fleetOf(addrs ...string) core.Fleet {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -13,7 +13,7 @@
 
 	"go.uber.org/goleak"
 
-	"larchwick/internal/audit"
+	"hitchspring/internal/audit"
 )
 
 // program builds the ingress once for all tests.
@@ -23,7 +23,7 @@
 		return "", err
 	}
 	path := filepath.Join(dir, "hitchspring")
-	out, err := exec.Command("go", "build", "-o", path, "larchwick/cmd/hitchspring").CombinedOutput()
+	out, err := exec.Command("go", "build", "-o", path, "hitchspring/cmd/hitchspring").CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("%w: %s", err, out)
 	}
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"larchwick/internal/audit"
+	"hitchspring/internal/audit"
 )
 
 const (
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"larchwick/internal/audit"
+	"hitchspring/internal/audit"
 )
 
 // Row is what clients of one class and plan got; a wish is a first try with its retries.
--- a/internal/lab/timeline.go
+++ b/internal/lab/timeline.go
@@ -9,7 +9,7 @@
 	"syscall"
 	"time"
 
-	"larchwick/internal/standin/fault"
+	"hitchspring/internal/standin/fault"
 )
 
 // step is one entry of the timeline.
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -19,11 +19,11 @@
 	"syscall"
 	"time"
 
-	"larchwick/internal/audit"
-	"larchwick/internal/standin/discovery"
-	"larchwick/internal/standin/node"
-	"larchwick/internal/standin/redis"
-	"larchwick/internal/standin/tally"
+	"hitchspring/internal/audit"
+	"hitchspring/internal/standin/discovery"
+	"hitchspring/internal/standin/node"
+	"hitchspring/internal/standin/redis"
+	"hitchspring/internal/standin/tally"
 )
 
 // The kinds of store.
@@ -208,7 +208,7 @@
 	program := w.cfg.Ingress
 	if program == "" && len(w.cfg.Mixed) == 0 {
 		program = filepath.Join(w.dir, "hitchspring")
-		build := exec.CommandContext(ctx, "go", "build", "-o", program, "larchwick/cmd/hitchspring")
+		build := exec.CommandContext(ctx, "go", "build", "-o", program, "hitchspring/cmd/hitchspring")
 		if out, err := build.CombinedOutput(); err != nil {
 			return fmt.Errorf("building the ingress: %w: %s", err, strings.TrimSpace(string(out)))
 		}
--- a/internal/standin/node/node.go
+++ b/internal/standin/node/node.go
@@ -16,7 +16,7 @@
 
 	"github.com/tidwall/redcon"
 
-	"larchwick/internal/standin/fault"
+	"hitchspring/internal/standin/fault"
 )
 
 // Work says how long a request of a class takes on a core of speed 1: evenly between Least and Most.
--- a/internal/standin/redis/clients_test.go
+++ b/internal/standin/redis/clients_test.go
@@ -13,7 +13,7 @@
 	goredis "github.com/redis/go-redis/v9"
 	"github.com/redis/rueidis"
 
-	"larchwick/internal/standin/fault"
+	"hitchspring/internal/standin/fault"
 )
 
 func startServer(t testing.TB, opt Options) *Server {
--- a/internal/standin/redis/control.go
+++ b/internal/standin/redis/control.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"larchwick/internal/standin/fault"
+	"hitchspring/internal/standin/fault"
 )
 
 // Do carries out one line: a word of the server's own, or a fault rule for commands.
--- a/internal/standin/redis/new.go
+++ b/internal/standin/redis/new.go
@@ -6,7 +6,7 @@
 	"net"
 	"time"
 
-	"larchwick/internal/standin/fault"
+	"hitchspring/internal/standin/fault"
 )
 
 // newServer makes a server that holds ln and does not serve yet.
--- a/internal/standin/redis/server.go
+++ b/internal/standin/redis/server.go
@@ -17,7 +17,7 @@
 	"sync"
 	"time"
 
-	"larchwick/internal/standin/fault"
+	"hitchspring/internal/standin/fault"
 )
 
 const (
--- a/internal/standin/tally/control.go
+++ b/internal/standin/tally/control.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"larchwick/internal/standin/fault"
+	"hitchspring/internal/standin/fault"
 )
 
 // Do carries out one line: stop DURATION, restart DURATION (which forgets everything), or a fault rule for calls.
--- a/internal/standin/tally/tally.go
+++ b/internal/standin/tally/tally.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"larchwick/internal/standin/fault"
+	"hitchspring/internal/standin/fault"
 )
 
 const (
--- a/internal/store/redis/conn.go
+++ b/internal/store/redis/conn.go
@@ -15,8 +15,8 @@
 
 	"github.com/tidwall/redcon"
 
-	"larchwick/internal/resp"
-	"larchwick/internal/store"
+	"hitchspring/internal/resp"
+	"hitchspring/internal/store"
 )
 
 const idleRead = 15 * time.Second // between two looks at a connection on which nothing is out
--- a/internal/store/redis/lane.go
+++ b/internal/store/redis/lane.go
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
-	"larchwick/internal/store"
-	"larchwick/internal/store/ledger"
+	"hitchspring/internal/store"
+	"hitchspring/internal/store/ledger"
 )
 
 const (
--- a/internal/store/redis/redis.go
+++ b/internal/store/redis/redis.go
@@ -17,7 +17,7 @@
 	"sync"
 	"time"
 
-	"larchwick/internal/store"
+	"hitchspring/internal/store"
 )
 
 // Options say where Redis is and how names are kept there. All instances that share a store need the same Prefix and
--- a/internal/store/redis/redis_test.go
+++ b/internal/store/redis/redis_test.go
@@ -11,10 +11,10 @@
 	"testing"
 	"time"
 
-	"larchwick/internal/standin/fault"
-	standin "larchwick/internal/standin/redis"
-	"larchwick/internal/store"
-	"larchwick/internal/store/storetest"
+	"hitchspring/internal/standin/fault"
+	standin "hitchspring/internal/standin/redis"
+	"hitchspring/internal/store"
+	"hitchspring/internal/store/storetest"
 )
 
 const prefix = "t"
--- a/internal/store/redis/script.go
+++ b/internal/store/redis/script.go
@@ -8,7 +8,7 @@
 
 	"github.com/tidwall/redcon"
 
-	"larchwick/internal/store/ledger"
+	"hitchspring/internal/store/ledger"
 )
 
 // addScript takes an instance's figure for a name if its number is higher than the one held, and answers the number
--- a/internal/store/storetest/storetest.go
+++ b/internal/store/storetest/storetest.go
@@ -14,7 +14,7 @@
 
 	"go.uber.org/goleak"
 
-	"larchwick/internal/store"
+	"hitchspring/internal/store"
 )
 
 // Quiet is a logger that says nothing.
--- a/internal/store/tally/conformance_test.go
+++ b/internal/store/tally/conformance_test.go
@@ -4,9 +4,9 @@
 	"testing"
 	"time"
 
-	standin "larchwick/internal/standin/tally"
-	"larchwick/internal/store"
-	"larchwick/internal/store/storetest"
+	standin "hitchspring/internal/standin/tally"
+	"hitchspring/internal/store"
+	"hitchspring/internal/store/storetest"
 )
 
 func TestConformance(t *testing.T) {
--- a/internal/store/tally/tally.go
+++ b/internal/store/tally/tally.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"larchwick/internal/store"
+	"hitchspring/internal/store"
 )
 
 const (
--- a/internal/store/tally/tally_test.go
+++ b/internal/store/tally/tally_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"larchwick/internal/standin/scripted"
-	"larchwick/internal/store"
+	"hitchspring/internal/standin/scripted"
+	"hitchspring/internal/store"
 )
 
 // told is an answer as the sink was told it.
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"io"
 
-	"larchwick/logic"
+	"hitchspring/logic"
 )
 
 // Host runs many instances, each with events of its own only, until input ends.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"larchwick/logic"
+	"hitchspring/logic"
 )
 
 // facts mirrors the settings object; keys that are not here are skipped.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"larchwick/logic"
+	"hitchspring/logic"
 )
 
 // fields are the name=value parts of a line.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"larchwick/logic"
+	"hitchspring/logic"
 )
 
 const begin = "BEGIN\ti=3\tnonce64=18446744073709551615\tfacts={\"me\":0,\"replicasOfMe\":2,\"unknown\":{\"a\":1}," +
--- a/internal/wire/write.go
+++ b/internal/wire/write.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"larchwick/logic"
+	"hitchspring/logic"
 )
 
 // line builds one action's line.
--- a/logic/example_test.go
+++ b/logic/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"larchwick/logic"
+	"hitchspring/logic"
 )
 
 func Example() {
