Mend two breaks that the lab found: a held repeat past its group's memory, a lone cold node

A keyed request that was held for another attempt waited for room without looking at the time again: in the lab a clip-publish was repeated after 4.2 s, where its rack remembers for 3. It is given up when the memory may have ended. The spacing of sends to a cold node went by the fleet's answers over the fleet's size of the moment: the first node back after all had gone was given the whole fleet's rate, and fell (2.85 s of work within a second, 2.79 is its edge). Both figures now fade together. Each has a test in logic/rules_test.go that fails on the old module (41 sends where 8 are allowed).

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -105,6 +105,8 @@
 	Ingresses int           `help:"Ingresses, 1 to 4; 0: the day's." default:"0"`
 	Ingress   string        `help:"Another build of the ingress; empty: it is built from this source." type:"path" placeholder:"PROGRAM"`
 	Race      bool          `help:"Build the ingress with the race detector."`
+	Fronts    string        `help:"What wishes come through: resp, http (a gate that asks), or resp,http (half each)." default:"resp"`
+	GateFault []string      `help:"A fault rule for all gates, from the start; may stand several times." sep:"none" placeholder:"RULE"`
 	Logs      string        `help:"Write what the ingresses log to a file." type:"path" placeholder:"FILE"`
 	JSON      string        `help:"Write the report as JSON." type:"path" placeholder:"FILE"`
 }
@@ -112,7 +114,16 @@
 // config is what the flags come to; done closes the log.
 func (p *play) config() (cfg lab.Config, done func(), err error) {
 	cfg = lab.Config{Day: p.Day, Seed: p.Seed, For: p.For, Nodes: p.Nodes, Ingresses: p.Ingresses, Store: p.Store, Faults: p.Fault, Rate: p.Rate, Hot: p.Hot,
-		Ingress: p.Ingress, Race: p.Race}
+		Ingress: p.Ingress, Race: p.Race, GateFault: p.GateFault}
+	switch p.Fronts {
+	case "resp":
+	case "http":
+		cfg.HTTP = 1
+	case "resp,http", "http,resp":
+		cfg.HTTP = 0.5
+	default:
+		return cfg, nil, fmt.Errorf("--fronts: %q is none of resp, http and resp,http", p.Fronts)
+	}
 	done = func() {}
 	if p.Logs != "" {
 		file, err := os.Create(p.Logs)
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -18,6 +18,7 @@
 
 	"hitchspring/internal/audit"
 	"hitchspring/internal/lab/day"
+	"hitchspring/internal/standin/gate"
 )
 
 const (
@@ -62,6 +63,7 @@
 	ch    *channel
 	class *class
 	at    int // instance
+	http  bool
 	seed  uint64
 }
 
@@ -90,6 +92,7 @@
 	ch    *channel
 	class *class
 	retry int
+	http  bool
 }
 
 // newLoad draws the channels, sets the plans' figures so that what is asked inside quotas is the day's share of what the
@@ -167,7 +170,7 @@
 			}
 			x -= l.w.classes[i].share
 		}
-		l.arrivals = append(l.arrivals, arrival{due, ch, c, way(ch, weights, l.w.day.Ingresses, rng), rng.Uint64()})
+		l.arrivals = append(l.arrivals, arrival{due, ch, c, way(ch, weights, l.w.day.Ingresses, rng), l.w.cfg.HTTP > 0 && rng.Float64() < l.w.cfg.HTTP, rng.Uint64()})
 	}
 }
 
@@ -234,7 +237,12 @@
 			place := (at - a.ch.first + n) % n // within the channel's set
 			at = (a.ch.first + (place+1)%a.ch.spread) % n
 		}
-		t, after := l.try(a.ch, a.class, at, retry, rng)
+		try := l.try
+		if a.http {
+			try = l.tryHTTP
+		}
+		t, after := try(a.ch, a.class, at, retry, rng)
+		t.http = a.http
 		t.due, t.wish = l.began+a.due, wish
 		l.mu.Lock()
 		l.tried = append(l.tried, t)
@@ -297,6 +305,23 @@
 	}
 }
 
+// tryHTTP sends one try through the instance's gate.
+func (l *load) tryHTTP(ch *channel, c *class, at, retry int, rng *rand.Rand) (t tried, after time.Duration) {
+	g := l.w.ingresses[at]
+	id := fmt.Sprintf("%016x", l.lastID.Add(1))
+	wait := time.Duration(float64(c.deadline) * (0.5 + 0.5*rng.Float64()))
+	t = tried{Asked: audit.Asked{ID: id, Instance: g.name, Class: c.name, GiveUp: wait, Sent: l.w.clock()}, ch: ch, class: c, retry: retry}
+	wish := gate.Wish{ID: id, Channel: fmt.Sprintf("%016x", ch.id), Class: c.name, Plan: ch.plan.name, Units: c.units, Spread: ch.spread, First: ch.first, Wait: wait}
+	if c.effect == "idempotency_key" {
+		wish.Key = id
+	}
+	res := l.w.gates[at].Do(context.Background(), wish)
+	t.Answers = append(t.Answers, audit.Answer{At: l.w.clock(), Kind: res.Kind})
+	t.Spoilt = res.Kind == "served" && res.Value != "value of "+id
+	t.Excused = res.Kind != "served" && g.wasDown(t.Sent, l.w.clock())
+	return t, res.After
+}
+
 func (l *load) asked() []audit.Asked {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/lab/prove/prove.go
+++ b/internal/lab/prove/prove.go
@@ -156,7 +156,8 @@
 	AfterS                  float64 // seconds of load until it shows
 	Also                    []string
 	Doubts                  []string // why the run could not be judged
-	Err                     string   `json:",omitempty"`
+	Edges                   audit.Edges
+	Err                     string `json:",omitempty"`
 }
 
 // job is a build with a day.
@@ -254,7 +255,7 @@
 		r.Err = err.Error()
 		return r
 	}
-	r.Doubts = rep.Doubts()
+	r.Doubts, r.Edges = rep.Doubts(), rep.Edges
 	for _, b := range rep.Breaks {
 		switch {
 		case b.Doubtful:
@@ -293,7 +294,7 @@
 	case len(r.Doubts) > 0:
 		return line + "MISSED; the run can't be judged: " + strings.Join(r.Doubts, "; ")
 	}
-	return line + "MISSED"
+	return line + fmt.Sprintf("MISSED: %+v", r.Edges)
 }
 
 // ErrMissed is a defect that was not seen, or an alarm on the untouched build.
--- a/internal/lab/timeline.go
+++ b/internal/lab/timeline.go
@@ -85,6 +85,9 @@
 		}
 		w.later(ctx, s.Span(1), func() {
 			for _, i := range which {
+				if n, _ := w.node(i); !n.Down() { // somebody has started it meanwhile
+					continue
+				}
 				if err := w.restart(i); err != nil {
 					w.mu.Lock()
 					w.notes = append(w.notes, fmt.Sprintf("node %d does not come back: %v", i, err))
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -20,6 +20,8 @@
 	"hitchspring/internal/audit"
 	"hitchspring/internal/lab/day"
 	"hitchspring/internal/standin/discovery"
+	"hitchspring/internal/standin/fault"
+	"hitchspring/internal/standin/gate"
 	"hitchspring/internal/standin/node"
 	"hitchspring/internal/standin/redis"
 	"hitchspring/internal/standin/tally"
@@ -52,6 +54,8 @@
 	Mixed     []string // programs that the ingresses are in turn, in place of Ingress
 	MemoryMB  int
 	Tolerance time.Duration // of the rules' time limits; 0: the platform's 50 ms
+	HTTP      float64       // share of the wishes that come through gates, which ask over HTTP
+	GateFault []string      // rules for all gates, from the start
 	Live      io.Writer     // a table each second; nil: none
 	Log       io.Writer     // what the ingresses log; nil: nobody
 }
@@ -90,6 +94,9 @@
 	if !(c.Rate > 0 && c.Rate <= 4) {
 		return nil, fmt.Errorf("rate: %v is out of range, up to 4", c.Rate)
 	}
+	if !(c.HTTP >= 0 && c.HTTP <= 1) {
+		return nil, fmt.Errorf("http: %v is no share, 0 to 1", c.HTTP)
+	}
 	if c.Hot > 0 {
 		d.Hot = append(d.Hot, day.Hot{Plan: "storby", Channels: 1, Times: c.Hot})
 	}
@@ -103,6 +110,7 @@
 	classes   []class
 	plans     []*plan
 	dir       string
+	net       string // the loopback network of this run: three bytes of an address
 	began     time.Time
 	rng       *rand.Rand
 	fleet     *node.Fleet
@@ -110,12 +118,14 @@
 	registry  *discovery.Registry
 	store     store
 	ingresses []*ingress
+	gates     []*gate.Gate // one for each instance, where Config.HTTP is set
 	load      *load
 	meter     *meter
 	mu        sync.Mutex // of all below
 	specs     []node.Spec
 	byName    map[string]*node.Node
 	targets   map[string]discovery.Target
+	lastHost  int
 	restarted int      // nodes that a share of the fleet has restarted so far
 	notes     []string // what the timeline did
 	wg        sync.WaitGroup
@@ -148,7 +158,8 @@
 }
 
 func newWorld(cfg Config, d *day.Day) *World {
-	return &World{cfg: cfg, day: d, classes: classes(d.Unsafe), plans: plans(d.Cut), began: time.Now(), rng: rand.New(rand.NewPCG(cfg.Seed, 5)),
+	return &World{cfg: cfg, day: d, classes: classes(d.Unsafe), plans: plans(d.Cut), began: time.Now(), lastHost: 1,
+		net: fmt.Sprintf("127.%d.%d", 1+rand.IntN(254), rand.IntN(256)), rng: rand.New(rand.NewPCG(cfg.Seed, 5)),
 		byName: map[string]*node.Node{}, targets: map[string]discovery.Target{}}
 }
 
@@ -225,19 +236,19 @@
 func (w *World) openStore() error {
 	switch w.day.Store {
 	case day.StoreTally:
-		s, err := tally.Start("", w.cfg.Seed)
+		s, err := tally.Start(w.net+".1:0", w.cfg.Seed)
 		if err != nil {
 			return err
 		}
 		w.onClose(s.Close)
 		w.store = tallyStore{s}
 	default:
-		s, err := redis.Start(redis.Options{Seed: w.cfg.Seed})
+		s, err := redis.Start(redis.Options{Seed: w.cfg.Seed, Listen: w.net + ".1:0"})
 		if err != nil {
 			return err
 		}
 		w.onClose(s.Close)
-		replica, err := s.Group().AddReplica(redis.Options{Seed: w.cfg.Seed})
+		replica, err := s.Group().AddReplica(redis.Options{Seed: w.cfg.Seed, Listen: w.net + ".1:0"})
 		if err != nil {
 			return err
 		}
@@ -275,7 +286,7 @@
 		work[c.name] = c.work
 	}
 	w.fleet = node.NewFleet(node.Rules{Work: work, KeyMemory: keyMemory, ColdShare: coldShare, WarmAfter: warmAfter, WarmRequests: w.day.WarmBy,
-		FallMultiple: fallMultiple, FallSpan: time.Second, FallSlack: 150 * ms, MostConns: 1500, ConnWork: ms, Knee: 8, LossBeyond: 0.03}, w.cfg.Seed, w.clock)
+		FallMultiple: fallMultiple, FallSpan: time.Second, FallSlack: 50 * ms, MostConns: 1500, ConnWork: ms, Knee: 8, LossBeyond: 0.03}, w.cfg.Seed, w.clock)
 	w.onClose(w.fleet.Close)
 	w.registry = discovery.New(w.cfg.Seed, w.clock, 500*ms, 3500*ms)
 	w.onClose(w.registry.Close)
@@ -295,7 +306,11 @@
 }
 
 func (w *World) addNode(spec node.Spec, cold bool) (discovery.Target, error) {
-	n, err := w.fleet.Add(spec, cold, w.day.Ingresses)
+	host, err := w.nextHost()
+	if err != nil {
+		return discovery.Target{}, err
+	}
+	n, err := w.fleet.Add(spec, host, cold, w.day.Ingresses)
 	if err != nil {
 		return discovery.Target{}, err
 	}
@@ -309,6 +324,17 @@
 	return t, nil
 }
 
+// nextHost is a loopback address that nothing in this run has had. What one run's processes go on sending to a peer that has
+// ended must reach nobody, neither here nor in a run beside it.
+func (w *World) nextHost() (string, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.lastHost++; w.lastHost > 250 {
+		return "", errors.New("too many nodes have been started in one run")
+	}
+	return fmt.Sprintf("%s.%d", w.net, w.lastHost), nil
+}
+
 // node returns a node with its entry of the list.
 func (w *World) node(i int) (*node.Node, discovery.Target) {
 	w.mu.Lock()
@@ -329,12 +355,32 @@
 // newIngress writes an instance's files.
 func (w *World) newIngress(i int, program string) (*ingress, error) {
 	g := &ingress{w: w, n: i, name: fmt.Sprint("n", i), program: program}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", w.net+".1:0")
 	if err != nil {
 		return nil, err
 	}
 	g.addr = ln.Addr().String()
 	ln.Close()
+	options := ""
+	if w.cfg.HTTP > 0 {
+		ln, err := net.Listen("tcp", w.net+".1:0")
+		if err != nil {
+			return nil, err
+		}
+		at := ln.Addr().String()
+		ln.Close()
+		options += fmt.Sprintf("[forward_auth]\nlisten = %q\ntrusted = [\"127.0.0.0/8\"]\nconnections = 400\n", at)
+		x := gate.New(at, w.cfg.Seed+uint64(i))
+		for _, text := range w.cfg.GateFault {
+			r, err := fault.Parse(text)
+			if err != nil {
+				return nil, err
+			}
+			x.Fault(r)
+		}
+		w.gates = append(w.gates, x)
+		w.onClose(x.Close)
+	}
 	agent, err := w.registry.Agent()
 	if err != nil {
 		return nil, err
@@ -346,7 +392,7 @@
 	}
 	config := filepath.Join(w.dir, g.name+".json")
 	text, err := json.Marshal(map[string]any{"name": g.name, "listen": g.addr, "discovery": agent, "counter": w.store.Addr(),
-		"seed": fmt.Sprintf("%x", w.cfg.Seed*31+uint64(i)+1), "limits": map[string]any{"cores": 1, "memory_mb": w.cfg.MemoryMB, "sockets": 1024},
+		"seed": fmt.Sprintf("%x", w.cfg.Seed*31+uint64(i)+1), "limits": map[string]any{"cores": 1, "memory_mb": w.cfg.MemoryMB, "sockets": 2048},
 		"known": map[string]any{"rev": 0, "all": true, "targets": []any{}}, "settings": w.settings(i)})
 	if err != nil {
 		return nil, err
@@ -356,20 +402,23 @@
 	}
 	g.env = append(os.Environ(), "ROUTER_CONFIG="+config, "HITCHSPRING_OPTIONS=")
 	if w.day.Store != day.StoreTally {
-		options := filepath.Join(w.dir, g.name+".toml")
 		where := fmt.Sprintf("address = %q\n", w.store.Addr())
 		if w.day.Store == day.StoreSentinel {
-			s, name, err := w.store.(redisStore).Group().AddSentinel(redis.Options{})
+			s, name, err := w.store.(redisStore).Group().AddSentinel(redis.Options{Listen: w.net + ".1:0"})
 			if err != nil {
 				return nil, err
 			}
 			w.onClose(s.Close)
 			where = fmt.Sprintf("sentinels = [%q]\nmaster = %q\n", s.Addr(), name)
 		}
-		if err := os.WriteFile(options, []byte("[store]\nkind = \"redis\"\n"+where), 0o600); err != nil {
+		options += "[store]\nkind = \"redis\"\n" + where
+	}
+	if options != "" {
+		file := filepath.Join(w.dir, g.name+".toml")
+		if err := os.WriteFile(file, []byte(options), 0o600); err != nil {
 			return nil, err
 		}
-		g.env = append(g.env, "HITCHSPRING_OPTIONS="+options)
+		g.env = append(g.env, "HITCHSPRING_OPTIONS="+file)
 	}
 	return g, nil
 }
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,4 +1,6 @@
-package wire
+// Package settings is the platform's object of settings, as an instance is told it: in, its JSON; out, what the decision module and
+// the connections want of it. It decides nothing, and knows neither sockets nor the simulator's lines.
+package settings
 
 import (
 	"encoding/json"
@@ -78,8 +80,8 @@
 
 func us(v float64) time.Duration { return time.Duration(v) * time.Microsecond }
 
-// ParseSettings reads the settings object; keys that it does not know are skipped.
-func ParseSettings(text []byte) (*logic.Settings, Connections, error) {
+// Parse reads the settings object; keys that it does not know are skipped.
+func Parse(text []byte) (*logic.Settings, Connections, error) {
 	var f facts
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, Connections{}, fmt.Errorf("settings: %w", err)
--- a/internal/standin/discovery/discovery.go
+++ b/internal/standin/discovery/discovery.go
@@ -44,6 +44,15 @@
 	UID, State string
 }
 
+// Asked is one request of an instance, whether or not it was answered.
+type Asked struct {
+	At    time.Duration
+	Agent int
+	Watch bool
+	Since string
+	Mute  bool // the agent was silent then
+}
+
 // Registry is the list, and the agents that tell it.
 type Registry struct {
 	clock       func() time.Duration
@@ -57,6 +66,7 @@
 	rev    int64
 	agents []*agent
 	told   []Told
+	asked  []Asked
 }
 
 type agent struct {
@@ -66,8 +76,9 @@
 	srv   *http.Server
 	rev   int64
 	known map[string]Target
-	news  chan struct{} // closed and made anew with each change
-	mute  bool          // says nothing, and answers nothing
+	by    map[string]int64 // revision of what it last learned of each
+	news  chan struct{}    // closed and made anew with each change
+	mute  bool             // says nothing, and answers nothing
 }
 
 const emptyLine = 2 * time.Second
@@ -87,7 +98,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	a := &agent{r: r, n: len(r.agents), addr: ln.Addr().String(), rev: r.rev, known: map[string]Target{}, news: make(chan struct{})}
+	a := &agent{r: r, n: len(r.agents), addr: ln.Addr().String(), rev: r.rev, known: map[string]Target{}, by: map[string]int64{}, news: make(chan struct{})}
 	if len(r.agents) > 0 {
 		for k, t := range r.agents[0].known {
 			if a.n < len(t.Endpoints) {
@@ -118,18 +129,21 @@
 	r.wg.Wait()
 }
 
-// Set changes an entry; each agent learns of it late, or at once where now is set.
+// Set changes an entry. Each agent learns of it late, all within a tenth of the span from least to most, or at once where
+// now is set. What is older than what an agent knows of an entry changes nothing.
 func (r *Registry) Set(t Target, now bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.rev++
 	rev := r.rev
+	spread := (r.most - r.least) / 10
+	base := r.least + time.Duration(r.rng.Float64()*float64(r.most-r.least-spread))
 	for _, a := range r.agents {
 		if now {
 			a.learn(rev, t)
 			continue
 		}
-		late := r.least + time.Duration(r.rng.Float64()*float64(r.most-r.least))
+		late := base + time.Duration(r.rng.Float64()*float64(spread))
 		r.wg.Go(func() {
 			timer := time.NewTimer(late)
 			defer timer.Stop()
@@ -151,6 +165,13 @@
 	r.agents[agent].mute = on
 }
 
+// Asked returns what the instances asked so far.
+func (r *Registry) Asked() []Asked {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.asked)
+}
+
 // Told returns what was written to the instances so far.
 func (r *Registry) Told() []Told {
 	r.mu.Lock()
@@ -159,7 +180,10 @@
 }
 
 func (a *agent) learn(rev int64, t Target) {
-	a.rev = max(a.rev, rev)
+	if rev < a.by[t.UID] {
+		return
+	}
+	a.rev, a.by[t.UID] = max(a.rev, rev), rev
 	if a.n < len(t.Endpoints) {
 		t.Endpoint = t.Endpoints[a.n]
 	}
@@ -184,7 +208,9 @@
 	return l, a.news, a.mute
 }
 
-func (a *agent) note(before, l list) {
+// note records what a list told that the one before had not. An instance cannot have known before the write began (from),
+// and surely knows only when it has ended: that a node serves counts from the former, that it does not from the latter.
+func (a *agent) note(before, l list, from time.Duration) {
 	a.r.mu.Lock()
 	defer a.r.mu.Unlock()
 	at := a.r.clock()
@@ -194,7 +220,11 @@
 	}
 	for _, t := range l.Targets {
 		if was[t.UID] != t.State {
-			a.r.told = append(a.r.told, Told{at, a.n, t.UID, t.State})
+			when := at
+			if t.State == "SERVING" {
+				when = from
+			}
+			a.r.told = append(a.r.told, Told{when, a.n, t.UID, t.State})
 		}
 		delete(was, t.UID)
 	}
@@ -210,13 +240,16 @@
 	}
 	out := json.NewEncoder(w)
 	l, news, mute := a.look()
+	a.r.mu.Lock()
+	a.r.asked = append(a.r.asked, Asked{a.r.clock(), a.n, req.URL.Query().Get("follow") != "", req.URL.Query().Get("since"), mute})
+	a.r.mu.Unlock()
 	if mute {
 		<-req.Context().Done()
 		return
 	}
 	if req.URL.Query().Get("follow") == "" {
-		if out.Encode(l) == nil {
-			a.note(list{}, l)
+		if from := a.r.clock(); out.Encode(l) == nil {
+			a.note(list{}, l, from)
 		}
 		return
 	}
@@ -227,10 +260,11 @@
 	var before list
 	for first := true; ; first = false {
 		if l.Rev != since || !first {
+			from := a.r.clock()
 			if out.Encode(l) != nil || flush() != nil {
 				return
 			}
-			a.note(before, l)
+			a.note(before, l, from)
 			before = l
 		} else if flush() != nil {
 			return
--- a/internal/standin/node/node.go
+++ b/internal/standin/node/node.go
@@ -134,13 +134,14 @@
 	counts  []time.Duration // ends of the last second, for qps
 }
 
-// Add starts a node, cold or warm, with an address for each of so many instances.
-func (f *Fleet) Add(s Spec, cold bool, instances int) (*Node, error) {
+// Add starts a node, cold or warm, with an address for each of so many instances, on a loopback host. A host that no other
+// node ever had keeps apart what is sent to one that has gone.
+func (f *Fleet) Add(s Spec, host string, cold bool, instances int) (*Node, error) {
 	instances = max(1, instances)
 	n := &Node{Spec: s, f: f, faults: fault.New(uint64(len(s.ID))), gone: make(chan struct{}), conns: map[net.Conn]bool{},
 		traffic: make([]Traffic, instances), cuts: make([]time.Duration, instances)}
 	for range instances {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 		if err != nil {
 			for _, l := range n.lns {
 				l.Close()
@@ -298,6 +299,9 @@
 	return n.m.pushed
 }
 
+// Down says whether the node has ended.
+func (n *Node) Down() bool { return n.hasEnded() }
+
 // Traffic is what an instance's connections came to.
 func (n *Node) Traffic(instance int) Traffic {
 	n.f.mu.Lock()
--- a/internal/standin/node/node_test.go
+++ b/internal/standin/node/node_test.go
@@ -21,7 +21,7 @@
 
 func add(t *testing.T, f *Fleet, id string, rack int, cold bool) *Node {
 	t.Helper()
-	n, err := f.Add(Spec{ID: id, Zone: "a", Rack: rack, Cores: 2, Speed: 1, Room: 2}, cold, 2)
+	n, err := f.Add(Spec{ID: id, Zone: "a", Rack: rack, Cores: 2, Speed: 1, Room: 2}, "127.0.0.1", cold, 2)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"hitchspring/internal/settings"
 	"hitchspring/logic"
 )
 
@@ -118,7 +119,7 @@
 		p.need("facts")
 		if p.err == nil {
 			var err error
-			if m.Settings, _, err = ParseSettings([]byte(p.f["facts"])); err != nil {
+			if m.Settings, _, err = settings.Parse([]byte(p.f["facts"])); err != nil {
 				p.fail("facts", err)
 			}
 		}
--- a/logic/api.go
+++ b/logic/api.go
@@ -104,8 +104,9 @@
 	Customer string
 	GiveUpAt time.Duration
 	Units    float64
-	Spread   int // gateways this customer comes through
-	First    int // number of the first of them
+	Spread   int  // gateways this customer comes through
+	First    int  // number of the first of them
+	Handed   bool // who asks sends the attempts itself, one at a time
 }
 
 // Load is what a server last said of itself; absent values are not in it.
@@ -149,6 +150,7 @@
 		Finished bool // the request has had its final answer
 		Settled  float64
 		Load     Load
+		Unsent   bool // of a Handed request: it never left who asked
 	}
 	// StreamStarted hands an attempt over to the client.
 	StreamStarted struct {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -76,6 +76,8 @@
 	fleet   []*server
 	flow    float64 // answers a second to this gateway
 	flowAt  time.Duration
+	hosts   float64 // servers that they came from, until others have taken their place
+	hostsAt time.Duration
 
 	askShare     float64 // share of the sparse customers' requests that the counter is asked for
 	counterFails int
@@ -587,14 +589,17 @@
 	if g.now >= r.GiveUpAt || r.plan.Open > 0 && r.cust.open >= g.share(r.cust) {
 		return false
 	}
-	return r.sent || g.ceilingRoom(r)
+	if r.sent { // held for another attempt, while its group may have begun to forget the first
+		return g.repeatable(r)
+	}
+	return g.ceilingRoom(r)
 }
 
 // expire ends a held request that cannot be answered in time, by the learned latency; where lateness still
 // earns something it goes on at that worth.
 func (g *Gateway) expire(r *request) {
 	need := min(r.class.takes(sureDevs), r.class.Aim)
-	if g.now+min(need, r.class.takes(0)) >= r.GiveUpAt-2*g.sweep {
+	if r.sent && !g.repeatable(r) || g.now+min(need, r.class.takes(0)) >= r.GiveUpAt-2*g.sweep {
 		g.giveUp(r)
 		return
 	}
@@ -790,7 +795,7 @@
 			g.judge(a, r.class, TimedOut, 0)
 		}
 	}
-	if !g.set.SecondCopies || r.outs != 1 || g.retries < 1 || g.now > r.arrived+r.class.Aim || r.beyond ||
+	if !g.set.SecondCopies || r.Handed || r.outs != 1 || g.retries < 1 || g.now > r.arrived+r.class.Aim || r.beyond ||
 		r.class.mean == 0 || g.pressed() || !g.repeatable(r) || !g.mayGo(r) {
 		return
 	}
@@ -817,6 +822,10 @@
 		g.judge(a, r.class, ev.Outcome, ev.Took)
 	}
 	g.observe(a, r.class, ev.Outcome, ev.Took)
+	if ev.Unsent && len(r.attempts) == 1 { // no node has seen it: it took nothing
+		r.sent = false
+		r.cust.ceiling += r.Units
+	}
 	switch {
 	case r.final:
 	case ev.Finished:
@@ -888,6 +897,7 @@
 		}
 		s.Server = e
 	}
+	g.hosts, g.hostsAt = g.earners(), g.now
 	g.fleet = g.fleet[:0]
 	for id, s := range g.servers {
 		if s.State == Running {
@@ -912,6 +922,17 @@
 	return cold + (1-cold)*max(0, age.Seconds())/g.set.WarmAfter.Seconds()
 }
 
+// eachAnswers is the answers a second that a server gives here. Where most of the fleet has just gone, the few that are left
+// have not earned its answers: both figures fade alike.
+func (g *Gateway) eachAnswers() float64 {
+	return g.flow * math.Exp(-(g.now - g.flowAt).Seconds()) / max(g.earners(), 1)
+}
+
+func (g *Gateway) earners() float64 {
+	n := float64(len(g.fleet))
+	return n + max(0, g.hosts-n)*math.Exp(-(g.now-g.hostsAt).Seconds())
+}
+
 // coldRoom spaces sends to a cold server by what warm ones answer here, scaled to its warmth, so that the sum
 // over all gateways stays within it; the first comes at a random part of the space.
 func (g *Gateway) coldRoom(s *server) bool {
@@ -919,6 +940,6 @@
 	if w >= 1 {
 		return true
 	}
-	rate := coldRate * w * max(g.flow/float64(len(g.fleet)), startPerHost/float64(g.set.Gateways))
+	rate := coldRate * w * max(g.eachAnswers(), startPerHost/float64(g.set.Gateways))
 	return (g.now - max(s.lastSent, s.Started)).Seconds() >= s.phase/rate
 }
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -84,6 +84,28 @@
 }
 
 // Rule 3: nothing new goes to a server that drains or is gone.
+// The same for one that is held for another attempt: it waits for room no longer than its group remembers the first.
+func TestHeldRepeatEndsWithItsGroupsMemory(t *testing.T) {
+	set := settings()
+	set.Classes[1].Deadline, set.Classes[1].RepeatWindow, set.Classes[1].LateShare = 60*time.Second, time.Second, 0.2
+	r := newRig(t, set, Server{ID: "s", State: Running, Cell: 1})
+	q := Request{ID: 1, Class: "book", Plan: "free", Customer: "c", Units: 1, GiveUpAt: r.now + time.Minute}
+	if sends := only[Send](r.tell(Arrival{q})); len(sends) != 1 {
+		t.Fatal(sends)
+	}
+	r.g.window, r.g.busy = 1, r.g.busy+1 // the window has no room for another
+	r.now += 500 * ms
+	if got := r.tell(AttemptEnded{ID: 1, Server: "s", Outcome: Reset}); len(got) != 0 || !r.g.requests[1].held {
+		t.Fatalf("actions %v, want the request held", got)
+	}
+	r.now += 450 * ms
+	r.g.busy, r.g.window = 0, 4
+	got := r.pass(200 * ms)
+	if len(only[Send](got)) > 0 || len(only[Refuse](got)) > 0 || len(only[Fail](got)) != 1 {
+		t.Fatalf("actions %v, want one failure and nothing sent", got)
+	}
+}
+
 func TestNothingGoesToADrainingServer(t *testing.T) {
 	for _, state := range []ServerState{Draining, Gone, ServerState(9)} {
 		r := newRig(t, settings(), Server{ID: "s", State: Running}, Server{ID: "u", State: Running})
@@ -135,6 +157,49 @@
 }
 
 // Rule 5: a gateway stays within its part of the ceiling, and starts with none of it.
+// The same where it is the first to come back after all others have gone: what the whole fleet answered is no measure of it.
+func TestFirstServerBackIsNotPushedOver(t *testing.T) {
+	set := settings()
+	set.Gateways, set.Classes[0].Aim = 1, 400*ms
+	var fleet []Server
+	for i := range 20 {
+		fleet = append(fleet, Server{ID: ServerID(fmt.Sprint("w", i)), State: Running})
+	}
+	r := newRig(t, set, fleet...)
+	id, toCold := RequestID(0), 0
+	type out struct {
+		ev AttemptEnded
+		at time.Duration
+	}
+	var outs []out
+	play := func(d time.Duration) {
+		for end := r.now + d; r.now < end; r.now += 5 * ms {
+			id++
+			acts := append(r.arrive(id, "read", "free"), r.tell(TimerFired{})...)
+			for len(outs) > 0 && outs[0].at <= r.now {
+				ev := outs[0].ev
+				outs = outs[1:]
+				acts = append(acts, r.tell(ev)...)
+			}
+			for _, s := range only[Send](acts) {
+				if s.Server == "x" { // it answers none of them within the second
+					toCold++
+					continue
+				}
+				outs = append(outs, out{AttemptEnded{ID: s.ID, Attempt: len(r.g.requests[s.ID].attempts) - 1, Server: s.Server, Outcome: Done, Took: 60 * ms, Finished: true}, r.now + 60*ms})
+			}
+		}
+	}
+	play(3 * time.Second)
+	outs = nil
+	r.tell(FleetChanged{Whole: true, Servers: []Server{{ID: "x", State: Running, Started: r.now}}})
+	play(time.Second)
+	// A warm one answered 200/20 = 10 a second; this one has a fifth of that, and may be sent four times as much.
+	if toCold == 0 || toCold > 8 {
+		t.Fatalf("%d sends to a cold server within a second", toCold)
+	}
+}
+
 func TestCeilingHoldsWithoutTheCounter(t *testing.T) {
 	r := newRig(t, settings(), Server{ID: "s", State: Running}, Server{ID: "u", State: Running})
 	r.g.plans["capped"].Rate = 0 // nothing but the ceiling stands in the way
