--- a/cmd/hitchspring/main.go
+++ b/cmd/hitchspring/main.go
@@ -13,6 +13,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -20,14 +21,19 @@
 
 	"hitchspring/internal/config"
 	"hitchspring/internal/core"
+	"hitchspring/internal/discovery"
+	"hitchspring/internal/front/forwardauth"
 	"hitchspring/internal/ingress"
+	"hitchspring/internal/settings"
 	"hitchspring/internal/store"
 	"hitchspring/internal/store/redis"
-	"hitchspring/internal/wire"
+	"hitchspring/internal/version"
+	"hitchspring/logic"
 )
 
 const usage = `usage: hitchspring [--options FILE]         serve, as ROUTER_CONFIG says
        hitchspring check [--options FILE]   say what is wrong with the settings, or print those in force
+       hitchspring version                  print the revision and the Go version
 `
 
 func main() {
@@ -40,6 +46,10 @@
 
 // command runs the program as its arguments say.
 func command(args []string, out io.Writer, log *slog.Logger) error {
+	if len(args) == 1 && args[0] == "version" {
+		_, err := fmt.Fprintln(out, version.Text("hitchspring"))
+		return err
+	}
 	check := len(args) > 0 && args[0] == "check"
 	if check {
 		args = args[1:]
@@ -74,11 +84,11 @@
 
 // configFile is the form of the configuration.
 type configFile struct {
-	Listen    string     `json:"listen"`
-	Discovery string     `json:"discovery"`
-	Counter   string     `json:"counter"`
-	Seed      string     `json:"seed"`
-	Known     core.Fleet `json:"known"`
+	Listen    string         `json:"listen"`
+	Discovery string         `json:"discovery"`
+	Counter   string         `json:"counter"`
+	Seed      string         `json:"seed"`
+	Known     discovery.List `json:"known"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
 		MemoryMB int64   `json:"memory_mb"`
@@ -107,17 +117,27 @@
 	if err != nil {
 		return fail(fmt.Errorf("seed: %w", err))
 	}
-	settings, conns, err := wire.ParseSettings(f.Settings)
+	set, conns, err := settings.Parse(f.Settings)
 	if err != nil {
 		return fail(err)
 	}
 	cfg := ingress.Config{Listen: f.Listen, Counter: f.Counter, Config: core.Config{Discovery: f.Discovery, Seed: seed,
-		Sockets: f.Limits.Sockets, Memory: int(f.Limits.MemoryMB << 20), Known: f.Known, Settings: *settings, Connections: conns}}
+		Sockets: f.Limits.Sockets, Memory: int(f.Limits.MemoryMB << 20), Known: f.Known, Settings: *set, Connections: conns}}
 	if st := o.Store; st != nil && st.Kind == config.KindRedis {
 		cfg.Counter = st.Address
 		cfg.Store = func(sink store.Sink) (store.Counter, error) {
-			return redis.New(redisOptions(st, settings.CounterTimeout), log, sink)
+			return redis.New(redisOptions(st, set.CounterTimeout), log, sink)
+		}
+	}
+	if fa := o.ForwardAuth; fa != nil {
+		auth, leases, err := forwardAuth(fa, set)
+		if err != nil {
+			return fail(err)
 		}
+		cfg.Auth, cfg.Leases = auth, leases
+	}
+	if o.Metrics != nil {
+		cfg.Metrics = o.Metrics.Listen
 	}
 	if _, err := ingress.New(cfg, log); err != nil { // one that is not run holds nothing
 		return fail(err)
@@ -125,6 +145,34 @@
 	return cfg, &f, nil
 }
 
+// forwardAuth is the front for gates; its rules must name classes and plans of the settings.
+func forwardAuth(fa *config.ForwardAuth, set *logic.Settings) (*ingress.Auth, *core.Leases, error) {
+	networks, _, err := fa.Networks()
+	if err != nil {
+		return nil, nil, err
+	}
+	var rules []forwardauth.Rule
+	for i, r := range fa.Rules {
+		known := r.Class != "" && slices.ContainsFunc(set.Classes, func(c logic.Class) bool { return c.Name == r.Class })
+		planned := r.Plan == "" || slices.ContainsFunc(set.Plans, func(p logic.Plan) bool { return p.Name == r.Plan })
+		switch {
+		case !known:
+			return nil, nil, fmt.Errorf("forward_auth.rule[%d]: class %q is none of the settings", i, r.Class)
+		case !planned:
+			return nil, nil, fmt.Errorf("forward_auth.rule[%d]: plan %q is none of the settings", i, r.Plan)
+		}
+		rules = append(rules, forwardauth.Rule(r))
+	}
+	table, err := forwardauth.NewTable(rules)
+	if err != nil {
+		return nil, nil, fmt.Errorf("forward_auth.%w", err)
+	}
+	d := func(x config.Duration) time.Duration { return time.Duration(x) }
+	return &ingress.Auth{Listen: fa.Listen, Table: table, Config: forwardauth.Config{Prefix: fa.Prefix, Trusted: networks, Header: fa.Header, MostCalls: fa.Calls, MostConns: fa.Connections,
+			MostHeader: fa.HeaderBytes, MostBody: 64 << 10, HeaderTime: d(fa.HeaderTime), IdleTime: d(fa.IdleTime), MostReports: 1000}},
+		&core.Leases{Timeout: d(fa.LeaseTimeout), StartWithin: d(fa.StartWithin), Keep: d(fa.Keep), Most: fa.Requests}, nil
+}
+
 // redisOptions are the options of a store on Redis; timeout is that of a call.
 func redisOptions(s *config.Store, timeout time.Duration) redis.Options {
 	o := redis.Options{Address: s.Address, Sentinels: s.Sentinels, Master: s.Master, Username: s.Username, Database: s.Database,
@@ -194,6 +242,13 @@
 		log.Error("the old options are kept: of the store only the address can change in service", "options", options)
 		return
 	}
+	if !o.ForwardAuth.SameButRules(began.ForwardAuth) {
+		log.Error("the old options are kept: of forward_auth only the rules can change in service", "options", options)
+		return
+	}
 	log.Info("new configuration", "discovery", cfg.Discovery, "counter", cfg.Counter)
+	if cfg.Auth != nil {
+		gw.SetRules(cfg.Auth.Table)
+	}
 	gw.Move(cfg.Discovery, cfg.Counter)
 }
--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -33,7 +33,9 @@
 
 // Options is the whole file; a section that is absent is off.
 type Options struct {
-	Store *Store `toml:"store,omitempty"`
+	Store       *Store       `toml:"store,omitempty"`
+	ForwardAuth *ForwardAuth `toml:"forward_auth,omitempty"`
+	Metrics     *Metrics     `toml:"metrics,omitempty"`
 }
 
 // The kinds of store.
@@ -158,10 +160,17 @@
 
 // check fills in the defaults and says what is wrong, worst first.
 func (o *Options) check() []fault {
-	if o.Store == nil {
-		return nil
+	var faults []fault
+	if o.Store != nil {
+		faults = append(faults, o.Store.check()...)
 	}
-	return o.Store.check()
+	if o.ForwardAuth != nil {
+		faults = append(faults, o.ForwardAuth.check()...)
+	}
+	if o.Metrics != nil {
+		faults = append(faults, o.Metrics.check()...)
+	}
+	return faults
 }
 
 func (s *Store) check() (faults []fault) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,5 +1,6 @@
-// Package core owns the decision module: its clock, its timers, the table of requests, the attempts at nodes and the
-// list of them. Fronts hand it requests and wait for one final answer; it decides nothing itself and waits for nobody.
+// Package core owns the decision module: its clock, its timers and the table of requests. In: requests of fronts, lists of
+// nodes, ends of attempts, totals of the store. Out: one final answer for each request, attempts, adds. It decides nothing
+// itself, waits for nobody, and must never know a protocol, a socket or a store by name.
 package core
 
 import (
@@ -14,9 +15,12 @@
 	"sync"
 	"time"
 
+	"hitchspring/internal/discovery"
+	"hitchspring/internal/lease"
+	"hitchspring/internal/nodes"
 	"hitchspring/internal/resp"
+	"hitchspring/internal/settings"
 	"hitchspring/internal/store"
-	"hitchspring/internal/wire"
 	"hitchspring/logic"
 )
 
@@ -28,6 +32,7 @@
 	answerMargin = 20 * time.Millisecond // before the client gives up: the way back, and a busy machine
 	overdue      = 8 * time.Millisecond  // into the margin: the module should have answered by now
 	idleCheck    = time.Second
+	probeTimeout = 250 * time.Millisecond // of a probe, which has no request whose time could end it
 	fullRetry    = 250 * time.Millisecond // when to come back to an ingress whose memory is full
 )
 
@@ -37,10 +42,18 @@
 	Seed        uint64
 	Sockets     int // descriptors that it may hold
 	Memory      int // bytes that it may use; 0: not told
-	Known       Fleet
+	Known       discovery.List
 	Settings    logic.Settings
 	Store       func(store.Sink) (store.Counter, error) // makes the shared counter; nil: the settings know none
-	Connections wire.Connections
+	Connections settings.Connections
+	Leases      *Leases // of attempts that who asks sends itself; nil: none are granted
+}
+
+// lister keeps the list of nodes up to date, as package discovery does.
+type lister interface {
+	Run(context.Context)
+	Move(addr string)
+	Listed() <-chan struct{}
 }
 
 // Kind is what a final answer says.
@@ -52,6 +65,9 @@
 	Served               // with a node's value
 	Refused              // trying again is harmless
 	Repeated             // a request of the same id is open: that one is served, this was not taken
+	Granted              // a node, under a lease: who asked sends it there itself
+	Over                 // of a Handed request: it was reported as served, unsent or never; nothing is granted any more
+	Other                // of a Handed request: its id was asked with other particulars
 )
 
 // Answer is the one final answer to a request; a front words it in its protocol.
@@ -59,15 +75,25 @@
 	Kind       Kind
 	Value      []byte
 	RetryAfter time.Duration // of a refusal; 0: no advice
+	Grant      Grant         // of Granted
+	State      lease.State   // of Over
 }
 
 // Place is where a front waits for the one final answer. Answer never blocks, and is called once.
 type Place interface{ Answer(Answer) }
 
-// Command is what an attempt writes to a node.
-type Command interface {
-	// Encode returns the command in the nodes' protocol, with the time that is left for its answer.
-	Encode(left time.Duration) []byte
+// pool is the connections to the nodes, as package nodes keeps them.
+type pool interface {
+	Set(list []nodes.Entry, whole bool)
+	Servers() []logic.Server
+	Start(a *nodes.Attempt, id logic.ServerID)
+	Moot(a *nodes.Attempt, id logic.ServerID)
+	GiveUp(a *nodes.Attempt, why logic.Outcome)
+	Handle(nodes.Event)
+	Knows(id logic.ServerID) bool
+	Addr(id logic.ServerID) (addr string, serves bool)
+	CloseIdle(id logic.ServerID)
+	RetireIdle()
 }
 
 // Request is a client's request as a front hands it in. Its exported fields are set before and not changed after, but by
@@ -76,9 +102,9 @@
 	logic.Request
 	Key      uint64 // the client's own id: of two open requests of one id, the later is answered Repeated
 	Place    Place
-	Command  Command
+	Command  nodes.Command
 	Size     int // bytes that it holds
-	attempts []*attempt
+	attempts []*nodes.Attempt
 	out      int
 	final    bool
 }
@@ -99,12 +125,12 @@
 // exported methods are safe for many goroutines.
 type Core struct {
 	cfg     Config
-	net     wire.Connections
+	net     settings.Connections
 	log     *slog.Logger
 	classes map[string]logic.Class
 	plans   map[string]bool
 	counter store.Counter // nil: the settings know none
-	disc    *discovery
+	disc    lister
 	events  chan event
 	stopped chan struct{}
 	spawned sync.WaitGroup
@@ -119,17 +145,15 @@
 	requests  map[logic.RequestID]*Request
 	keys      map[uint64]bool // ids of requests whose time is not up, ended or not
 	lastID    logic.RequestID
-	backends  map[logic.ServerID]*backend
-	heldBytes int  // bytes of their commands
-	conns     int  // to backends
-	starved   bool // an attempt waits because of mostConns
+	nodes     pool
+	heldBytes int // bytes of their commands
 	actions   []logic.Action
 	queue     []logic.Event // for the module, from actions that ended at once
 
-	mostConns int          // of conns
-	mostHeld  int          // of heldBytes
-	mostUnits float64      // of one request
-	frames    *resp.Budget // memory of answers that are coming in
+	handing   *handing // nil: no front hands attempts out
+	mostConns int      // to nodes
+	mostHeld  int      // of heldBytes
+	mostUnits float64  // of one request
 }
 
 // New checks the configuration and returns a core that does not run yet.
@@ -165,9 +189,13 @@
 	g := &Core{cfg: cfg, net: cfg.Connections, log: log, classes: map[string]logic.Class{}, plans: map[string]bool{},
 		events: make(chan event, eventQueue), stopped: make(chan struct{}), start: start,
 		epoch: time.Duration(start.UnixNano()), mod: mod, requests: map[logic.RequestID]*Request{},
-		keys: map[uint64]bool{}, backends: map[logic.ServerID]*backend{}, mostConns: cfg.Sockets * 3 / 8,
-		mostHeld: cfg.Memory / memoryShare, mostUnits: cmp.Or(cfg.Settings.MaxUnits, math.MaxFloat64),
-		frames: resp.NewBudget(cfg.Memory / memoryShare)}
+		keys: map[uint64]bool{}, mostConns: cfg.Sockets * 3 / 8,
+		mostHeld: cfg.Memory / memoryShare, mostUnits: cmp.Or(cfg.Settings.MaxUnits, math.MaxFloat64)}
+	g.nodes = nodes.New(owner{g}, nodes.Config{ConnectTimeout: cfg.Connections.ConnectTimeout, Idle: cfg.Connections.Idle, MostConns: g.mostConns,
+		Frames: resp.NewBudget(cfg.Memory / memoryShare)})
+	if cfg.Leases != nil {
+		g.handing = newHanding(*cfg.Leases)
+	}
 	for _, c := range cfg.Settings.Classes {
 		g.classes[c.Name] = c
 	}
@@ -180,14 +208,14 @@
 			return nil, err
 		}
 	}
-	g.disc = newDiscovery(cfg.Discovery, cfg.Known.Rev, g.post, log)
+	g.disc = discovery.New(cfg.Discovery, cfg.Known.Rev, func(f discovery.List) { g.post(f) }, log)
 	return g, nil
 }
 
 // Move goes over to discovery and a counter at other addresses. It waits for nothing, may come at any time, and
-// the last of several counts. Clients, backends and the module's books are left as they are.
+// the last of several counts. Clients, nodes and the module's books are left as they are.
 func (g *Core) Move(discovery, counter string) {
-	g.disc.moves.Set(discovery)
+	g.disc.Move(discovery)
 	if g.counter != nil {
 		g.counter.Move(counter)
 	}
@@ -201,11 +229,11 @@
 	if g.counter != nil {
 		g.spawn(g.counter.Run)
 	}
-	g.spawn(g.disc.run)
+	g.spawn(g.disc.Run)
 }
 
 // Listed closes when discovery has brought a first list, or that has failed.
-func (g *Core) Listed() <-chan struct{} { return g.disc.first }
+func (g *Core) Listed() <-chan struct{} { return g.disc.Listed() }
 
 // End stops at once, whatever is open, and waits for all goroutines.
 func (g *Core) End() {
@@ -272,7 +300,7 @@
 // known hands the module the list that the configuration brought, before anything else.
 func (g *Core) known() {
 	g.now = g.clock(time.Now())
-	f := g.cfg.Known.usable(g.log)
+	f := g.cfg.Known.Usable(g.log)
 	f.All = true
 	g.handle(f)
 }
@@ -310,7 +338,7 @@
 }
 
 func (g *Core) checkIdle() {
-	g.retireIdle()
+	g.nodes.RetireIdle()
 	g.after(idleCheck, g.checkIdle)
 }
 
@@ -322,16 +350,18 @@
 		for _, r := range ev.reqs {
 			g.abandon(r)
 		}
-	case connUp:
-		g.connUp(ev)
-	case connDown:
-		g.connDown(ev)
-	case replied:
-		g.replied(ev)
+	case nodes.Event:
+		g.nodes.Handle(ev)
 	case counted:
 		g.counted(ev)
-	case Fleet:
+	case discovery.List:
 		g.fleet(ev)
+	case asked:
+		g.asked(ev)
+	case left:
+		g.left(ev)
+	case reported:
+		g.reported(ev)
 	case endAll:
 		for _, r := range g.requests {
 			g.cutOff(r)
@@ -360,8 +390,8 @@
 	case logic.Send:
 		g.send(a)
 	case logic.Cancel:
-		if r := g.requests[a.ID]; r != nil && a.Attempt < len(r.attempts) {
-			g.giveUp(r.attempts[a.Attempt], logic.Cancelled)
+		if r := g.requests[a.ID]; r != nil && !r.Handed && a.Attempt < len(r.attempts) {
+			g.nodes.GiveUp(r.attempts[a.Attempt], logic.Cancelled)
 		}
 	case logic.Refuse:
 		g.answer(g.requests[a.ID], Answer{Kind: Refused, RetryAfter: a.RetryAfter})
@@ -374,11 +404,7 @@
 	case logic.Probe:
 		g.probe(a.Server)
 	case logic.CloseIdle:
-		if be := g.backends[a.Server]; be != nil {
-			for len(be.idle) > 0 {
-				g.closeIdle(be)
-			}
-		}
+		g.nodes.CloseIdle(a.Server)
 	case logic.Watch, logic.Fetch: // the watch is always on: the list held is the answer
 		g.tell(g.held())
 	case logic.Log:
@@ -454,99 +480,87 @@
 // --- attempts ---
 
 func (g *Core) send(s logic.Send) {
-	r, be := g.requests[s.ID], g.backends[s.Server]
+	r := g.requests[s.ID]
 	if r == nil {
 		return
 	}
-	if be == nil { // gone and forgotten
-		be = &backend{Server: logic.Server{ID: s.Server, State: logic.Gone}}
-	}
-	a := &attempt{req: r, n: len(r.attempts), be: be, began: g.now, stop: r.GiveUpAt}
+	a := &nodes.Attempt{Ref: r, N: len(r.attempts), Command: r.Command, Began: g.now, Stop: r.GiveUpAt}
 	if s.StopAt > 0 {
-		a.stop = min(s.StopAt, r.GiveUpAt)
+		a.Stop = min(s.StopAt, r.GiveUpAt)
 	}
 	r.attempts = append(r.attempts, a)
 	r.out++
-	if r.final || a.stop <= g.now || a.n >= g.cfg.Settings.MaxAttempts || be.State != logic.Running {
-		g.end(a, logic.Moot, reply{})
+	if r.final || a.Stop <= g.now || a.N >= g.cfg.Settings.MaxAttempts || r.Handed && !g.grant(r, a, s.Server) {
+		g.nodes.Moot(a, s.Server)
 		return
 	}
-	g.at(a.stop, func() { g.giveUp(a, logic.TimedOut) })
-	g.place(a)
-}
-
-// end tells the module how an attempt ended, once; the first that is served answers the client.
-func (g *Core) end(a *attempt, o logic.Outcome, rep reply) {
-	if a.ended {
+	if r.Handed {
 		return
 	}
-	a.ended = true
-	r := a.req
-	if r == nil {
-		g.tell(logic.ProbeEnded{Server: a.be.ID, Outcome: o, Took: g.now - a.began, Load: rep.load})
+	g.at(a.Stop, func() { g.nodes.GiveUp(a, logic.TimedOut) })
+	g.nodes.Start(a, s.Server)
+}
+
+// attemptEnded tells the module how an attempt ended; the first that is served answers the client.
+func (g *Core) attemptEnded(a *nodes.Attempt, o logic.Outcome, rep nodes.Reply) {
+	if a.Ref == nil {
+		g.tell(logic.ProbeEnded{Server: a.Node(), Outcome: o, Took: g.now - a.Began, Load: rep.Load})
 		return
 	}
-	if o == logic.Done && rep.value == nil {
-		o = logic.Failed
-	}
+	r := a.Ref.(*Request)
 	if o == logic.Done && !r.final {
 		r.final = true
-		r.Place.Answer(Answer{Kind: Served, Value: rep.value})
+		r.Place.Answer(Answer{Kind: Served, Value: rep.Value})
 	}
 	r.out--
-	g.tell(logic.AttemptEnded{ID: r.ID, Attempt: a.n, Server: a.be.ID, Outcome: o, Took: g.now - a.began,
-		Finished: r.final, Load: rep.load})
+	g.ended(r, logic.AttemptEnded{ID: r.ID, Attempt: a.N, Server: a.Node(), Outcome: o, Took: g.now - a.Began,
+		Finished: r.final, Load: rep.Load})
+}
+
+// ended tells the module of an attempt's end.
+func (g *Core) ended(r *Request, ev logic.AttemptEnded) {
+	g.tell(ev)
 	g.forget(r)
 }
 
 func (g *Core) probe(id logic.ServerID) {
-	be := g.backends[id]
-	if be == nil {
+	if !g.nodes.Knows(id) {
 		return
 	}
-	a := &attempt{be: be, began: g.now, stop: g.now + probeTimeout}
-	g.at(a.stop, func() { g.giveUp(a, logic.TimedOut) })
-	g.place(a)
+	a := &nodes.Attempt{Began: g.now, Stop: g.now + probeTimeout}
+	g.at(a.Stop, func() { g.nodes.GiveUp(a, logic.TimedOut) })
+	g.nodes.Start(a, id)
+}
+
+// owner is the core as the pool of connections sees it.
+type owner struct{ g *Core }
+
+// Now, After, Post, Spawn and AttemptEnded are for the pool.
+func (o owner) Now() time.Duration               { return o.g.now }
+func (o owner) After(d time.Duration, do func()) { o.g.after(d, do) }
+func (o owner) Post(ev nodes.Event)              { o.g.post(ev) }
+func (o owner) Spawn(run func(context.Context))  { o.g.spawn(run) }
+func (o owner) AttemptEnded(a *nodes.Attempt, out logic.Outcome, r nodes.Reply) {
+	o.g.attemptEnded(a, out, r)
 }
 
 // --- the list and the counter ---
 
-func (g *Core) fleet(f Fleet) {
+func (g *Core) fleet(f discovery.List) {
 	ev := logic.FleetChanged{Whole: f.All}
-	if f.All {
-		for _, be := range g.backends {
-			be.State = logic.Gone
-		}
-	}
+	entries := make([]nodes.Entry, 0, len(f.Targets))
 	for _, t := range f.Targets {
-		s := t.server()
-		be := g.backends[s.ID]
-		if be == nil {
-			be = &backend{}
-			g.backends[s.ID] = be
-		}
-		be.Server = s
-		if s.State != logic.Gone {
-			be.addr = t.Endpoint
-		}
+		s := t.Server()
+		entries = append(entries, nodes.Entry{Server: s, Addr: t.Endpoint})
 		ev.Servers = append(ev.Servers, s)
 	}
-	g.retireIdle()
+	g.nodes.Set(entries, f.All)
 	g.tell(ev)
-	for _, be := range g.backends {
-		g.drop(be)
-	}
 }
 
 // held is the list as it stands.
 func (g *Core) held() logic.Event {
-	ev := logic.FleetChanged{Whole: true}
-	for _, be := range g.backends {
-		if be.State != logic.Gone {
-			ev.Servers = append(ev.Servers, be.Server)
-		}
-	}
-	return ev
+	return logic.FleetChanged{Whole: true, Servers: g.nodes.Servers()}
 }
 
 // counted is the event of an answer of the shared counter.
--- a/internal/core/store_test.go
+++ b/internal/core/store_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"hitchspring/internal/discovery"
 	"hitchspring/internal/store"
 	"hitchspring/logic"
 )
@@ -19,7 +20,7 @@
 
 // The module hears of each call once: an answer after the time-out is dropped.
 func TestCounterLateAnswerIsDropped(t *testing.T) {
-	g, err := New(testConfig("", Fleet{}), quiet)
+	g, err := New(testConfig("", discovery.List{}), quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,4 +1,7 @@
-package core
+// Package discovery follows the platform's list of nodes: it lists, watches, resumes, and leaves aside what says nothing. In:
+// the agent's address, and the list last held. Out: lists and changes, each posted as it comes. It knows neither the
+// decision module's books nor a connection to a node.
+package discovery
 
 import (
 	"bufio"
@@ -28,14 +31,14 @@
 	maxList      = 1 << 20
 )
 
-// Fleet is discovery's list of backends, or the entries of it that changed.
-type Fleet struct {
+// List is the list of nodes, or the entries of it that changed.
+type List struct {
 	Rev     int64    `json:"rev"`
 	All     bool     `json:"all"`
 	Targets []Target `json:"targets"`
 }
 
-// Target is one backend of the list.
+// Target is one node of the list.
 type Target struct {
 	UID      string  `json:"uid"`
 	Endpoint string  `json:"endpoint"`
@@ -47,7 +50,8 @@
 	BootMS   int64   `json:"boot_ms"`
 }
 
-func (t Target) server() logic.Server {
+// Server is the entry as the decision module has it; an unknown state is draining.
+func (t Target) Server() logic.Server {
 	s := logic.Server{ID: logic.ServerID(t.UID), Zone: t.Zone, Kind: t.Model, Cell: t.Group, Size: t.Capacity,
 		Started: time.Duration(t.BootMS) * time.Millisecond}
 	switch t.State {
@@ -59,26 +63,34 @@
 	return s
 }
 
-// discovery keeps the gateway's list of backends up to date.
-type discovery struct {
+// Watcher keeps an instance's list of nodes up to date.
+type Watcher struct {
 	url    string
 	rev    int64
 	client *http.Client
 	moves  store.Latest[string]
-	post   func(event)
+	post   func(List)
 	first  chan struct{} // closed after the first list, or when that failed
 	log    *slog.Logger
 }
 
-func newDiscovery(addr string, rev int64, post func(event), log *slog.Logger) *discovery {
-	return &discovery{url: listURL(addr), rev: rev, moves: store.NewLatest[string](), post: post, log: log,
+// New returns a watcher of the agent at an address, which holds the list of a revision already. It posts every further list
+// and change from its own goroutine.
+func New(addr string, rev int64, post func(List), log *slog.Logger) *Watcher {
+	return &Watcher{url: listURL(addr), rev: rev, moves: store.NewLatest[string](), post: post, log: log,
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true}}, first: make(chan struct{})}
 }
 
 func listURL(addr string) string { return "http://" + addr + "/registry/instances" }
 
-// run lists and watches until ctx ends, at each address that it is moved to in turn.
-func (d *discovery) run(ctx context.Context) {
+// Listed closes when a first list has come, or that has failed.
+func (d *Watcher) Listed() <-chan struct{} { return d.first }
+
+// Move goes over to another address; of several the last counts. It waits for nothing.
+func (d *Watcher) Move(addr string) { d.moves.Set(addr) }
+
+// Run lists and watches until ctx ends, at each address that it is moved to in turn.
+func (d *Watcher) Run(ctx context.Context) {
 	defer d.client.CloseIdleConnections()
 	first := sync.OnceFunc(func() { close(d.first) })
 	for ctx.Err() == nil {
@@ -103,7 +115,7 @@
 }
 
 // follow lists, then watches, at one address. Whatever breaks the watch, it resumes from the version held.
-func (d *discovery) follow(ctx context.Context, listed func()) {
+func (d *Watcher) follow(ctx context.Context, listed func()) {
 	if err := d.list(ctx); err != nil && ctx.Err() == nil {
 		d.log.Warn("discovery: no list yet", "err", err)
 	}
@@ -126,7 +138,7 @@
 }
 
 // list brings the whole list once.
-func (d *discovery) list(ctx context.Context) error {
+func (d *Watcher) list(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	body, err := d.get(ctx, d.url)
@@ -142,7 +154,7 @@
 }
 
 // watch follows the changes; it always ends with an error.
-func (d *discovery) watch(ctx context.Context) error {
+func (d *Watcher) watch(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silence := time.AfterFunc(watchSilence, cancel)
@@ -169,7 +181,7 @@
 	return errors.New("watch: closed")
 }
 
-func (d *discovery) get(ctx context.Context, url string) (io.ReadCloser, error) {
+func (d *Watcher) get(ctx context.Context, url string) (io.ReadCloser, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
@@ -186,8 +198,8 @@
 }
 
 // tell passes a list or a change on.
-func (d *discovery) tell(text []byte) error {
-	var f Fleet
+func (d *Watcher) tell(text []byte) error {
+	var f List
 	if err := json.Unmarshal(text, &f); err != nil {
 		return fmt.Errorf("list: %w", err)
 	}
@@ -196,12 +208,12 @@
 		return nil
 	}
 	d.rev = f.Rev
-	d.post(f.usable(d.log))
+	d.post(f.Usable(d.log))
 	return nil
 }
 
-// usable is the list without the entries that say nothing.
-func (f Fleet) usable(log *slog.Logger) Fleet {
+// Usable is the list without the entries that say nothing.
+func (f List) Usable(log *slog.Logger) List {
 	f.Targets = slices.DeleteFunc(slices.Clone(f.Targets), func(t Target) bool {
 		err := t.check()
 		if err != nil {
@@ -212,7 +224,7 @@
 	return f
 }
 
-// check says what makes an entry useless. One that tells only that a backend is gone needs no address.
+// check says what makes an entry useless. One that tells only that a node is gone needs no address.
 func (t Target) check() error {
 	if t.UID == "" {
 		return errors.New("no id")
--- /dev/null
+++ b/internal/front/forwardauth/rules.go
@@ -0,0 +1,140 @@
+package forwardauth
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+)
+
+// Rule says what a request is, by its method and path.
+type Rule struct {
+	Method string  // empty: any
+	Path   string  // segments; {channel} stands for the channel, * for any one segment, a last ** for any rest
+	Class  string  // of the settings
+	Plan   string  // of the settings; empty: a header says
+	Units  float64 // 0: a header says, else 1
+}
+
+// Table is the rules in their order; the first that fits counts. It does not change once made.
+type Table struct{ rules []rule }
+
+type rule struct {
+	Rule
+	segments []string
+}
+
+// NewTable checks the rules; the error names the rule, from 0.
+func NewTable(rules []Rule) (*Table, error) {
+	t := &Table{}
+	for i, r := range rules {
+		if !strings.HasPrefix(r.Path, "/") {
+			return nil, fmt.Errorf("rule[%d]: path %q does not begin with /", i, r.Path)
+		}
+		segs := strings.Split(r.Path[1:], "/")
+		for k, s := range segs {
+			switch {
+			case s == "**" && k != len(segs)-1:
+				return nil, fmt.Errorf("rule[%d]: path %q: ** stands last or not at all", i, r.Path)
+			case strings.ContainsAny(s, "{}") && s != "{channel}":
+				return nil, fmt.Errorf("rule[%d]: path %q: %q is no segment, want {channel}", i, r.Path, s)
+			}
+		}
+		if r.Class == "" {
+			return nil, fmt.Errorf("rule[%d]: class is missing", i)
+		}
+		if !(r.Units >= 0) {
+			return nil, fmt.Errorf("rule[%d]: units %v is below 0", i, r.Units)
+		}
+		t.rules = append(t.rules, rule{r, segs})
+	}
+	return t, nil
+}
+
+// Match finds the first rule that fits. channel is what stood at {channel}.
+func (t *Table) Match(method string, segments []string) (r Rule, channel string, ok bool) {
+	for _, x := range t.rules {
+		if x.Method != "" && !strings.EqualFold(x.Method, method) {
+			continue
+		}
+		if channel, ok := x.fits(segments); ok {
+			return x.Rule, channel, true
+		}
+	}
+	return Rule{}, "", false
+}
+
+func (x *rule) fits(segments []string) (channel string, ok bool) {
+	for i, want := range x.segments {
+		if want == "**" {
+			return channel, true
+		}
+		if i >= len(segments) {
+			return "", false
+		}
+		switch want {
+		case "*":
+		case "{channel}":
+			channel = segments[i]
+		default:
+			if want != segments[i] {
+				return "", false
+			}
+		}
+	}
+	return channel, len(segments) == len(x.segments)
+}
+
+var errPath = errors.New("the path can be read in more than one way")
+
+// Segments takes a request's target apart. What a server behind might read as another path than this one is refused, not
+// mended: dot segments, empty ones, parameters behind a semicolon, an encoded slash or dot, a backslash, a control character.
+func Segments(target string) ([]string, error) {
+	if i := strings.IndexAny(target, "?#"); i >= 0 {
+		target = target[:i]
+	}
+	if !strings.HasPrefix(target, "/") || len(target) > 8<<10 {
+		return nil, errPath
+	}
+	if target == "/" {
+		return []string{""}, nil
+	}
+	segs := strings.Split(target[1:], "/")
+	for i, s := range segs {
+		plain, err := url.PathUnescape(s)
+		if err != nil {
+			return nil, errPath
+		}
+		if plain == "" && i != len(segs)-1 || plain == "." || plain == ".." || strings.ContainsAny(plain, "/\\;%") {
+			return nil, errPath
+		}
+		for _, c := range []byte(plain) {
+			if c < 0x20 || c == 0x7f {
+				return nil, errPath
+			}
+		}
+		segs[i] = plain
+	}
+	return segs, nil
+}
+
+// original is the method and target of the request that the gate asks about, as the gates word it: X-Forwarded-Method and
+// -Uri (Traefik, Caddy), X-Original-Method and -URI (nginx, as its configuration sets them), or the call's own behind a
+// prefix (Envoy).
+func original(r *http.Request, prefix string) (method, target string) {
+	method, target = r.Header.Get("X-Forwarded-Method"), r.Header.Get("X-Forwarded-Uri")
+	if target == "" {
+		method, target = r.Header.Get("X-Original-Method"), r.Header.Get("X-Original-Uri")
+	}
+	if target == "" {
+		method, target = r.Method, strings.TrimPrefix(r.RequestURI, strings.TrimSuffix(prefix, "/"))
+		if target == "" {
+			target = "/"
+		}
+	}
+	if method == "" {
+		method = r.Method
+	}
+	return method, target
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -1,4 +1,4 @@
-// Package ingress puts the lean ingress together: the core, and the front for the platform's clients.
+// Package ingress puts the lean ingress together: the core, the front for the platform's clients, and the one for gates.
 package ingress
 
 import (
@@ -7,9 +7,15 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"net/http"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
 	"hitchspring/internal/core"
+	"hitchspring/internal/front/forwardauth"
 	"hitchspring/internal/front/resp"
 	"hitchspring/internal/store"
 	"hitchspring/internal/store/tally"
@@ -20,15 +26,27 @@
 	graceOpen = 600 * time.Millisecond  // after SIGTERM: new connections go on being served
 	graceAll  = 3300 * time.Millisecond // after SIGTERM: everything is answered by then
 	spare     = 32                      // descriptors for the counter, discovery, the listener and the runtime
+
+	mostMetrics = 8  // connections and calls for figures
+	leastConns  = 32 // of clients
 )
 
 // Config is all that an ingress is told.
 type Config struct {
 	Listen  string
 	Counter string // the address of tally, where Store is nil
+	Auth    *Auth  // nil: no gate may ask
+	Metrics string // host:port where figures are served; empty: nowhere
 	core.Config
 }
 
+// Auth is the front for gates.
+type Auth struct {
+	Listen string
+	Config forwardauth.Config
+	Table  *forwardauth.Table
+}
+
 // Gateway is one ingress.
 type Gateway struct {
 	cfg   Config
@@ -36,6 +54,9 @@
 	log   *slog.Logger
 	ready chan struct{}
 	addr  net.Addr
+	auth  *forwardauth.Front // nil: off
+	at    net.Addr           // of auth
+	reg   *prometheus.Registry
 }
 
 // New checks the configuration and returns an ingress that does not run yet.
@@ -57,9 +78,23 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Gateway{cfg: cfg, core: c, log: log, ready: make(chan struct{})}, nil
+	g := &Gateway{cfg: cfg, core: c, log: log, ready: make(chan struct{}), reg: prometheus.NewRegistry()}
+	if cfg.Auth != nil {
+		g.auth = forwardauth.New(cfg.Auth.Config, cfg.Auth.Table, c, log, g.reg)
+	}
+	return g, nil
+}
+
+// SetRules puts another table of rules in force at the front for gates; it does nothing where that is off.
+func (g *Gateway) SetRules(t *forwardauth.Table) {
+	if g.auth != nil {
+		g.auth.SetTable(t)
+	}
 }
 
+// AuthAddr is where gates ask, once Ready has closed; nil where that is off.
+func (g *Gateway) AuthAddr() net.Addr { return g.at }
+
 // Ready closes when clients are taken.
 func (g *Gateway) Ready() <-chan struct{} { return g.ready }
 
@@ -84,6 +119,33 @@
 		return fmt.Errorf("listening: %w", err)
 	}
 	conns, memory := g.core.Room()
+	if g.auth != nil {
+		conns -= g.cfg.Auth.Config.MostConns
+	}
+	if g.cfg.Metrics != "" {
+		conns -= mostMetrics
+	}
+	if conns-spare < leastConns {
+		return fmt.Errorf("the limit on sockets leaves %d for clients, %d at least are wanted: fewer forward_auth.connections", conns-spare, leastConns)
+	}
+	var gates net.Listener
+	if g.auth != nil {
+		if gates, err = net.Listen("tcp", g.cfg.Auth.Listen); err != nil {
+			ln.Close()
+			return fmt.Errorf("listening for gates: %w", err)
+		}
+		g.at = gates.Addr()
+		g.auth.Start(gates)
+	}
+	endMetrics, err := g.serveMetrics()
+	if err != nil {
+		ln.Close()
+		if gates != nil {
+			g.auth.Drain(ctx)
+		}
+		return err
+	}
+	defer endMetrics()
 	f := resp.New(ln, g.core, conns-spare, memory)
 	f.Start()
 	g.addr = ln.Addr()
@@ -94,9 +156,44 @@
 	g.log.Info("shutting down")
 	limit, cancel := context.WithTimeout(context.Background(), graceAll)
 	defer cancel()
+	if g.auth != nil {
+		g.auth.Unready()
+	}
 	time.Sleep(graceOpen)
 	last := time.AfterFunc(graceAll-graceOpen-100*time.Millisecond, g.core.EndAll)
 	defer last.Stop()
+	gatesDone := make(chan struct{})
+	go func() {
+		defer close(gatesDone)
+		if g.auth != nil {
+			g.auth.Drain(limit)
+		}
+	}()
 	f.Drain(limit)
+	<-gatesDone
 	return nil
 }
+
+// serveMetrics serves the figures where the settings name a place for them.
+func (g *Gateway) serveMetrics() (end func(), err error) {
+	if g.cfg.Metrics == "" {
+		return func() {}, nil
+	}
+	ln, err := net.Listen("tcp", g.cfg.Metrics)
+	if err != nil {
+		return nil, fmt.Errorf("listening for metrics: %w", err)
+	}
+	g.reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(g.reg, promhttp.HandlerOpts{MaxRequestsInFlight: mostMetrics}))
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 2 * time.Second, WriteTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 8 << 10}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		srv.Serve(ln)
+	}()
+	return func() {
+		srv.Close()
+		<-done
+	}, nil
+}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -15,23 +15,24 @@
 	"github.com/tidwall/redcon"
 
 	"hitchspring/internal/core"
+	"hitchspring/internal/discovery"
 	"hitchspring/internal/resp"
+	"hitchspring/internal/settings"
 	"hitchspring/internal/standin/scripted"
-	"hitchspring/internal/wire"
 	"hitchspring/logic"
 )
 
-func fleetOf(addrs ...string) core.Fleet {
-	f := core.Fleet{Rev: 1, All: true}
+func fleetOf(addrs ...string) discovery.List {
+	f := discovery.List{Rev: 1, All: true}
 	for i, a := range addrs {
-		f.Targets = append(f.Targets, core.Target{UID: fmt.Sprint("s", i), Endpoint: a, Zone: "a", State: "SERVING"})
+		f.Targets = append(f.Targets, discovery.Target{UID: fmt.Sprint("s", i), Endpoint: a, Zone: "a", State: "SERVING"})
 	}
 	return f
 }
 
 const served = "*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
 
-func testConfig(disc string, known core.Fleet) Config {
+func testConfig(disc string, known discovery.List) Config {
 	return Config{Listen: "127.0.0.1:0", Config: core.Config{Discovery: disc, Sockets: 256, Known: known,
 		Settings: logic.Settings{Gateways: 1, MaxAttempts: 1, MayCancel: true, MaxUnits: 4,
 			Classes: []logic.Class{
@@ -39,7 +40,7 @@
 				{Name: "write", Worth: 1, Aim: 20 * time.Second, Deadline: 60 * time.Second, Effect: logic.Unsafe},
 				{Name: "keyed", Worth: 1, Aim: 20 * time.Second, Deadline: 60 * time.Second, Effect: logic.Keyed}},
 			Plans: []logic.Plan{{Name: "p", Price: 1}}},
-		Connections: wire.Connections{Idle: 15 * time.Second, ConnectTimeout: 5 * time.Second}}}
+		Connections: settings.Connections{Idle: 15 * time.Second, ConnectTimeout: 5 * time.Second}}}
 }
 
 // startIngress runs an ingress and returns its address and what stops it and gives Run's result.
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,226 @@
+package lease
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const s = time.Second
+
+func book() *Book { return New(Config{Timeout: 2 * s, StartWithin: s / 2, Keep: 3 * s, Most: 4}) }
+
+func open(t *testing.T, b *Book, id string, giveUp time.Duration) *Request {
+	t.Helper()
+	r, err := b.Open(id, 1, giveUp)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// One attempt through all of its ends.
+func TestEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		report Outcome
+		want   State
+	}{"served": {OutServed, Served}, "unsent": {OutUnsent, Unsent}, "turned away": {OutRefused, Open}, "failed": {OutFailed, Open}, "silent": {0, Lapsed}} {
+		b := book()
+		r := open(t, b, "a", 5*s)
+		l := b.Grant(s, r, "x", "n1", "h:1", 0, 5*s)
+		if l == nil || l.StartBy != s+s/2 || l.Ends != 3*s || r.State != Granted || b.Out() != 1 {
+			t.Fatalf("%s: %+v", name, l)
+		}
+		if c.report == 0 {
+			if out := b.Expire(3 * s); len(out) != 1 || out[0] != r {
+				t.Fatal(out)
+			}
+		} else if _, _, first, err := b.Report(2*s, "x", c.report); !first || err != nil {
+			t.Fatal(name, first, err)
+		}
+		if r.State != c.want || b.Out() != 0 {
+			t.Errorf("%s: %v, want %v; %d out", name, r.State, c.want, b.Out())
+		}
+	}
+}
+
+// A report is idempotent; another one, a late one and one of nothing are told apart.
+func TestReports(t *testing.T) {
+	b := book()
+	r := open(t, b, "a", 5*s)
+	b.Grant(0, r, "x", "n1", "h:1", 0, 5*s)
+	for i, c := range []struct {
+		name  string
+		o     Outcome
+		first bool
+		err   error
+	}{{"x", OutFailed, true, nil}, {"x", OutFailed, false, nil}, {"x", OutServed, false, ErrConflict}, {"y", OutServed, false, ErrUnknown}} {
+		if _, _, first, err := b.Report(s, c.name, c.o); first != c.first || !errors.Is(err, c.err) {
+			t.Errorf("%d: %v, %v", i, first, err)
+		}
+	}
+	b.Grant(s, r, "z", "n2", "h:2", 1, 5*s) // another attempt of the same request
+	if out := b.Expire(4 * s); len(out) != 1 {
+		t.Fatal(out)
+	}
+	if _, _, first, err := b.Report(4*s, "z", OutServed); first || !errors.Is(err, ErrLate) {
+		t.Fatal(first, err)
+	}
+	if _, l, first, err := b.Report(4*s, "x", OutFailed); first || err != nil || l.Node != "n1" {
+		t.Fatal("the first attempt's report is forgotten", err)
+	}
+	if b.Expire(8 * s); b.Len() != 0 {
+		t.Fatal("kept for good")
+	}
+}
+
+// The same id within its time is the same request; with other particulars it is an error; another case is another id.
+func TestFind(t *testing.T) {
+	b := book()
+	r := open(t, b, "Abc", 5*s)
+	if got, err := b.Find("Abc", 1); got != r || err != nil {
+		t.Fatal(got, err)
+	}
+	if _, err := b.Find("Abc", 2); !errors.Is(err, ErrOther) {
+		t.Fatal(err)
+	}
+	if got, err := b.Find("abc", 1); got != nil || err != nil {
+		t.Fatal(got, err)
+	}
+	b.Forget(r)
+	if got, _ := b.Find("Abc", 1); got != nil || b.Len() != 0 {
+		t.Fatal("not forgotten")
+	}
+	for i := range 4 {
+		open(t, b, fmt.Sprint(i), s)
+	}
+	if _, err := b.Open("5", 1, s); !errors.Is(err, ErrFull) {
+		t.Fatal(err)
+	}
+}
+
+// machine plays the book against a plain list.
+type machine struct {
+	b     *Book
+	now   time.Duration
+	reqs  map[string]*Request
+	plain map[string]*plainLease
+	names int
+}
+
+type plainLease struct {
+	id   string
+	ends time.Duration
+	out  Outcome
+	gone bool
+}
+
+func (m *machine) Check(t *rapid.T) {
+	out := 0
+	for _, l := range m.plain {
+		if l.out == 0 && !l.gone {
+			out++
+		}
+	}
+	if m.b.Out() != out {
+		t.Fatalf("%d leases out, want %d", m.b.Out(), out)
+	}
+	for id, r := range m.reqs {
+		live := 0
+		for _, l := range m.plain {
+			if l.id == id && l.out == 0 && !l.gone {
+				live++
+			}
+		}
+		if live > 1 || (r.State == Granted) != (live == 1) {
+			t.Fatalf("%s is %v with %d leases out", id, r.State, live)
+		}
+	}
+}
+
+// However asks, grants, reports and time come, a request has one lease out at the most, each lease ends once, and what has
+// ended stays so.
+func TestBook(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{b: New(Config{Timeout: 2 * s, StartWithin: s / 2, Keep: 3 * s, Most: 8}), reqs: map[string]*Request{}, plain: map[string]*plainLease{}}
+		id := rapid.SampledFrom([]string{"a", "A", "b", "c"})
+		t.Repeat(map[string]func(*rapid.T){
+			"": m.Check,
+			"ask": func(t *rapid.T) {
+				k := id.Draw(t, "id")
+				if r, err := m.b.Find(k, 1); r == nil && err == nil {
+					r, err := m.b.Open(k, 1, m.now+5*s)
+					if err != nil {
+						t.Fatal(err)
+					}
+					m.reqs[k] = r
+				} else if r != m.reqs[k] {
+					t.Fatal("another request under the same id")
+				}
+			},
+			"grant": func(t *rapid.T) {
+				r := m.reqs[id.Draw(t, "id")]
+				if r == nil {
+					return
+				}
+				m.names++
+				name := fmt.Sprint("l", m.names)
+				kept, _ := m.b.Find(r.ID, 1)
+				was := r.State
+				l := m.b.Grant(m.now, r, name, "n", "h:1", 0, m.now+s)
+				if (l != nil) != (was == Open && kept == r) {
+					t.Fatalf("granted %v from %v", l != nil, was)
+				}
+				if l != nil {
+					m.plain[name] = &plainLease{id: r.ID, ends: l.Ends}
+				}
+			},
+			"report": func(t *rapid.T) {
+				if m.names == 0 {
+					return
+				}
+				name := fmt.Sprint("l", rapid.IntRange(1, m.names).Draw(t, "lease"))
+				o := Outcome(rapid.IntRange(1, 4).Draw(t, "outcome"))
+				_, _, first, err := m.b.Report(m.now, name, o)
+				p := m.plain[name]
+				want := p != nil && p.out == 0 && !p.gone && m.now <= p.ends
+				if first != want || first && err != nil {
+					t.Fatalf("first %v, want %v, %v", first, want, err)
+				}
+				if first {
+					p.out = o
+				} else if p != nil && p.out == o && err != nil && !errors.Is(err, ErrUnknown) {
+					t.Fatal("a report again is an error:", err)
+				}
+			},
+			"decide": func(t *rapid.T) {
+				if r := m.reqs[id.Draw(t, "id")]; r != nil {
+					was := r.State
+					m.b.Decide(r, Refused, s)
+					if was != Open && r.State != was {
+						t.Fatalf("%v became %v", was, r.State)
+					}
+				}
+			},
+			"time": func(t *rapid.T) {
+				m.now += time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond
+				for _, r := range m.b.Expire(m.now) {
+					if r.State != Lapsed {
+						t.Fatal(r.State)
+					}
+				}
+				for _, l := range m.plain {
+					l.gone = l.gone || l.out == 0 && l.ends <= m.now
+				}
+				for k, r := range m.reqs {
+					if got, _ := m.b.Find(k, 1); got != r {
+						delete(m.reqs, k)
+					}
+				}
+			},
+		})
+	})
+}
--- /dev/null
+++ b/internal/nodes/nodes_test.go
@@ -0,0 +1,306 @@
+package nodes
+
+import (
+	"context"
+	"io"
+	"net"
+	"reflect"
+	"sync"
+	"testing"
+	"time"
+
+	"hitchspring/internal/resp"
+	"hitchspring/internal/standin/scripted"
+	"hitchspring/logic"
+)
+
+const served = scripted.Served
+
+type noCommand struct{}
+
+func (noCommand) Encode(time.Duration) []byte { return []byte("*1\r\n$4\r\nNONE\r\n") }
+
+// testOwner is an owner whose goroutine is the test: it hands the pool the events itself, and moves the clock.
+type testOwner struct {
+	p      *Pool
+	now    time.Duration
+	events chan Event
+	ctx    context.Context
+	wg     sync.WaitGroup
+	alarms []testAlarm
+	ends   []end
+}
+
+type testAlarm struct {
+	at time.Duration
+	do func()
+}
+
+type end struct {
+	a *Attempt
+	o logic.Outcome
+	r Reply
+}
+
+func (g *testOwner) Now() time.Duration { return g.now }
+
+func (g *testOwner) After(d time.Duration, do func()) {
+	g.alarms = append(g.alarms, testAlarm{g.now + d, do})
+}
+
+func (g *testOwner) Post(ev Event) {
+	select {
+	case g.events <- ev:
+	case <-g.ctx.Done():
+	}
+}
+
+func (g *testOwner) Spawn(run func(context.Context)) { g.wg.Go(func() { run(g.ctx) }) }
+
+func (g *testOwner) AttemptEnded(a *Attempt, o logic.Outcome, r Reply) {
+	g.ends = append(g.ends, end{a, o, r})
+}
+
+// ring does what is due.
+func (g *testOwner) ring() {
+	due := g.alarms
+	g.alarms = nil
+	for _, a := range due {
+		if a.at <= g.now {
+			a.do()
+		} else {
+			g.alarms = append(g.alarms, a)
+		}
+	}
+}
+
+func entries(addrs ...string) (out []Entry) {
+	for i, a := range addrs {
+		out = append(out, Entry{logic.Server{ID: logic.ServerID("s" + string(rune('0'+i))), Zone: "a", State: logic.Running}, a})
+	}
+	return out
+}
+
+func newOwner(t *testing.T, addrs ...string) *testOwner {
+	ctx, cancel := context.WithCancel(context.Background())
+	g := &testOwner{now: time.Minute, events: make(chan Event, 64), ctx: ctx}
+	g.p = New(g, Config{ConnectTimeout: 5 * time.Second, Idle: 15 * time.Second, MostConns: 96, Frames: resp.NewBudget(1 << 20)})
+	g.p.Set(entries(addrs...), true)
+	t.Cleanup(func() {
+		cancel()
+		g.wg.Wait()
+	})
+	return g
+}
+
+// A drain counts from when it was told: what waited for a connection then is not written any more.
+func TestDrainStopsWhatWaits(t *testing.T) {
+	be := scripted.NewNode(t, func(int, []string, net.Conn) string { return served })
+	g := newOwner(t, be.Addr)
+	a := waitingAttempt(g, "s0")
+	g.p.place(a)
+	up := (<-g.events).(connUp)
+	f := entries(be.Addr)
+	f[0].State = logic.Draining
+	g.p.Set(f, false)
+	g.p.connUp(up)
+	if ev := g.ends[0]; ev.o != logic.Moot || up.c.cur != nil {
+		t.Fatalf("outcome %v, want moot and nothing on the connection", ev.o)
+	}
+}
+
+// A cancelled attempt that still waits for its connection is moot, and is not written later.
+func TestCancelledWhileItWaits(t *testing.T) {
+	be := scripted.NewNode(t, func(int, []string, net.Conn) string { return served })
+	g := newOwner(t, be.Addr)
+	a := waitingAttempt(g, "s0")
+	g.p.place(a)
+	g.p.GiveUp(a, logic.Cancelled)
+	up := (<-g.events).(connUp)
+	g.p.connUp(up)
+	if ev := g.ends[0]; ev.o != logic.Moot || up.c.cur != nil || len(g.ends) != 1 {
+		t.Fatalf("told %v, want one moot end", g.ends)
+	}
+}
+
+// An idle connection is closed before the node would: a command that crossed that would be a reset.
+func TestIdleConnectionIsRetired(t *testing.T) {
+	be := scripted.NewNode(t, func(int, []string, net.Conn) string { return served })
+	g := newOwner(t, be.Addr)
+	b := g.p.nodes["s0"]
+	b.waiting = append(b.waiting, nil)
+	g.p.dial(b)
+	b.waiting = nil
+	g.p.connUp((<-g.events).(connUp))
+	g.p.RetireIdle()
+	if len(b.idle) != 1 {
+		t.Fatal("a fresh connection was retired")
+	}
+	g.now += g.p.cfg.Idle - time.Second
+	g.p.RetireIdle()
+	if down := (<-g.events).(connDown); len(b.idle) != 0 || !down.up {
+		t.Fatal("an old connection was kept")
+	}
+}
+
+// An answer that was there before its command had been written belongs to another: the attempt never ran.
+func TestAnswerBeforeItsCommand(t *testing.T) {
+	g := newOwner(t, scripted.NewNode(t, nil).Addr)
+	a := waitingAttempt(g, "s0")
+	g.p.place(a)
+	up := (<-g.events).(connUp)
+	up.c.cur = a
+	g.p.Handle(replied{up.c, nil, Reply{outcome: logic.Done, Value: []byte("x"), keep: true}})
+	if a.ended {
+		t.Fatal("served with another's answer")
+	}
+	g.p.Handle(<-g.events)
+	if !a.ended || len(g.ends) != 1 {
+		t.Fatal("not ended with its connection")
+	}
+}
+
+func TestParseReply(t *testing.T) {
+	load := logic.Load{"qps": 7}
+	for in, want := range map[string]Reply{
+		"*3\r\n$1\r\nx\r\n$-1\r\n$5\r\nqps=7\r\n":         {outcome: logic.Done, Value: []byte("x"), Load: load, keep: true},
+		"*3\r\n$1\r\nx\r\n$-1\r\n$7\r\nqps=NaN\r\n":       {outcome: logic.Done, Value: []byte("x"), keep: true},
+		"*3\r\n$1\r\nx\r\n$-1\r\n$12\r\nqps=7,a=+Inf\r\n": {outcome: logic.Done, Value: []byte("x"), keep: true},
+		"*3\r\n$1\r\nx\r\n:7\r\n+ok\r\n":                  {outcome: logic.Done, Value: []byte("x"), keep: true},
+		"*2\r\n$1\r\nx\r\n$-1\r\n":                        {outcome: logic.Failed},
+		"*3\r\n:1\r\n$-1\r\n$-1\r\n":                      {outcome: logic.Failed},
+		"-ERR failed\r\n":                                 {outcome: logic.Failed, keep: true},
+		"-ERR failed qps=7\r\n":                           {outcome: logic.Failed, Load: load, keep: true},
+		"-BUSY qps=7\r\n":                                 {outcome: logic.Full, Load: load, keep: true},
+		"-BUSYBODY\r\n":                                   {outcome: logic.Failed},
+		"-SYNTAX\r\n":                                     {outcome: logic.Failed},
+		"+PONG\r\n":                                       {outcome: logic.Done, keep: true},
+		"+OK\r\n":                                         {outcome: logic.Failed},
+		"$6\r\nqps=-1\r\n":                                {outcome: logic.Done, keep: true},
+	} {
+		if got := parseReply([]byte(in)); !reflect.DeepEqual(got, want) {
+			t.Errorf("%q: %+v, want %+v", in, got, want)
+		}
+	}
+}
+
+// Where all connections that may be open are busy elsewhere, the next that is free makes room: an attempt
+// at another node once waited for good.
+func TestWaitingForTheCapOfAll(t *testing.T) {
+	a, b := scripted.NewNode(t, nil), scripted.NewNode(t, nil)
+	g := newOwner(t, a.Addr, b.Addr)
+	g.p.cfg.MostConns = 1
+	first, second := waitingAttempt(g, "s0"), waitingAttempt(g, "s1")
+	g.p.place(first)
+	up := (<-g.events).(connUp)
+	g.p.Handle(up)
+	g.p.place(second)
+	g.p.Handle(replied{up.c, first, Reply{outcome: logic.Done, keep: true}})
+	g.now += restTime
+	g.ring()
+	for second.conn == nil {
+		g.p.Handle(<-g.events)
+	}
+}
+
+// A node that answers what was not yet written to it must not block the owner's goroutine.
+func TestFullConnectionDoesNotBlock(t *testing.T) {
+	g := newOwner(t, scripted.NewNode(t, nil).Addr)
+	near, far := net.Pipe()
+	defer far.Close()
+	c := &conn{node: g.p.nodes["s0"], nc: near, work: make(chan job, 1)}
+	g.p.write(c, waitingAttempt(g, "s0"))
+	g.p.write(c, waitingAttempt(g, "s0"))
+	if _, err := near.Write(nil); err == nil {
+		t.Fatal("the connection was kept")
+	}
+}
+
+// A command that was cut off before its last byte never ran; one that was written whole may have.
+func TestOnlyWholeCommandsMayHaveRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		read  int
+		whole bool
+	}{"cut off": {3, false}, "whole": {9, true}} {
+		t.Run(name, func(t *testing.T) {
+			near, far := net.Pipe()
+			a := &Attempt{}
+			cn := &conn{nc: near, work: make(chan job, 1), dead: make(chan struct{})}
+			cn.work <- job{a, []byte("123456789")}
+			written := make(chan struct{})
+			go func() {
+				defer close(written)
+				cn.write()
+			}()
+			io.ReadFull(far, make([]byte, c.read))
+			if c.whole {
+				close(cn.dead)
+			} else {
+				far.Close()
+			}
+			<-written
+			if got := cn.whole.Load(); (got == a) != c.whole {
+				t.Fatalf("whole: %v, want %v", got == a, c.whole)
+			}
+		})
+	}
+}
+
+func waitingAttempt(g *testOwner, id logic.ServerID) *Attempt {
+	return &Attempt{Ref: g, Command: noCommand{}, node: g.p.nodes[id], Stop: time.Hour}
+}
+
+// A keyed request may be sent again only while its group remembers it, and the module leaves 10% of that time for
+// the way. A copy that waits for a connection for longer must not be written any more: it never ran.
+func TestWaitForConnectionEnds(t *testing.T) {
+	g := newOwner(t, scripted.NewNode(t, nil).Addr)
+	g.p.cfg.MostConns = 0
+	a := waitingAttempt(g, "s0")
+	g.p.place(a)
+	g.now += g.p.cfg.ConnectTimeout
+	g.ring()
+	if !a.ended || len(a.node.waiting) != 0 {
+		t.Fatal("the attempt still waits for a connection")
+	}
+}
+
+// An attempt that is known to be written whole ends the moment it is given up: a gateway that was busy once
+// failed the request before the connection's own word came.
+func TestWrittenAttemptEndsAtOnce(t *testing.T) {
+	be := scripted.NewNode(t, nil)
+	g := newOwner(t, be.Addr)
+	a := waitingAttempt(g, "s0")
+	g.p.place(a)
+	g.p.Handle(<-g.events)
+	for len(be.Seen()) < 1 || a.conn.whole.Load() != a {
+		time.Sleep(time.Millisecond)
+	}
+	g.p.GiveUp(a, logic.TimedOut)
+	if !a.ended || g.ends[0].o != logic.TimedOut {
+		t.Fatalf("ended: %v, told %v", a.ended, g.ends)
+	}
+}
+
+// Backends come under ever new ids: one that is gone is forgotten as soon as its last connection is, though another may
+// have taken its address by then.
+func TestGoneBackendIsForgotten(t *testing.T) {
+	be := scripted.NewNode(t, func(int, []string, net.Conn) string { return served })
+	g := newOwner(t, be.Addr)
+	a := waitingAttempt(g, "s0")
+	g.p.place(a)
+	up := (<-g.events).(connUp)
+	g.p.Handle(up)
+	f := entries(be.Addr, be.Addr)
+	f[0].State = logic.Gone
+	g.p.Set(f, false)
+	if len(g.p.nodes) != 2 {
+		t.Fatalf("%d nodes while an attempt is out, want 2", len(g.p.nodes))
+	}
+	g.p.Handle(<-g.events) // the answer
+	g.now += restTime
+	g.ring()
+	g.p.Handle(<-g.events) // the connection's end
+	if g.p.conns != 0 || g.p.nodes["s1"] == nil {
+		t.Fatalf("%d connections, nodes %v", g.p.conns, g.p.nodes)
+	}
+}
--- a/internal/store/bench_test.go
+++ b/internal/store/bench_test.go
@@ -14,7 +14,9 @@
 	"time"
 
 	"hitchspring/internal/core"
+	"hitchspring/internal/discovery"
 	"hitchspring/internal/ingress"
+	"hitchspring/internal/settings"
 	"hitchspring/internal/standin/fault"
 	standredis "hitchspring/internal/standin/redis"
 	"hitchspring/internal/standin/scripted"
@@ -23,7 +25,6 @@
 	"hitchspring/internal/store/redis"
 	"hitchspring/internal/store/storetest"
 	"hitchspring/internal/store/tally"
-	"hitchspring/internal/wire"
 	"hitchspring/logic"
 )
 
@@ -165,11 +166,11 @@
 			addr := standIn(b, kind, false)
 			node, agent := silentPeers(b)
 			cfg := ingress.Config{Listen: "127.0.0.1:0", Counter: addr, Config: core.Config{Discovery: agent, Sockets: 256,
-				Known: core.Fleet{Rev: 1, All: true, Targets: []core.Target{{UID: "s", Endpoint: node, State: "SERVING"}}},
+				Known: discovery.List{Rev: 1, All: true, Targets: []discovery.Target{{UID: "s", Endpoint: node, State: "SERVING"}}},
 				Settings: logic.Settings{Gateways: 1, MaxAttempts: 1, MayCancel: true, MaxUnits: 4, Counter: true, CounterTimeout: time.Second,
 					Classes: []logic.Class{{Name: "read", Worth: 1, Aim: 10 * time.Second, Deadline: 20 * time.Second, Effect: logic.Safe}},
 					Plans:   []logic.Plan{{Name: "p", Price: 1, Rate: 1e6, Burst: 1e5}}},
-				Connections: wire.Connections{Idle: time.Minute, ConnectTimeout: time.Second}}}
+				Connections: settings.Connections{Idle: time.Minute, ConnectTimeout: time.Second}}}
 			if kind == "redis" {
 				cfg.Store = func(sink store.Sink) (store.Counter, error) {
 					return redis.New(redis.Options{Address: addr, Prefix: "bench", Timeout: time.Second}, storetest.Quiet, sink)
