--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -31,6 +31,7 @@
 	Compare    compareCmd                `cmd:"" help:"CPU, memory and service of this ingress against another commit's."`
 	Days       daysCmd                   `cmd:"" help:"List the days, or print one."`
 	Redis      redisCmd                  `cmd:"" help:"The Redis stand-in alone, until a signal."`
+	Gate       gateCmd                   `cmd:"" help:"The stand-in gate alone, until a signal."`
 	Version    versionCmd                `cmd:"" help:"Print the revision and the Go version."`
 	Completion kongcompletion.Completion `cmd:"" help:"Print what a shell needs to complete this command line (bash, zsh, fish)."`
 }
--- /dev/null
+++ b/internal/ingress/bench_test.go
@@ -0,0 +1,131 @@
+package ingress
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"hitchspring/internal/core"
+	"hitchspring/internal/discovery"
+	"hitchspring/internal/front/forwardauth"
+	"hitchspring/internal/standin/scripted"
+	"hitchspring/logic"
+)
+
+// BenchmarkFronts puts the two fronts side by side in one process and one run: a request over RESP2, which the ingress sends to
+// a node itself, and a call over HTTP with its report, where the caller would send it. Both figures hold the client's own
+// cost; cpu-us is user and system time of the whole process for one.
+func BenchmarkFronts(b *testing.B) {
+	list := discovery.List{Rev: 1, All: true}
+	for i := range 8 {
+		be := scripted.NewNode(b, func(int, []string, net.Conn) string { return served })
+		list.Targets = append(list.Targets, discovery.Target{UID: fmt.Sprint("s", i), Endpoint: be.Addr, Zone: "a", State: "SERVING"})
+	}
+	table, err := forwardauth.NewTable(nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	cfg := testConfig(scripted.Registry(b, list, nil), list)
+	cfg.Sockets = 4096
+	cfg.Settings.Classes[0].Deadline = time.Second
+	cfg.Settings.Classes[0].Aim = time.Second
+	cfg.Settings.Plans = []logic.Plan{{Name: "p", Price: 1}}
+	cfg.Auth = &Auth{Listen: "127.0.0.1:0", Table: table, Config: forwardauth.Config{Header: "X-Hitch", Trusted: []netip.Prefix{netip.MustParsePrefix("127.0.0.1/32")}, MostCalls: 1000,
+		MostConns: 600, MostHeader: 8 << 10, MostBody: 8 << 10, HeaderTime: 5 * time.Second, IdleTime: time.Minute, MostReports: 10}}
+	cfg.Leases = &core.Leases{Timeout: 10 * time.Second, StartWithin: 500 * time.Millisecond, Keep: time.Second, Most: 1 << 20}
+	g, err := New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- g.Run(ctx) }()
+	<-g.Ready()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	var id atomic.Int64
+	cpu := func() time.Duration {
+		var u syscall.Rusage
+		syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+		return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	}
+	measure := func(b *testing.B, one func(*testing.PB)) {
+		before := cpu()
+		b.ResetTimer()
+		b.RunParallel(one)
+		b.ReportMetric(float64((cpu()-before).Microseconds())/float64(b.N), "cpu-us/op")
+	}
+	b.Run("resp", func(b *testing.B) {
+		measure(b, func(pb *testing.PB) {
+			nc, err := net.Dial("tcp", g.Addr().String())
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			defer nc.Close()
+			in := bufio.NewReader(nc)
+			for pb.Next() {
+				io.WriteString(nc, command("Q.ASK", "00000000b4d65521", fmt.Sprintf("%016x", id.Add(1)), "c=read,t=p,d=900,units=1,spread=1,first=0"))
+				if l, err := in.ReadString('\n'); err != nil || l[0] == '$' && func() bool { _, err := in.ReadString('\n'); return err != nil }() {
+					b.Error(l, err)
+					return
+				}
+			}
+		})
+	})
+	tr := &http.Transport{MaxIdleConnsPerHost: 100}
+	defer tr.CloseIdleConnections()
+	client := &http.Client{Transport: tr}
+	base := "http://" + g.AuthAddr().String()
+	body := []byte(`{"outcome":"served"}`)
+	http1 := func(b *testing.B, report bool) {
+		measure(b, func(pb *testing.PB) {
+			for pb.Next() {
+				req, _ := http.NewRequest("GET", base+"/x", nil)
+				req.Header = http.Header{"X-Hitch-Class": {"read"}, "X-Hitch-Plan": {"p"}, "X-Hitch-Channel": {"b4d65521"}}
+				resp, err := client.Do(req)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				lease := resp.Header.Get("X-Hitch-Lease")
+				if !report || lease == "" {
+					continue
+				}
+				if resp, err = client.Post(base+"/v1/attempts/"+lease, "application/json", bytes.NewReader(body)); err != nil {
+					b.Error(err)
+					return
+				}
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+			}
+		})
+	}
+	b.Run("http and report", func(b *testing.B) { http1(b, true) })
+	b.Run("http, bare", func(b *testing.B) { // what net/http and its client cost by themselves
+		measure(b, func(pb *testing.PB) {
+			for pb.Next() {
+				resp, err := client.Get(base + "/healthz")
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				resp.Body.Close()
+			}
+		})
+	})
+}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -120,6 +120,30 @@
 	}
 }
 
+// Both fronts at once, one channel of storby at five times its quota and more through each, over three ingresses, while gates
+// time out, die after the grant, report twice, late or never: by what the nodes saw every rule holds, and neither front is
+// favoured.
+func TestBothFronts(t *testing.T) {
+	for i, faults := range [][]string{nil, {"drop-before share 0.1"}, {"drop-after share 0.03"}, {"repeat share 0.3"}, {"late 700ms share 0.1"}, {"swallow share 0.03"}, {"delay 800ms share 0.05"}} {
+		t.Run(fmt.Sprint(faults), func(t *testing.T) {
+			t.Parallel()
+			cfg := testConfig(t)
+			cfg.Seed += 80 + uint64(i)
+			cfg.HTTP, cfg.GateFault = 0.5, faults
+			cfg.Faults = []string{"node/1:drain at 500ms", "node/4:restart at 1s", "node/2:drop-after for 2s share 0.2 at 1s", "node/5:drop-before for 2s share 0.2 at 1s"}
+			r := play(t, cfg)
+			holds(t, r)
+			a, h := r.Fronts["resp"], r.Fronts["http"]
+			if a.Asked == 0 || h.Asked == 0 || h.Served == 0 {
+				t.Fatalf("seed %d: %+v", r.Seed, r.Fronts)
+			}
+			if faults == nil && (h.Served/h.Asked < 0.6*a.Served/a.Asked || a.Served/a.Asked < 0.6*h.Served/h.Asked) {
+				t.Errorf("seed %d: one front is favoured: %+v", r.Seed, r.Fronts)
+			}
+		})
+	}
+}
+
 // A node that stamps late makes no break: an attempt that is given up long before its node gets to it was sent in time.
 func TestDelayIsNoBreak(t *testing.T) {
 	t.Parallel()
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -54,6 +54,9 @@
 	Closest        float64 // most units beyond what the ceiling allowed, as a share of its store; below 0 it stayed under
 }
 
+// Share is what one front's clients asked for and got, of the channels under a ceiling that ask for more than their quota.
+type Share struct{ Asked, Served float64 } // units of wishes
+
 // Second is one second of a run, by when wishes were due.
 type Second struct {
 	Wishes, InTime, Refused int
@@ -93,8 +96,9 @@
 	LabCores        float64 // that the lab and its stand-ins took
 	Processes       []Process
 	Channels        []Channel
-	WorstOverrun    float64 // the most of all channels, as a share of the ceiling
-	BeyondShare     float64 // units passed on beyond quotas, as a share of those inside
+	WorstOverrun    float64          // the most of all channels, as a share of the ceiling
+	Fronts          map[string]Share // resp and http
+	BeyondShare     float64          // units passed on beyond quotas, as a share of those inside
 	Rules           map[string]int
 	Breaks          []audit.Break
 	Edges           audit.Edges
@@ -228,7 +232,7 @@
 	evidence := w.evidence()
 	verdict := audit.Judge(w.rules(), evidence)
 	r := &Report{Day: w.day.Name, Seed: w.cfg.Seed, Store: w.day.Store, Seconds: seconds, BeganS: w.load.began.Seconds(), Faults: w.notes, Dropped: int(w.load.dropped.Load()), Processes: procs,
-		Breaks: verdict.Breaks, Rules: map[string]int{}, verdict: verdict, Edges: verdict.Edges, Unmet: w.day.Must.Unmet(verdict.Edges),
+		Breaks: verdict.Breaks, Rules: map[string]int{}, Fronts: map[string]Share{}, verdict: verdict, Edges: verdict.Edges, Unmet: w.day.Must.Unmet(verdict.Edges),
 		LateMS: float64(verdict.Late.Microseconds()) / 1000, LabCores: labCPU.Seconds() / seconds, tolerance: w.rules().Tolerance, lost: w.fleet.Lost()}
 	for _, rule := range audit.RuleNames {
 		r.Rules[rule] = len(verdict.Of(rule))
@@ -291,6 +295,17 @@
 			sec.ByClass[k.class], sec.ByPlan[k.plan] = Slot{c.Wishes + wishes, c.InTime + inTime}, Slot{p.Wishes + wishes, p.InTime + inTime}
 		}
 		row.Tries++
+		if t.ch.plan.ceiling > 0 && t.ch.demand > 1 {
+			name := map[bool]string{false: "resp", true: "http"}[t.http]
+			x := r.Fronts[name]
+			if t.retry == 0 {
+				x.Asked += t.class.units
+			}
+			if len(t.Answers) > 0 && t.Answers[0].Kind == "served" {
+				x.Served += t.class.units
+			}
+			r.Fronts[name] = x
+		}
 		if t.retry == 0 {
 			row.Wishes++
 			count(1, 0)
@@ -414,6 +429,9 @@
 	for _, c := range r.Channels {
 		fmt.Fprintf(&b, "  %s %-10s inside %7.0f beyond %6.0f  most overdrawn %6.1f (%5.1f%%)  nearest to the ceiling %+6.1f%%\n", c.Customer, c.Plan, c.Inside, c.Beyond, c.Overrun, 100*c.OfCeiling, 100*c.Closest)
 	}
+	if a, h := r.Fronts["resp"], r.Fronts["http"]; a.Asked > 0 && h.Asked > 0 {
+		fmt.Fprintf(&b, "channels above their quota, by front: RESP2 got %.0f of %.0f units (%.1f%%), HTTP %.0f of %.0f (%.1f%%)\n", a.Served, a.Asked, 100*a.Served/a.Asked, h.Served, h.Asked, 100*h.Served/h.Asked)
+	}
 	fmt.Fprintf(&b, "\ningresses: %.0f us of CPU a try; the lab itself took %.2f cores\n", r.CPUPerRequestUS, r.LabCores)
 	for _, p := range r.Processes {
 		fmt.Fprintf(&b, "  %s  %6.2f s of CPU, %5.1f MB at the most\n", p.Name, p.CPUS, p.PeakMB)
