--- a/logic/logic.go
+++ b/logic/logic.go
@@ -795,8 +795,8 @@
 			g.judge(a, r.class, TimedOut, 0)
 		}
 	}
-	if !g.set.SecondCopies || r.Handed || r.outs != 1 || g.retries < 1 || g.now > r.arrived+r.class.Aim || r.beyond ||
-		r.class.mean == 0 || g.pressed() || !g.repeatable(r) || !g.mayGo(r) {
+	if !g.set.SecondCopies || r.Handed || r.outs != 1 || g.retries < 1 || g.now > r.arrived+r.class.Aim ||
+		r.beyond || r.class.mean == 0 || g.pressed() || !g.repeatable(r) || !g.mayGo(r) {
 		return
 	}
 	if last := r.attempts[len(r.attempts)-1]; g.now-last.sent < r.class.takes(hedgeDevs) {
@@ -922,8 +922,8 @@
 	return cold + (1-cold)*max(0, age.Seconds())/g.set.WarmAfter.Seconds()
 }
 
-// eachAnswers is the answers a second that a server gives here. Where most of the fleet has just gone, the few that are left
-// have not earned its answers: both figures fade alike.
+// eachAnswers is the answers a second that a server gives here. Where most of the fleet has just gone, the
+// few that are left have not earned its answers: both figures fade alike.
 func (g *Gateway) eachAnswers() float64 {
 	return g.flow * math.Exp(-(g.now - g.flowAt).Seconds()) / max(g.earners(), 1)
 }
