Forget the request that ran out, not the one at the top of the heap

A lapsed request whose memory ends in the same moment had moved down before it was taken out, so another one was forgotten in its place, its lease with it.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -214,7 +214,7 @@
 				continue
 			}
 		}
-		heap.Pop(&b.due)
+		heap.Remove(&b.due, r.at) // it may have left the top
 		delete(b.byID, r.ID)
 		for _, l := range r.leases {
 			delete(b.byLease, l.Name)
