--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -194,6 +194,11 @@
 		r.State = Served
 	case OutUnsent:
 		r.State = Unsent
+		for _, x := range r.leases {
+			if x.outcome == OutFailed { // an earlier one may have run: that this was not sent makes nothing harmless
+				r.State = Failed
+			}
+		}
 	default:
 		r.State = Open
 	}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -77,6 +77,20 @@
 	}
 }
 
+// What was never sent is harmless to try again only where nothing else of its request may have run.
+func TestUnsentAfterFailed(t *testing.T) {
+	for o, want := range map[Outcome]State{OutFailed: Failed, OutRefused: Unsent} {
+		b := book()
+		r := open(t, b, "a", 5*s)
+		b.Grant(0, r, "x", "n1", "h:1", 0, 5*s, 0)
+		b.Report(0, "x", o)
+		b.Grant(0, r, "y", "n2", "h:2", 1, 5*s, 0)
+		if b.Report(0, "y", OutUnsent); r.State != want {
+			t.Errorf("%v, want %v", r.State, want)
+		}
+	}
+}
+
 // A repeat must be sent while its rack remembers the first: the grant says until when, and is none where that is over.
 func TestRepeatIsSentInTime(t *testing.T) {
 	b := book()
--- a/internal/standin/gate/gate.go
+++ b/internal/standin/gate/gate.go
@@ -118,6 +118,7 @@
 		cancel()
 	}
 	x, done := g.ask(ctx, w, &res)
+	mayRun := false // an earlier attempt
 	for !done {
 		switch rule.Kind {
 		case fault.DropAfter:
@@ -131,7 +132,9 @@
 		}
 		if time.Now().After(x.startBy) {
 			g.report(ctx, x.lease, "unsent", rule)
-			res.Kind = "refused" // it was never sent
+			if res.Kind = "refused"; mayRun { // this one was never sent
+				res.Kind = "failed"
+			}
 			return res
 		}
 		value, outcome := g.send(ctx, x.addr, w)
@@ -140,6 +143,7 @@
 			res.Kind, res.Value = "served", value
 			return res
 		}
+		mayRun = mayRun || outcome == "failed"
 		if ctx.Err() != nil {
 			g.report(g.ctx, x.lease, outcome, rule)
 			res.Kind = "failed"
