Take out what nothing reads; one strict decoder, one set-up of an ingress with gates

Read once more: handed.node stood in the entry's lease already; Pool.Conns, Node.Started, a wish's Refused, a grant's end and a result's count of calls had no reader; a node's end was asked by two methods. The judge looked through all drains for each send: it now looks for one send to each drain. The benchmark of the fronts starts its ingress as the tests do.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -338,24 +338,19 @@
 		p := pair{t.Instance, t.Node}
 		history[p] = append(history[p], t)
 	}
-	type past struct {
-		instance, node string
-		since          time.Duration
+	for p, list := range history { // drains past their grace while their instance sent elsewhere
+		if i := slices.IndexFunc(list, func(t Told) bool { return !t.Serving }); i >= 0 && slices.ContainsFunc(sent, func(s Sent) bool {
+			return s.Came > list[i].At+r.DrainGrace && s.Instance == p.instance && s.Node != p.node && asked[s.ID] != nil
+		}) {
+			v.Edges.Drains++
+		}
 	}
-	kept := map[past]bool{} // drains past their grace while their instance sent elsewhere
 	for _, s := range sent {
 		if asked[s.ID] == nil {
 			v.add(NoneLost, s.Came, s.Came, "node %s was sent %s, which no client asked", s.Node, s.ID)
 			continue
 		}
 		v.Judged[Drains]++
-		for p, list := range history {
-			if p.instance == s.Instance && p.node != s.Node {
-				if i := slices.IndexFunc(list, func(t Told) bool { return !t.Serving }); i >= 0 && s.Came > list[i].At+r.DrainGrace {
-					kept[past{p.instance, p.node, list[i].At}] = true
-				}
-			}
-		}
 		var since time.Duration // since when it drains, by what the instance was told before
 		drains := false
 		for _, t := range history[pair{s.Instance, s.Node}] {
@@ -372,7 +367,6 @@
 			v.add(Drains, since, s.Came, "%s sent to %s %v after it was told that this one drains", s.Instance, s.Node, s.Came-since)
 		}
 	}
-	v.Edges.Drains = len(kept)
 }
 
 // ceilings: the units of first attempts, over all instances together.
--- a/internal/core/grant.go
+++ b/internal/core/grant.go
@@ -45,8 +45,7 @@
 	r       *Request
 	entry   *lease.Request
 	waiting []Place
-	attempt *nodes.Attempt // of the lease that is out
-	node    logic.ServerID
+	attempt *nodes.Attempt // of the entry's lease, while that is out
 }
 
 func newHanding(c Leases) *handing {
@@ -182,7 +181,7 @@
 	if l == nil {
 		return false
 	}
-	x.attempt, x.node = a, id
+	x.attempt = a
 	g.handing.leases[l.Name] = x
 	g.arm()
 	ans, _ := g.stands(x.entry)
@@ -249,7 +248,7 @@
 		x.close()
 		x.tell(Answer{Kind: Over, State: x.entry.State})
 	}
-	g.ended(x.r, logic.AttemptEnded{ID: x.r.ID, Attempt: a.N, Server: x.node, Outcome: o, Took: g.now - a.Began, Finished: x.r.final, Unsent: unsent})
+	g.ended(x.r, logic.AttemptEnded{ID: x.r.ID, Attempt: a.N, Server: logic.ServerID(x.entry.Lease.Node), Outcome: o, Took: g.now - a.Began, Finished: x.r.final, Unsent: unsent})
 }
 
 // lapse ends the leases that have run out: their attempts may have run.
--- a/internal/ingress/bench_test.go
+++ b/internal/ingress/bench_test.go
@@ -3,13 +3,10 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
-	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -17,46 +14,23 @@
 	"testing"
 	"time"
 
-	"hitchspring/internal/core"
-	"hitchspring/internal/discovery"
-	"hitchspring/internal/front/forwardauth"
 	"hitchspring/internal/standin/scripted"
-	"hitchspring/logic"
 )
 
 // BenchmarkFronts puts the two fronts side by side in one process and one run: a request over RESP2, which the ingress sends to
 // a node itself, and a call over HTTP with its report, where the caller would send it. Both figures hold the client's own
 // cost; cpu-us is user and system time of the whole process for one.
 func BenchmarkFronts(b *testing.B) {
-	list := discovery.List{Rev: 1, All: true}
-	for i := range 8 {
-		be := scripted.NewNode(b, func(int, []string, net.Conn) string { return served })
-		list.Targets = append(list.Targets, discovery.Target{UID: fmt.Sprint("s", i), Endpoint: be.Addr, Zone: "a", State: "SERVING"})
-	}
-	table, err := forwardauth.NewTable(nil)
-	if err != nil {
-		b.Fatal(err)
-	}
-	cfg := testConfig(scripted.Registry(b, list, nil), list)
-	cfg.Sockets = 4096
-	cfg.Settings.Classes[0].Deadline = time.Second
-	cfg.Settings.Classes[0].Aim = time.Second
-	cfg.Settings.Plans = []logic.Plan{{Name: "p", Price: 1}}
-	cfg.Auth = &Auth{Listen: "127.0.0.1:0", Table: table, Config: forwardauth.Config{Header: "X-Hitch", Trusted: []netip.Prefix{netip.MustParsePrefix("127.0.0.1/32")}, MostCalls: 1000,
-		MostConns: 600, MostHeader: 8 << 10, MostBody: 8 << 10, HeaderTime: 5 * time.Second, IdleTime: time.Minute, MostReports: 10}}
-	cfg.Leases = &core.Leases{Timeout: 10 * time.Second, StartWithin: 500 * time.Millisecond, Keep: time.Second, Most: 1 << 20}
-	g, err := New(cfg, slog.New(slog.DiscardHandler))
-	if err != nil {
-		b.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- g.Run(ctx) }()
-	<-g.Ready()
-	defer func() {
-		cancel()
-		<-done
-	}()
+	cfg := gateConfig(b, 8, func(c *Config) {
+		for i := range c.Known.Targets {
+			c.Known.Targets[i].Endpoint = scripted.NewNode(b, func(int, []string, net.Conn) string { return served }).Addr
+		}
+		c.Discovery = scripted.Registry(b, c.Known, nil)
+		c.Sockets, c.Leases.Keep, c.Leases.Most = 4096, time.Second, 1<<20
+		c.Settings.MaxAttempts, c.Settings.SecondCopies = 1, false
+		c.Settings.Classes[0].Aim, c.Settings.Classes[0].Deadline = time.Second, time.Second
+	})
+	g, _ := runIngress(b, cfg)
 	var id atomic.Int64
 	cpu := func() time.Duration {
 		var u syscall.Rusage
--- a/internal/ingress/gate_test.go
+++ b/internal/ingress/gate_test.go
@@ -22,7 +22,7 @@
 )
 
 // gateConfig is an ingress with a front for gates and so many nodes, which nothing is ever sent to but by gates.
-func gateConfig(t *testing.T, nodes int, change func(*Config)) Config {
+func gateConfig(t testing.TB, nodes int, change func(*Config)) Config {
 	t.Helper()
 	var list discovery.List
 	for i := range nodes {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -56,7 +56,7 @@
 	return g.Addr().String(), g
 }
 
-func runIngress(t *testing.T, cfg Config) (g *Gateway, stop func() error) {
+func runIngress(t testing.TB, cfg Config) (g *Gateway, stop func() error) {
 	t.Helper()
 	g, err := New(cfg, slog.New(slog.DiscardHandler))
 	if err != nil {
--- a/internal/lab/day/day.go
+++ b/internal/lab/day/day.go
@@ -131,19 +131,8 @@
 // Parse reads a day's text; an unknown key, a figure out of range or a fault that cannot be played is one clear error.
 func Parse(name string, text []byte) (*Day, error) {
 	d := &Day{Name: name}
-	dec := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if err := dec.Decode(d); err != nil {
-		var strict *toml.StrictMissingError
-		var decode *toml.DecodeError
-		switch {
-		case errors.As(err, &strict) && len(strict.Errors) > 0:
-			row, _ := strict.Errors[0].Position()
-			return nil, fmt.Errorf("day %s, line %d: unknown key %q", name, row, strings.Join(strict.Errors[0].Key(), "."))
-		case errors.As(err, &decode):
-			row, _ := decode.Position()
-			return nil, fmt.Errorf("day %s, line %d: %s", name, row, strings.TrimPrefix(decode.Error(), "toml: "))
-		}
-		return nil, fmt.Errorf("day %s: %w", name, err)
+	if err := Decode("day "+name, text, d); err != nil {
+		return nil, err
 	}
 	d.Fill()
 	if err := d.Check(); err != nil {
@@ -152,6 +141,24 @@
 	return d, nil
 }
 
+// Decode reads a TOML text strictly; what it is goes before each error, with the line.
+func Decode(what string, text []byte, into any) error {
+	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(into)
+	var strict *toml.StrictMissingError
+	var decode *toml.DecodeError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &strict) && len(strict.Errors) > 0:
+		row, _ := strict.Errors[0].Position()
+		return fmt.Errorf("%s, line %d: unknown key %q", what, row, strings.Join(strict.Errors[0].Key(), "."))
+	case errors.As(err, &decode):
+		row, _ := decode.Position()
+		return fmt.Errorf("%s, line %d: %s", what, row, strings.TrimPrefix(decode.Error(), "toml: "))
+	}
+	return fmt.Errorf("%s: %w", what, err)
+}
+
 // Fill gives what is not set its usual value.
 func (d *Day) Fill() {
 	if d.Nodes == 0 {
--- a/internal/lab/experiment/spec.go
+++ b/internal/lab/experiment/spec.go
@@ -4,7 +4,6 @@
 package experiment
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -18,8 +17,6 @@
 	"strings"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"hitchspring/internal/lab"
 	"hitchspring/internal/lab/day"
 	"hitchspring/internal/lab/prove"
@@ -56,13 +53,8 @@
 		return nil, fmt.Errorf("experiment: %w", err)
 	}
 	s := &Spec{Name: strings.TrimSuffix(path.Base(file), ".toml")}
-	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(s); err != nil {
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) && len(strict.Errors) > 0 {
-			row, _ := strict.Errors[0].Position()
-			return nil, fmt.Errorf("experiment %s, line %d: unknown key %q", s.Name, row, strings.Join(strict.Errors[0].Key(), "."))
-		}
-		return nil, fmt.Errorf("experiment %s: %w", s.Name, err)
+	if err := day.Decode("experiment "+s.Name, text, s); err != nil {
+		return nil, err
 	}
 	return s, s.Check()
 }
--- a/internal/lab/measure/measure.go
+++ b/internal/lab/measure/measure.go
@@ -31,7 +31,6 @@
 	Units                float64
 	Served               bool
 	At                   time.Duration // of the answer that served it, or of the last other one
-	Refused              bool          // its last answer was a refusal
 }
 
 // Passed is a first attempt as its node saw it, beyond its channel's quota.
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -360,7 +360,7 @@
 		if x.Served || len(t.Answers) == 0 {
 			continue
 		}
-		x.At, x.Served, x.Refused = t.Answers[0].At-w.load.began, t.Answers[0].Kind == "served", t.Answers[0].Kind == "refused"
+		x.At, x.Served = t.Answers[0].At-w.load.began, t.Answers[0].Kind == "served"
 	}
 	w.load.mu.Unlock()
 	list := make([]measure.Wish, 0, len(wishes))
--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -400,9 +400,6 @@
 	return n.addr, n.State == logic.Running
 }
 
-// Conns is how many connections there are.
-func (p *Pool) Conns() int { return p.conns }
-
 // Handle takes in what a connection has told.
 func (p *Pool) Handle(ev Event) {
 	switch ev := ev.(type) {
--- a/internal/standin/gate/gate.go
+++ b/internal/standin/gate/gate.go
@@ -44,7 +44,6 @@
 	Kind  string // served, refused or failed
 	Value string
 	After time.Duration // of a refusal
-	Calls int           // to the ingress
 }
 
 // Gate sends requests on by the word of one ingress. It is safe for many goroutines.
@@ -91,8 +90,8 @@
 
 // grant is a node that the ingress has named.
 type grant struct {
-	lease, addr     string
-	startBy, endsAt time.Time
+	lease, addr string
+	startBy     time.Time
 }
 
 func readGrant(get func(string) string, at time.Time) (grant, error) {
@@ -100,7 +99,7 @@
 		n, _ := strconv.ParseInt(get(header+name), 10, 64)
 		return time.Duration(n) * time.Millisecond
 	}
-	x := grant{lease: get(header + "-Lease"), addr: get(header + "-Node"), startBy: at.Add(ms("-Start-Within-Ms")), endsAt: at.Add(ms("-Ends-Within-Ms"))}
+	x := grant{lease: get(header + "-Lease"), addr: get(header + "-Node"), startBy: at.Add(ms("-Start-Within-Ms"))}
 	if x.lease == "" || x.addr == "" {
 		return x, errors.New("a grant without node or lease")
 	}
@@ -170,7 +169,6 @@
 
 // ask calls the ingress; done says that the result is final.
 func (g *Gate) ask(ctx context.Context, w Wish, res *Result) (x grant, done bool) {
-	res.Calls++
 	res.Kind = "failed"
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, g.base+"/check", nil)
 	if err != nil {
--- a/internal/standin/node/node.go
+++ b/internal/standin/node/node.go
@@ -235,8 +235,8 @@
 	n.m.running, n.m.queue = nil, nil
 }
 
-// hasEnded says whether the node is gone.
-func (n *Node) hasEnded() bool {
+// Down says whether the node has ended.
+func (n *Node) Down() bool {
 	select {
 	case <-n.gone:
 		return true
@@ -289,9 +289,6 @@
 	return n.m.fell, n.m.fellAt
 }
 
-// Started says when a node that started cold did.
-func (n *Node) Started() (at time.Duration, cold bool) { return n.m.start, n.m.cold }
-
 // Pushed is how near a cold node came to falling over: 1 is the edge. 0 for one that was never cold, or got nothing.
 func (n *Node) Pushed() float64 {
 	n.f.mu.Lock()
@@ -299,9 +296,6 @@
 	return n.m.pushed
 }
 
-// Down says whether the node has ended.
-func (n *Node) Down() bool { return n.hasEnded() }
-
 // Traffic is what an instance's connections came to.
 func (n *Node) Traffic(instance int) Traffic {
 	n.f.mu.Lock()
@@ -482,7 +476,7 @@
 	case <-n.gone:
 	}
 	n.release()
-	if n.hasEnded() {
+	if n.Down() {
 		n.ended(at, Died)
 		return "", false
 	}
