Do not call a request refused, for too many callers on its id, once an attempt was granted

A fifth caller that asks under one id while the decision is open was answered 429, 'it was not sent', also where an attempt had been granted, reported as failed and may have run: a refusal must not say so. It is 503 now. The test fails on the old code (429).

--- a/internal/core/grant.go
+++ b/internal/core/grant.go
@@ -105,7 +105,9 @@
 	case entry != nil:
 		if a, ok := g.stands(entry); ok {
 			ev.place.Answer(a)
-		} else if x := h.open[ev.id]; x == nil || len(x.waiting) >= mostWaiting {
+		} else if x := h.open[ev.id]; x != nil && len(x.waiting) >= mostWaiting && entry.Lease != nil {
+			ev.place.Answer(Answer{Kind: Failed}) // an attempt was granted: a refusal would say that trying again is harmless
+		} else if x == nil || len(x.waiting) >= mostWaiting {
 			ev.place.Answer(Answer{Kind: Refused, RetryAfter: fullRetry})
 		} else {
 			x.waiting = append(x.waiting, ev.place)
--- a/internal/ingress/gate_test.go
+++ b/internal/ingress/gate_test.go
@@ -414,3 +414,41 @@
 	stop()
 	wg.Wait()
 }
+
+// Where too many callers wait on one id, a further one is turned away; once an attempt has been granted that is no refusal,
+// which would say that nothing has run.
+func TestGateTooManyWait(t *testing.T) {
+	g, stop := runIngress(t, gateConfig(t, 1, func(c *Config) { c.Settings.Classes[2].RepeatWindow = time.Minute }))
+	c := newCaller(t, g)
+	var wg sync.WaitGroup
+	statuses := make(chan int, 100)
+	ask := func(id string, more ...string) {
+		wg.Go(func() {
+			if a, err := c.ask(id, more...); err == nil {
+				statuses <- a.status
+			}
+		})
+	}
+	first := c.must("a", 200, "Class", "keyed")
+	for i := range 20 { // they take the rest of the window, and the place that the first one leaves
+		ask(fmt.Sprint("other", i))
+	}
+	for range 3 {
+		if s := <-statuses; s != 200 {
+			t.Fatal(s)
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	if r := c.report(first.lease, "failed"); r.State != "open" {
+		t.Fatalf("%+v", r)
+	}
+	<-statuses // the one that took its place
+	for range 5 {
+		ask("a", "Class", "keyed")
+	}
+	if s := <-statuses; s != 503 {
+		t.Fatalf("the fifth was answered %d", s)
+	}
+	stop()
+	wg.Wait()
+}
