--- /dev/null
+++ b/cmd/hitchspring/halls.go
@@ -0,0 +1,175 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"hitchspring/internal/config"
+	"hitchspring/internal/drill"
+	"hitchspring/internal/halls"
+)
+
+type statusCmd struct {
+	Halls statusHallsCmd `cmd:"" help:"Each hall's capacity, what is offered, kept and spilled, and why."`
+}
+
+type statusHallsCmd struct {
+	At   string `help:"host:port of the metrics listener; empty: metrics.listen of the options." placeholder:"ADDR"`
+	JSON bool   `help:"As JSON."`
+}
+
+const (
+	askTimeout = 3 * time.Second
+	mostStatus = 1 << 20
+)
+
+// Run asks a running ingress and prints a table.
+func (c *statusHallsCmd) Run(e *env) error {
+	at := c.At
+	if at == "" {
+		o, err := config.Load(e.options)
+		if err != nil {
+			return err
+		}
+		if o.Metrics == nil {
+			return errors.New("status halls: --at names no address, and the options have no metrics.listen")
+		}
+		at = o.Metrics.Listen
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, askTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+"/halls", nil)
+	if err != nil {
+		return fmt.Errorf("status halls: --at %q: %w", at, err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("status halls: %w", err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, mostStatus))
+	if err != nil {
+		return fmt.Errorf("status halls: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status halls: %s says %s: %s", at, resp.Status, strings.TrimSpace(string(text)))
+	}
+	if c.JSON {
+		_, err = e.out.Write(text)
+		return err
+	}
+	var s halls.Status
+	if err := json.Unmarshal(text, &s); err != nil {
+		return fmt.Errorf("status halls: %s answers something else: %w", at, err)
+	}
+	return printHalls(e.out, s)
+}
+
+func printHalls(out io.Writer, s halls.Status) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "hall\ttier\tstate\tfor\tnodes\tproven\tcapacity\tof\toffered/s\tanswered/s\tshare\tlate\tramp\tmost/s\tprice\tcaution\t")
+	for _, h := range s.Halls {
+		state, rate := h.State, "any"
+		if h.Grey {
+			state += " (grey)"
+		}
+		if h.Rate >= 0 {
+			rate = fmt.Sprintf("%.1f", h.Rate)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.0f%%\t%.0f%%\t%.0f%%\t%s\t%.2f\t%d\t\n", h.Name, [...]string{"own", "near", "far"}[min(max(h.Tier, 0), 2)], state,
+			h.Since.Round(100*time.Millisecond), h.Nodes, h.Proven, h.Capacity, h.Nominal, h.Offered, h.Answered, 100*h.Share, 100*h.Late, 100*h.Ramp, rate, h.Price, h.Caution)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	for _, h := range s.Halls {
+		if h.Why != "" {
+			fmt.Fprintf(out, "%s is %s: %s\n", h.Name, h.State, h.Why)
+		}
+	}
+	_, err := fmt.Fprintf(out, "own hall %s: %.0f%% kept, %.0f%% spilled (planned at least %.0f%%): %s\nto be had of all halls: %.0f%%%s\n", s.Own, 100*(1-s.Spilled), 100*s.Spilled, 100*s.Planned, s.Why,
+		100*s.Reach, map[bool]string{true: ", panic"}[s.Panic])
+	return err
+}
+
+type hallCmd struct {
+	Drain  hallDrainCmd  `cmd:"" help:"Take a hall out: no instance sends it new work until the time is up."`
+	Return hallReturnCmd `cmd:"" help:"End a hall's drill: it is let in again by its ramp."`
+	List   hallListCmd   `cmd:"" help:"The drills in force."`
+}
+
+type hallDrainCmd struct {
+	Hall string        `arg:"" help:"The hall's name, as in the list of nodes."`
+	For  time.Duration `help:"For how long, 4h at most." default:"15m"`
+	By   string        `help:"Who says so."`
+	Why  string        `help:"What for."`
+}
+
+func (c *hallDrainCmd) Run(e *env) error {
+	return e.drills(func(l drill.List, now time.Time) (drill.List, error) {
+		if c.For <= 0 || c.For > drill.Most {
+			return l, fmt.Errorf("--for: %v is out of range, up to %v", c.For, drill.Most)
+		}
+		return l.Begin(drill.Drill{Hall: c.Hall, Until: now.Add(c.For).Truncate(time.Millisecond), By: c.By, Why: c.Why}, now)
+	})
+}
+
+type hallReturnCmd struct {
+	Hall string `arg:"" help:"The hall's name."`
+}
+
+func (c *hallReturnCmd) Run(e *env) error {
+	return e.drills(func(l drill.List, now time.Time) (drill.List, error) {
+		if _, out := l.Out(now)[c.Hall]; !out {
+			return l, fmt.Errorf("hall %q is in no drill", c.Hall)
+		}
+		return l.End(c.Hall, now), nil
+	})
+}
+
+type hallListCmd struct{}
+
+func (hallListCmd) Run(e *env) error {
+	return e.drills(nil)
+}
+
+// drills changes the file of drills, and prints what is in force then.
+func (e *env) drills(change func(drill.List, time.Time) (drill.List, error)) error {
+	o, err := config.Load(e.options)
+	if err != nil {
+		return err
+	}
+	if o.Halls == nil || o.Halls.Drills == "" {
+		return errors.New("hall: the options have no halls.drills: no file that the instances read")
+	}
+	now := time.Now()
+	l, err := drill.Load(o.Halls.Drills, now)
+	if err != nil {
+		return err
+	}
+	if change != nil {
+		if l, err = change(l, now); err != nil {
+			return fmt.Errorf("hall: %w", err)
+		}
+		if err := l.Save(o.Halls.Drills); err != nil {
+			return err
+		}
+	}
+	out := l.Out(now)
+	for _, d := range l.Drills {
+		if out[d.Hall].Equal(d.Until) {
+			fmt.Fprintf(e.out, "%s is out until %s (%v) %s %s\n", d.Hall, d.Until.Format(time.RFC3339), time.Until(d.Until).Round(time.Second), d.By, d.Why)
+		}
+	}
+	if len(out) == 0 {
+		fmt.Fprintln(e.out, "no hall is taken out")
+	}
+	return nil
+}
--- a/cmd/hitchspring/main.go
+++ b/cmd/hitchspring/main.go
@@ -5,17 +5,15 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"flag"
 	"fmt"
-	"io"
 	"log/slog"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"slices"
 	"strconv"
-	"strings"
 	"syscall"
 	"time"
 
@@ -23,19 +21,14 @@
 	"hitchspring/internal/core"
 	"hitchspring/internal/discovery"
 	"hitchspring/internal/front/forwardauth"
+	"hitchspring/internal/halls"
 	"hitchspring/internal/ingress"
 	"hitchspring/internal/settings"
 	"hitchspring/internal/store"
 	"hitchspring/internal/store/redis"
-	"hitchspring/internal/version"
 	"hitchspring/logic"
 )
 
-const usage = `usage: hitchspring [--options FILE]         serve, as ROUTER_CONFIG says
-       hitchspring check [--options FILE]   say what is wrong with the settings, or print those in force
-       hitchspring version                  print the revision and the Go version
-`
-
 func main() {
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	if err := command(os.Args[1:], os.Stdout, log); err != nil {
@@ -44,44 +37,6 @@
 	}
 }
 
-// command runs the program as its arguments say.
-func command(args []string, out io.Writer, log *slog.Logger) error {
-	if len(args) == 1 && args[0] == "version" {
-		_, err := fmt.Fprintln(out, version.Text("hitchspring"))
-		return err
-	}
-	check := len(args) > 0 && args[0] == "check"
-	if check {
-		args = args[1:]
-	}
-	fs := flag.NewFlagSet("hitchspring", flag.ContinueOnError)
-	fs.SetOutput(io.Discard)
-	options := fs.String("options", os.Getenv("HITCHSPRING_OPTIONS"), "")
-	switch err := fs.Parse(args); {
-	case errors.Is(err, flag.ErrHelp):
-		_, err := io.WriteString(out, usage)
-		return err
-	case err != nil:
-		return fmt.Errorf("%w; %s", err, strings.ReplaceAll(strings.TrimSpace(usage), "\n", ";"))
-	case fs.NArg() > 0:
-		return fmt.Errorf("unknown argument %q; %s", fs.Arg(0), strings.ReplaceAll(strings.TrimSpace(usage), "\n", ";"))
-	}
-	if !check {
-		return run(*options, log)
-	}
-	o, err := config.Load(*options)
-	if err != nil {
-		return err
-	}
-	if path := os.Getenv("ROUTER_CONFIG"); path != "" {
-		if _, _, err := load(path, o, slog.New(slog.DiscardHandler)); err != nil {
-			return err
-		}
-	}
-	_, err = io.WriteString(out, o.Text())
-	return err
-}
-
 // configFile is the form of the configuration.
 type configFile struct {
 	Listen    string         `json:"listen"`
@@ -139,6 +94,11 @@
 	if o.Metrics != nil {
 		cfg.Metrics = o.Metrics.Listen
 	}
+	if h := o.Halls; h != nil {
+		cfg.Drills = h.Drills
+		cfg.Halls = &halls.Config{Near: h.Near, NearPrice: h.NearPrice, FarPrice: h.FarPrice, Overprovision: h.Overprovision, Panic: h.Panic,
+			Ramp: time.Duration(h.Ramp), RampFrom: h.RampFrom, Forget: time.Duration(h.Forget)}
+	}
 	if _, err := ingress.New(cfg, log); err != nil { // one that is not run holds nothing
 		return fail(err)
 	}
@@ -242,6 +202,10 @@
 		log.Error("the old options are kept: of the store only the address can change in service", "options", options)
 		return
 	}
+	if !reflect.DeepEqual(o.Halls, began.Halls) {
+		log.Error("the old options are kept: of halls nothing can change in service but what the file of drills says", "options", options)
+		return
+	}
 	if !o.ForwardAuth.SameButRules(began.ForwardAuth) {
 		log.Error("the old options are kept: of forward_auth only the rules can change in service", "options", options)
 		return
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -28,6 +28,7 @@
 	Soak       soakCmd                   `cmd:"" help:"Play a day once for each seed, a line each."`
 	Prove      proveCmd                  `cmd:"" help:"Plant defects in the ingress and see whether the judge finds them."`
 	Experiment experimentCmd             `cmd:"" help:"Cross builds, days and seeds by a file; results as JSON lines and a page."`
+	Halls      hallsCmd                  `cmd:"" help:"Lose halls and regain them, with [halls] off and on: figures and pictures."`
 	Compare    compareCmd                `cmd:"" help:"CPU, memory and service of this ingress against another commit's."`
 	Days       daysCmd                   `cmd:"" help:"List the days, or print one."`
 	Redis      redisCmd                  `cmd:"" help:"The Redis stand-in alone, until a signal."`
@@ -106,6 +107,7 @@
 	Ingresses int           `help:"Ingresses, 1 to 4; 0: the day's." default:"0"`
 	Ingress   string        `help:"Another build of the ingress; empty: it is built from this source." type:"path" placeholder:"PROGRAM"`
 	Race      bool          `help:"Build the ingress with the race detector."`
+	Halls     bool          `help:"The ingresses know of halls ([halls] in their options)."`
 	Fronts    string        `help:"What wishes come through: resp, http (a gate that asks), or resp,http (half each)." default:"resp"`
 	GateFault []string      `help:"A fault rule for all gates, from the start; may stand several times." sep:"none" placeholder:"RULE"`
 	Logs      string        `help:"Write what the ingresses log to a file." type:"path" placeholder:"FILE"`
@@ -115,7 +117,7 @@
 // config is what the flags come to; done closes the log.
 func (p *play) config() (cfg lab.Config, done func(), err error) {
 	cfg = lab.Config{Day: p.Day, Seed: p.Seed, For: p.For, Nodes: p.Nodes, Ingresses: p.Ingresses, Store: p.Store, Faults: p.Fault, Rate: p.Rate, Hot: p.Hot,
-		Ingress: p.Ingress, Race: p.Race, GateFault: p.GateFault}
+		Ingress: p.Ingress, Race: p.Race, Halls: p.Halls, GateFault: p.GateFault}
 	switch p.Fronts {
 	case "resp":
 	case "http":
--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -36,6 +36,7 @@
 	Store       *Store       `toml:"store,omitempty"`
 	ForwardAuth *ForwardAuth `toml:"forward_auth,omitempty"`
 	Metrics     *Metrics     `toml:"metrics,omitempty"`
+	Halls       *Halls       `toml:"halls,omitempty"`
 }
 
 // The kinds of store.
@@ -170,6 +171,9 @@
 	if o.Metrics != nil {
 		faults = append(faults, o.Metrics.check()...)
 	}
+	if o.Halls != nil {
+		faults = append(faults, o.Halls.check()...)
+	}
 	return faults
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"hitchspring/internal/discovery"
+	"hitchspring/internal/halls"
 	"hitchspring/internal/lease"
 	"hitchspring/internal/nodes"
 	"hitchspring/internal/resp"
@@ -46,7 +47,8 @@
 	Settings    logic.Settings
 	Store       func(store.Sink) (store.Counter, error) // makes the shared counter; nil: the settings know none
 	Connections settings.Connections
-	Leases      *Leases // of attempts that who asks sends itself; nil: none are granted
+	Leases      *Leases       // of attempts that who asks sends itself; nil: none are granted
+	Halls       *halls.Config // what an operator says of halls; nil: another hall costs a fixed factor
 }
 
 // lister keeps the list of nodes up to date, as package discovery does.
@@ -150,10 +152,11 @@
 	actions   []logic.Action
 	queue     []logic.Event // for the module, from actions that ended at once
 
-	handing   *handing // nil: no front hands attempts out
-	mostConns int      // to nodes
-	mostHeld  int      // of heldBytes
-	mostUnits float64  // of one request
+	handing   *handing  // nil: no front hands attempts out
+	halls     *hallBook // nil: nothing is known of halls
+	mostConns int       // to nodes
+	mostHeld  int       // of heldBytes
+	mostUnits float64   // of one request
 }
 
 // New checks the configuration and returns a core that does not run yet.
@@ -199,6 +202,9 @@
 	for _, c := range cfg.Settings.Classes {
 		g.classes[c.Name] = c
 	}
+	if cfg.Halls != nil {
+		g.halls = newHallBook(*cfg.Halls, cfg.Settings)
+	}
 	for _, p := range cfg.Settings.Plans {
 		g.plans[p.Name] = true
 	}
@@ -309,6 +315,9 @@
 func (g *Core) loop(ctx context.Context) {
 	defer close(g.stopped)
 	g.after(idleCheck, g.checkIdle)
+	if g.halls != nil {
+		g.tickHalls()
+	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -362,6 +371,8 @@
 		g.left(ev)
 	case reported:
 		g.reported(ev)
+	case drills:
+		g.drills(ev)
 	case endAll:
 		for _, r := range g.requests {
 			g.cutOff(r)
@@ -490,6 +501,9 @@
 	}
 	r.attempts = append(r.attempts, a)
 	r.out++
+	if g.halls != nil {
+		g.halls.Sent(g.now, s.Server)
+	}
 	if r.final || a.Stop <= g.now || a.N >= g.cfg.Settings.MaxAttempts || r.Handed && !g.grant(r, a, s.Server) {
 		g.nodes.Moot(a, s.Server)
 		return
@@ -504,6 +518,9 @@
 // attemptEnded tells the module how an attempt ended; the first that is served answers the client.
 func (g *Core) attemptEnded(a *nodes.Attempt, o logic.Outcome, rep nodes.Reply) {
 	if a.Ref == nil {
+		if g.halls != nil {
+			g.halls.Probed(g.now, a.Node(), o == logic.Done)
+		}
 		g.tell(logic.ProbeEnded{Server: a.Node(), Outcome: o, Took: g.now - a.Began, Load: rep.Load})
 		return
 	}
@@ -519,17 +536,21 @@
 
 // ended tells the module of an attempt's end.
 func (g *Core) ended(r *Request, ev logic.AttemptEnded) {
+	if g.halls != nil {
+		g.halls.Ended(g.now, ev.Server, g.now-ev.Took, r.Class, ev.Outcome)
+	}
 	g.tell(ev)
 	g.forget(r)
 }
 
-func (g *Core) probe(id logic.ServerID) {
+func (g *Core) probe(id logic.ServerID) (sent bool) {
 	if !g.nodes.Knows(id) {
-		return
+		return false
 	}
 	a := &nodes.Attempt{Began: g.now, Stop: g.now + probeTimeout}
 	g.at(a.Stop, func() { g.nodes.GiveUp(a, logic.TimedOut) })
 	g.nodes.Start(a, id)
+	return true
 }
 
 // owner is the core as the pool of connections sees it.
@@ -555,6 +576,9 @@
 		ev.Servers = append(ev.Servers, s)
 	}
 	g.nodes.Set(entries, f.All)
+	if g.halls != nil {
+		g.halls.list(g.now, ev)
+	}
 	g.tell(ev)
 }
 
--- /dev/null
+++ b/internal/core/halls.go
@@ -0,0 +1,107 @@
+package core
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"hitchspring/internal/halls"
+	"hitchspring/logic"
+)
+
+const (
+	hallsEvery   = 50 * time.Millisecond  // the facts of halls are brought up to date
+	statusEvery  = 250 * time.Millisecond // and shown to others
+	spillLogged  = 0.1                    // a change of the spill by so much is logged
+	spillLogWait = 2 * time.Second        // no more often
+)
+
+// hallBook is what is known of halls, and what was last shown of it.
+type hallBook struct {
+	*halls.Book
+	shown   atomic.Pointer[halls.Status]
+	showAt  time.Duration
+	logged  float64 // the spill
+	logAt   time.Duration
+	panics  bool
+	drilled drills
+}
+
+// drills are the halls that are taken out on purpose, each until a time.
+type drills map[string]time.Time
+
+func newHallBook(cfg halls.Config, set logic.Settings) *hallBook {
+	cfg.Own, cfg.WarmAfter, cfg.ColdShare, cfg.Probe = set.Zone, set.WarmAfter, set.ColdShare, set.MayProbe
+	cfg.Aims = map[string]time.Duration{}
+	for _, c := range set.Classes {
+		cfg.Aims[c.Name] = c.Aim
+	}
+	return &hallBook{Book: halls.New(cfg)}
+}
+
+// list hands a list of nodes on.
+func (h *hallBook) list(now time.Duration, ev logic.FleetChanged) {
+	list := make([]halls.Node, len(ev.Servers))
+	for i, s := range ev.Servers {
+		list[i] = halls.Node{ID: s.ID, Hall: s.Zone, State: s.State, Size: s.Size, Started: s.Started}
+	}
+	h.Fleet(now, list, ev.Whole)
+}
+
+// HallStatus is what is known of the halls, as of a quarter of a second ago; false where [halls] is off or nothing has
+// been seen yet. It may be called by many goroutines.
+func (g *Core) HallStatus() (halls.Status, bool) {
+	if g.halls == nil {
+		return halls.Status{}, false
+	}
+	s := g.halls.shown.Load()
+	if s == nil {
+		return halls.Status{}, false
+	}
+	return *s, true
+}
+
+// SetDrills says which halls are taken out on purpose, each until a time; one that is left out is let in again. It does
+// nothing where [halls] is off.
+func (g *Core) SetDrills(d map[string]time.Time) {
+	if g.halls != nil {
+		g.post(drills(d))
+	}
+}
+
+func (g *Core) drills(d drills) {
+	until := map[string]time.Duration{}
+	for name, t := range d {
+		until[name] = g.clock(t)
+	}
+	g.halls.Drain(g.now, until)
+}
+
+// tickHalls brings the facts up to date, tells the module, and sends the probes that are due.
+func (g *Core) tickHalls() {
+	g.after(hallsEvery, g.tickHalls)
+	h := g.halls
+	g.tell(h.Tick(g.now))
+	for _, id := range h.Probes(g.now) {
+		if !g.probe(id) {
+			h.Probed(g.now, id, false)
+		}
+	}
+	for _, c := range h.Changes() {
+		g.log.Info("hall", "hall", c.Hall, "from", c.From.String(), "to", c.To.String(), "why", c.Why, "caution", c.Caution)
+	}
+	if g.now < h.showAt {
+		return
+	}
+	h.showAt = g.now + statusEvery
+	s := h.Status(g.now)
+	h.shown.Store(&s)
+	if s.Panic != h.panics {
+		h.panics = s.Panic
+		g.log.Warn("halls: panic", "on", s.Panic, "reach", math.Round(100*s.Reach)/100)
+	}
+	if math.Abs(s.Spilled-h.logged) >= spillLogged && g.now >= h.logAt {
+		g.log.Info("spill", "spilled", math.Round(100*s.Spilled)/100, "before", math.Round(100*h.logged)/100, "planned", math.Round(100*s.Planned)/100, "why", s.Why)
+		h.logged, h.logAt = s.Spilled, g.now+spillLogWait
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"hitchspring/internal/core"
+	"hitchspring/internal/drill"
 	"hitchspring/internal/front/forwardauth"
 	"hitchspring/internal/front/resp"
 	"hitchspring/internal/store"
@@ -27,6 +28,8 @@
 	graceAll  = 3300 * time.Millisecond // after SIGTERM: everything is answered by then
 	spare     = 32                      // descriptors for the counter, discovery, the listener and the runtime
 
+	drillsEvery = 500 * time.Millisecond // the file of drills is read again
+
 	mostMetrics = 8  // connections and calls for figures
 	leastConns  = 32 // of clients
 )
@@ -37,6 +40,7 @@
 	Counter string // the address of tally, where Store is nil
 	Auth    *Auth  // nil: no gate may ask
 	Metrics string // host:port where figures are served; empty: nowhere
+	Drills  string // file of the halls that are taken out on purpose; empty: there is none
 	core.Config
 }
 
@@ -108,6 +112,18 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	g.core.Start()
 	defer g.core.End()
+	if g.cfg.Drills != "" {
+		watching, end := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			drill.Watch(watching, g.cfg.Drills, drillsEvery, g.core.SetDrills, g.log)
+		}()
+		defer func() {
+			end()
+			<-ended
+		}()
+	}
 	select {
 	case <-g.core.Listed():
 	case <-time.After(firstList):
@@ -183,8 +199,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("listening for metrics: %w", err)
 	}
+	if g.cfg.Halls != nil {
+		g.reg.MustRegister(newHallFigures(g.core.HallStatus))
+	}
 	g.reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET /halls", g.serveHalls)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(g.reg, promhttp.HandlerOpts{MaxRequestsInFlight: mostMetrics}))
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 2 * time.Second, WriteTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 8 << 10}
 	done := make(chan struct{})
--- a/internal/lab/day/day.go
+++ b/internal/lab/day/day.go
@@ -75,6 +75,14 @@
 	CeilingFor int      `toml:"ceiling_for"` // channels that came within a tenth
 }
 
+// Loss says which halls are lost, from when and until when, for the figures of a loss: what was served against what what was
+// left could have done.
+type Loss struct {
+	Halls []string `toml:"halls"`
+	From  Duration `toml:"from"`
+	To    Duration `toml:"to"`
+}
+
 // Day says what a run plays.
 type Day struct {
 	Name      string   `toml:"-"`
@@ -94,6 +102,7 @@
 	// MostBeyond is the most that may be passed on beyond quotas, as a share of what is passed on inside. 0: any.
 	MostBeyond float64 `toml:"most_beyond"`
 	Must       Must    `toml:"must"`
+	Loss       *Loss   `toml:"loss"`
 }
 
 // Names lists the days that come with the program.
@@ -203,6 +212,16 @@
 	case !(d.MostBeyond >= 0):
 		return bad("most_beyond", "%v is below 0", d.MostBeyond)
 	}
+	if l := d.Loss; l != nil {
+		if l.From < 0 || l.To <= l.From || l.To > d.Length {
+			return bad("loss", "from %v to %v: want a span within %v", time.Duration(l.From), time.Duration(l.To), time.Duration(d.Length))
+		}
+		for _, h := range l.Halls {
+			if !slices.Contains([]string{"a", "b", "c"}, h) {
+				return bad("loss.halls", "%q is none of a, b, c", h)
+			}
+		}
+	}
 	for i, h := range d.Hot {
 		if !(h.Times >= 0 && h.Times <= 10) || h.Channels < 0 || h.Plan == "" {
 			return bad(fmt.Sprintf("hot[%d]", i), "plan %q, channels %d, times %v: want a plan, and up to 10 times", h.Plan, h.Channels, h.Times)
--- a/internal/lab/day/step.go
+++ b/internal/lab/day/step.go
@@ -30,7 +30,7 @@
 }{
 	"node": {map[string]string{"slow": "fd", "pause": "d", "neighbour": "fddd", "cut": "nd", "drain": "", "serve": "", "unlist": "", "stop": "", "reset": "",
 		"restart": ""}, true},
-	"hall":      {map[string]string{"out": "d", "pause": "d", "reset": "", "slow": "fd", "cut": "nd", "drain": "", "serve": "", "restart": ""}, true},
+	"hall":      {map[string]string{"out": "d", "die": "d", "vanish": "d", "trickle": "dd", "drill": "d", "pause": "d", "reset": "", "slow": "fd", "cut": "nd", "drain": "", "serve": "", "restart": ""}, true},
 	"fleet":     {map[string]string{"slow": "fd", "pause": "d", "restart": "f"}, true},
 	"ingress":   {map[string]string{"kill": "", "term": "", "restart": "d"}, false},
 	"discovery": {map[string]string{"mute": "d"}, false},
--- /dev/null
+++ b/internal/lab/experiment/halls.go
@@ -0,0 +1,161 @@
+package experiment
+
+import (
+	"fmt"
+	"html/template"
+	"image/color"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// Lines are the kept results that belong to the experiment, whoever played them last.
+func (s *Spec) Lines(results string) ([]Line, error) {
+	kept, err := read(results)
+	if err != nil {
+		return nil, err
+	}
+	var out []Line
+	for _, c := range s.Cells() {
+		for _, l := range kept {
+			if l.Day == c.Day && l.Seed == c.Seed && len(l.Variants) == len(c.Variants) && l.Variants[0] == s.Variants[c.Variants[0]].Name && s.newest(l, kept) {
+				out = append(out, l)
+			}
+		}
+	}
+	return out, nil
+}
+
+// newest says whether no later run of the same cell is kept: a changed program leaves its older results in the file.
+func (s *Spec) newest(l Line, kept map[string]Line) bool {
+	for _, o := range kept {
+		if o.Day == l.Day && o.Seed == l.Seed && slices.Equal(o.Variants, l.Variants) && o.Nth > l.Nth {
+			return false
+		}
+	}
+	return true
+}
+
+// HallText is the figures of lost halls, a line for each day and variant: means over seeds, and the worst.
+func (s *Spec) HallText(lines []Line) string {
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "day\t[halls]\truns\tbroken\tduring\tworst\tafter\tworst\tnear best s\tworst\tlast sent s\tworst\tqueue s\tcold push\tcross\tswing\tworst\tservice\t")
+	for _, d := range s.Days {
+		for _, v := range s.Variants {
+			cols := make([][]float64, 9)
+			runs, broken := 0, 0
+			for _, l := range lines {
+				if l.Day != d || l.Variants[0] != v.Name {
+					continue
+				}
+				runs++
+				broken += len(l.Report.Breaks) + len(l.Report.Crashed)
+				add := func(i int, x float64) { cols[i] = append(cols[i], x) }
+				if x := l.Report.Loss; x != nil {
+					add(0, x.During)
+					add(1, x.After)
+					if x.RecoverS >= 0 {
+						add(2, x.RecoverS)
+					} else {
+						add(2, 99)
+					}
+					if x.LastSentS >= 0 {
+						add(3, x.LastSentS)
+					}
+					add(4, x.LongestS)
+				}
+				add(5, l.Report.Edges.ColdPush)
+				add(6, l.Report.Score.CrossShare)
+				add(7, l.Report.Swing)
+				add(8, l.Report.Service)
+			}
+			if runs == 0 {
+				continue
+			}
+			mean := func(i int, format string) string {
+				if len(cols[i]) == 0 {
+					return "-"
+				}
+				return fmt.Sprintf(format, stat.Mean(cols[i], nil))
+			}
+			most := func(i int, format string) string {
+				if len(cols[i]) == 0 {
+					return "-"
+				}
+				return fmt.Sprintf(format, slices.Max(cols[i]))
+			}
+			least := func(i int, format string) string {
+				if len(cols[i]) == 0 {
+					return "-"
+				}
+				return fmt.Sprintf(format, slices.Min(cols[i]))
+			}
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t\n", d, v.Name, runs, broken, mean(0, "%.3f"), least(0, "%.3f"), mean(1, "%.3f"), least(1, "%.3f"),
+				mean(2, "%.1f"), most(2, "%.1f"), mean(3, "%.2f"), most(3, "%.2f"), most(4, "%.1f"), most(5, "%.2f"), mean(6, "%.2f"), mean(7, "%.2f"), most(7, "%.2f"), mean(8, "%.3f"))
+		}
+	}
+	w.Flush()
+	return b.String()
+}
+
+// hallLoad is what each hall was sent over time, beside what it could do, for one run.
+func hallLoad(variant string, l Line) (picture, error) {
+	p := plain("", "seconds", "commands a second")
+	p.Y.Min = 0
+	top := 0.0
+	for i, h := range l.Report.Halls {
+		var sent, able plotter.XYs
+		scale := 0.0 // commands for a second of work: what the run came to as a whole
+		work := 0.0
+		for k := range h.Sends {
+			scale += h.Sends[k]
+			work += h.Able[k]
+		}
+		for k := range h.Sends {
+			x := (float64(k) + 0.5) * 0.5
+			sent = append(sent, plotter.XY{X: x, Y: h.Sends[k]})
+			if work > 0 {
+				able = append(able, plotter.XY{X: x, Y: h.Able[k] * scale / work})
+			}
+			top = max(top, h.Sends[k])
+		}
+		if len(sent) == 0 {
+			continue
+		}
+		line, err := plotter.NewLine(sent)
+		if err != nil {
+			return picture{}, err
+		}
+		line.Color, line.Width = colour(i), vg.Points(1.6)
+		p.Add(line)
+		p.Legend.Add(h.Hall, line)
+		if len(able) > 0 {
+			dashed, err := plotter.NewLine(able)
+			if err != nil {
+				return picture{}, err
+			}
+			dashed.Color, dashed.Width, dashed.Dashes = colour(i), vg.Points(0.9), []vg.Length{4, 3}
+			p.Add(dashed)
+		}
+	}
+	if top == 0 {
+		return picture{}, nil
+	}
+	p.Y.Max = top * 1.2
+	for _, m := range l.Report.Marks {
+		mark, err := plotter.NewLine(plotter.XYs{{X: m.AtS, Y: 0}, {X: m.AtS, Y: p.Y.Max}})
+		if err != nil {
+			return picture{}, err
+		}
+		mark.Color, mark.Width, mark.Dashes = color.Gray{0x90}, vg.Points(0.8), []vg.Length{3, 3}
+		p.Add(mark)
+	}
+	out, err := svg(p, 24*vg.Centimeter, 7*vg.Centimeter)
+	return picture{"Load of each hall, " + variant + ", seed " + fmt.Sprint(l.Seed),
+		"Commands that came to a hall's nodes. Dashed: what the hall could do, drawn to the scale of what it was sent over the whole run. Grey: what the timeline did.", template.HTML(out)}, err
+}
--- a/internal/lab/experiment/page.go
+++ b/internal/lab/experiment/page.go
@@ -117,6 +117,9 @@
 	}
 	for _, v := range s.Variants {
 		if list := byVariant[v.Name]; len(list) > 0 {
+			if err := add(hallLoad(v.Name, list[0])); err != nil {
+				return sec, err
+			}
 			if err := add(heat(v.Name, list[0])); err != nil {
 				return sec, err
 			}
--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -79,7 +79,7 @@
 		if err != nil {
 			return out, err
 		}
-		l.Key = key
+		l.Key, l.Nth = key, time.Now().UnixNano()
 		b, err := json.Marshal(l)
 		if err != nil {
 			return out, err
@@ -100,7 +100,8 @@
 }
 
 func (s *Spec) play(ctx context.Context, cfg Config, c Cell, programs []string) (Line, error) {
-	run := lab.Config{Day: c.Day, Seed: c.Seed, For: time.Duration(s.Length), Rate: s.Rate, Ingress: programs[c.Variants[0]], Store: s.Variants[c.Variants[0]].Store}
+	run := lab.Config{Day: c.Day, Seed: c.Seed, For: time.Duration(s.Length), Rate: s.Rate, Ingress: programs[c.Variants[0]], Store: s.Variants[c.Variants[0]].Store,
+		Halls: s.Variants[c.Variants[0]].Halls}
 	l := Line{Day: c.Day, Seed: c.Seed}
 	for _, v := range c.Variants {
 		l.Variants = append(l.Variants, s.Variants[v].Name)
--- a/internal/lab/experiment/spec.go
+++ b/internal/lab/experiment/spec.go
@@ -29,6 +29,7 @@
 	Program string `toml:"program"`
 	Defect  string `toml:"defect"` // of lab prove: a build that is known to be worse
 	Store   string `toml:"store"`  // instead of the day's
+	Halls   bool   `toml:"halls"`  // [halls] is on
 }
 
 // Spec is an experiment.
@@ -142,6 +143,7 @@
 	Seed     uint64
 	Variants []string
 	Code     int
+	Nth      int64 // when it was played: of two results of one cell the greater counts
 	Report   *lab.Report
 }
 
@@ -214,7 +216,7 @@
 func (s *Spec) key(c Cell, digests []string) string {
 	parts := []string{c.Day, fmt.Sprint(c.Seed), time.Duration(s.Length).String(), fmt.Sprint(s.Rate)}
 	for _, v := range c.Variants {
-		parts = append(parts, s.Variants[v].Name+"@"+digests[v]+s.Variants[v].Store)
+		parts = append(parts, s.Variants[v].Name+"@"+digests[v]+s.Variants[v].Store+map[bool]string{true: "+halls"}[s.Variants[v].Halls])
 	}
 	return strings.Join(parts, " ")
 }
--- /dev/null
+++ b/internal/lab/halls.go
@@ -0,0 +1,226 @@
+package lab
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"hitchspring/internal/lab/measure"
+	"hitchspring/internal/standin/node"
+)
+
+// HallTrack is what came to a hall's nodes, and what they could do, for each span of hallSpan.
+type HallTrack struct {
+	Hall  string
+	Sends []float64 // commands a second
+	Able  []float64 // seconds of work a second
+	Own   []float64 // share of the sends of the instances that stand there which stayed there; -1 where they sent nothing
+}
+
+// Loss is the figures of a hall that was lost, from the clients' and the nodes' records alone.
+type Loss struct {
+	During      float64 // worth earned of what a worth-ordered fill of the true capacity would earn, from the loss to the return
+	DuringAsked float64 // the same, of all that was asked inside quotas
+	After       float64 // the same fill, from 5 s after the return
+	RecoverS    float64 // from the loss until nearly (95%) the best was earned again, in whole spans; -1: not while it lasted
+	LastSentS   float64 // from a silent loss until the last command went into the lost halls; -1: none did, or they could not be seen
+	LongestS    float64 // the longest for which a node that returns or survives kept more waiting than the class's aim allows
+	ColdPush    float64 // the most that a cold node of them was pushed: 1 is the edge
+}
+
+const (
+	hallSpan  = 500 * ms
+	settled   = 5 * time.Second // after a return
+	nearBest  = 0.95
+	swingFrom = 2 * time.Second // after the start, or a fault, for the swing of the spill
+)
+
+// ableTrack samples what the halls could do.
+type ableTrack struct {
+	sums, counts map[string][]float64
+}
+
+func (a *ableTrack) add(hall string, at time.Duration, v float64) {
+	k := int(at / hallSpan)
+	for len(a.sums[hall]) <= k {
+		a.sums[hall], a.counts[hall] = append(a.sums[hall], 0), append(a.counts[hall], 0)
+	}
+	a.sums[hall][k] += v
+	a.counts[hall][k]++
+}
+
+// sampleAble watches what the nodes can do, until ctx ends.
+func (w *World) sampleAble(began time.Duration, a *ableTrack) {
+	now := w.clock() - began
+	if now < 0 {
+		return
+	}
+	byHall := map[string]float64{}
+	for i, s := range w.specs {
+		n, _ := w.node(i)
+		byHall[s.Zone] += n.Able()
+	}
+	for hall, v := range byHall {
+		a.add(hall, now, v)
+	}
+}
+
+// halls sums up what each hall was sent, and the figures of a loss.
+func (w *World) halls(r *Report, a *ableTrack, wishes []measure.Wish) {
+	spans := int(time.Duration(w.day.Length) / hallSpan)
+	began := w.load.began
+	tracks := map[string]*HallTrack{}
+	own, all := map[string][]float64{}, map[string][]float64{}
+	for _, s := range w.specs {
+		if tracks[s.Zone] == nil {
+			tracks[s.Zone] = &HallTrack{Hall: s.Zone, Sends: make([]float64, spans), Able: make([]float64, spans), Own: make([]float64, spans)}
+			own[s.Zone], all[s.Zone] = make([]float64, spans), make([]float64, spans)
+		}
+	}
+	for _, rec := range w.fleet.Records(0) {
+		k := int((rec.Came - began) / hallSpan)
+		if rec.Came < began || k >= spans {
+			continue
+		}
+		tracks[rec.Zone].Sends[k] += 1 / hallSpan.Seconds()
+		home := "hall-" + string(rune('a'+rec.Instance%3))
+		if tracks[home] == nil {
+			continue
+		}
+		all[home][k]++
+		if rec.Zone == home {
+			own[home][k]++
+		}
+	}
+	able := make([]float64, spans)
+	for hall, t := range tracks {
+		for k := range spans {
+			t.Own[k] = -1
+			if all[hall][k] > 0 {
+				t.Own[k] = own[hall][k] / all[hall][k]
+			}
+			if k < len(a.sums[hall]) && a.counts[hall][k] > 0 {
+				t.Able[k] = a.sums[hall][k] / a.counts[hall][k]
+			}
+			able[k] += t.Able[k]
+		}
+		r.Halls = append(r.Halls, *t)
+	}
+	slices.SortFunc(r.Halls, func(a, b HallTrack) int { return strings.Compare(a.Hall, b.Hall) })
+	if l := w.day.Loss; l != nil {
+		r.Loss = w.loss(time.Duration(l.From), time.Duration(l.To), l.Halls, able, wishes)
+	}
+	r.Swing = swing(r.Halls, r.Marks)
+}
+
+func (w *World) loss(from, to time.Duration, lost []string, able []float64, wishes []measure.Wish) *Loss {
+	mc, mp := worths(w.classes, w.plans)
+	work := map[string]time.Duration{}
+	for _, c := range w.classes {
+		work[c.name] = c.work.Mean()
+	}
+	fills := measure.WorthOrdered(mc, mp, work, wishes, able, hallSpan)
+	out := &Loss{RecoverS: -1, LastSentS: -1}
+	var during, after measure.Fill
+	for k, f := range fills {
+		at := time.Duration(k) * hallSpan
+		switch {
+		case at >= from && at < to:
+			during = during.Add(f)
+			if out.RecoverS < 0 && f.Ratio() >= nearBest {
+				out.RecoverS = (at - from).Seconds()
+			}
+		case at >= to+settled:
+			after = after.Add(f)
+		}
+	}
+	out.During, out.After, out.DuringAsked = during.Ratio(), after.Ratio(), 1
+	if during.Asked > 0 {
+		out.DuringAsked = during.Got / during.Asked
+	}
+	began := w.load.began
+	for _, rec := range w.fleet.Records(0) {
+		inHall := slices.Contains(lost, strings.TrimPrefix(rec.Zone, "hall-"))
+		if rec.How == node.CutOff && inHall && rec.Came >= began+from && rec.Came < began+to {
+			out.LastSentS = max(out.LastSentS, (rec.Came - began - from).Seconds())
+		}
+	}
+	for _, n := range w.fleet.Nodes() {
+		out.ColdPush = max(out.ColdPush, n.Pushed())
+	}
+	out.LongestS = w.longestQueue()
+	return out
+}
+
+// longestQueue is for how long, at the most, every command that came to a node began so late that its class's aim was gone
+// already: a queue past its aim.
+func (w *World) longestQueue() float64 {
+	aims := map[string]time.Duration{}
+	for _, c := range w.classes {
+		aims[c.name] = c.aim
+	}
+	type run struct{ from, to time.Duration }
+	runs := map[string]*run{}
+	most := time.Duration(0)
+	for _, rec := range w.fleet.Records(0) {
+		if rec.How != node.Ran {
+			continue
+		}
+		x := runs[rec.Node]
+		if rec.Ended-rec.Came <= aims[rec.Class] {
+			delete(runs, rec.Node)
+			continue
+		}
+		if x == nil {
+			runs[rec.Node] = &run{rec.Came, rec.Came}
+			continue
+		}
+		x.to = rec.Came
+		most = max(most, x.to-x.from)
+	}
+	return most.Seconds()
+}
+
+// swing is the largest change, from one second to the next, of the share that leaves the own hall, over all instances
+// together, apart from the seconds around what the timeline did.
+func swing(halls []HallTrack, marks []Mark) float64 {
+	if len(halls) == 0 {
+		return 0
+	}
+	per := int(time.Second / hallSpan)
+	n := len(halls[0].Own) / per
+	share := make([]float64, n)
+	for k := range n {
+		sum, parts := 0.0, 0.0
+		for _, h := range halls {
+			for j := k * per; j < (k+1)*per; j++ {
+				if h.Own[j] >= 0 {
+					sum, parts = sum+1-h.Own[j], parts+1
+				}
+			}
+		}
+		share[k] = math.NaN()
+		if parts > 0 {
+			share[k] = sum / parts
+		}
+	}
+	most := 0.0
+	for k := 1; k < n; k++ {
+		calm := k >= int(swingFrom.Seconds())
+		for _, m := range marks {
+			calm = calm && !(float64(k) >= m.AtS-1 && float64(k) < m.AtS+swingFrom.Seconds()+1)
+		}
+		if d := math.Abs(share[k] - share[k-1]); calm && d > most {
+			most = d
+		}
+	}
+	return most
+}
+
+// Text is the loss in a line.
+func (l *Loss) Text() string {
+	return fmt.Sprintf("loss: %.3f of the best while it lasted (%.3f of what was asked), %.3f from 5 s after the return; near the best after %.1f s; last command into it after %.2f s; "+
+		"cold nodes pushed to %.2f of the edge; longest queue past its aim %.1f s", l.During, l.DuringAsked, l.After, l.RecoverS, l.LastSentS, l.ColdPush, l.LongestS)
+}
--- /dev/null
+++ b/internal/lab/measure/fill.go
@@ -0,0 +1,72 @@
+package measure
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Fill is what an allocation that knows the true capacity would have reached in each span of a run, beside what was reached.
+type Fill struct {
+	Asked, Best, Got float64 // worth inside quotas: asked for, to be had at the most, earned
+}
+
+// Ratio is what was earned of what was to be had.
+func (f Fill) Ratio() float64 {
+	if f.Best <= 0 {
+		return 1
+	}
+	return f.Got / f.Best
+}
+
+// Add sums two spans up.
+func (f Fill) Add(o Fill) Fill { return Fill{f.Asked + o.Asked, f.Best + o.Best, f.Got + o.Got} }
+
+// WorthOrdered fills the capacity of each span with the wishes inside quotas that were due in it, the highest priority (worth
+// of a unit times price) first, and compares what they are worth with what was earned of those that were due then. able is
+// the work a second that all nodes could do in each span; work is what a wish of a class takes at the mean. What a span cannot
+// take is not carried over: most aims are shorter than a span.
+func WorthOrdered(classes map[string]Class, plans map[string]Plan, work map[string]time.Duration, wishes []Wish, able []float64, span time.Duration) []Fill {
+	wishes = slices.Clone(wishes)
+	slices.SortStableFunc(wishes, func(a, b Wish) int { return cmp.Compare(a.Due, b.Due) })
+	inside := Inside(plans, wishes)
+	out := make([]Fill, len(able))
+	type item struct{ rank, worth, work float64 }
+	asks := make([][]item, len(able))
+	room := map[string]float64{} // worth that a channel asked for inside and has not earned yet
+	for i, w := range wishes {
+		k := int(w.Due / span)
+		if k < 0 || k >= len(able) {
+			continue
+		}
+		c, p := classes[w.Class], plans[w.Plan]
+		x := item{rank: c.Worth * p.Price, worth: c.Worth * p.Price * w.Units, work: work[w.Class].Seconds()}
+		if inside[i] {
+			asks[k] = append(asks[k], x)
+			out[k].Asked += x.worth
+			room[w.Channel] += x.worth
+		}
+		earned := 0.0
+		switch {
+		case w.Served && w.At-w.Due <= c.Aim:
+			earned = x.worth
+		case w.Served:
+			earned = x.worth * c.LateShare
+		}
+		earned = min(earned, room[w.Channel])
+		room[w.Channel] -= earned
+		out[k].Got += earned
+	}
+	for k, list := range asks {
+		slices.SortStableFunc(list, func(a, b item) int { return cmp.Compare(b.rank, a.rank) })
+		room := able[k] * span.Seconds()
+		for _, x := range list {
+			part := min(1, room/max(x.work, 1e-9))
+			out[k].Best += part * x.worth
+			if room -= x.work; room <= 0 {
+				break
+			}
+		}
+	}
+	return out
+}
--- a/internal/lab/measure/measure.go
+++ b/internal/lab/measure/measure.go
@@ -178,6 +178,9 @@
 	return least
 }
 
+// Inside says of each wish, in order of when they were due, whether its channel's quota held it.
+func Inside(plans map[string]Plan, wishes []Wish) []bool { return insideQuota(plans, wishes) }
+
 // insideQuota replays each channel's quota over its first tries, in their order.
 func insideQuota(plans map[string]Plan, wishes []Wish) []bool {
 	type store struct {
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -108,6 +108,9 @@
 	Marks           []Mark
 	Timeline        []Second
 	Nodes           []NodeTrack
+	Halls           []HallTrack
+	Loss            *Loss   // of a day that loses a hall
+	Swing           float64 // most points by which the spill changed from second to second while nothing was done
 	tolerance       time.Duration
 	lost            int // records that found no room
 	verdict         audit.Verdict
@@ -150,7 +153,7 @@
 const sampleEvery = 250 * ms
 
 // sample watches how full the nodes are.
-func (w *World) sample(ctx context.Context) map[string]*NodeTrack {
+func (w *World) sample(ctx context.Context, able *ableTrack) map[string]*NodeTrack {
 	out := map[string]*NodeTrack{}
 	for _, s := range w.specs {
 		out[s.ID] = &NodeTrack{Node: s.ID, Hall: s.Zone}
@@ -163,6 +166,7 @@
 			return out
 		case <-t.C:
 		}
+		w.sampleAble(w.load.began, able)
 		for i, s := range w.specs {
 			n, _ := w.node(i)
 			held, _, down := n.Load()
@@ -209,7 +213,8 @@
 		defer close(live)
 		w.show(ctx)
 	}()
-	go func() { tracks <- w.sample(ctx) }()
+	able := &ableTrack{map[string][]float64{}, map[string][]float64{}}
+	go func() { tracks <- w.sample(ctx, able) }()
 	w.load.run(ctx)
 	interrupted := context.Cause(ctx)
 	var procs []Process
@@ -252,7 +257,7 @@
 		r.Nodes = append(r.Nodes, *held[s.ID])
 	}
 	w.rows(r)
-	w.score(r, evidence, w.store.Calls()-calls)
+	w.halls(r, able, w.score(r, evidence, w.store.Calls()-calls))
 	if r.Tries > 0 {
 		r.CPUPerRequestUS = float64(cpu.Microseconds()) / float64(r.Tries)
 	}
@@ -346,7 +351,7 @@
 }
 
 // score is the service as the brief counts it, from the clients' and the nodes' records.
-func (w *World) score(r *Report, e audit.Evidence, calls int) {
+func (w *World) score(r *Report, e audit.Evidence, calls int) (list []measure.Wish) {
 	wishes := map[int]*measure.Wish{}
 	costs := measure.Costs{CounterCalls: calls}
 	w.load.mu.Lock()
@@ -363,7 +368,7 @@
 		x.At, x.Served = t.Answers[0].At-w.load.began, t.Answers[0].Kind == "served"
 	}
 	w.load.mu.Unlock()
-	list := make([]measure.Wish, 0, len(wishes))
+	list = make([]measure.Wish, 0, len(wishes))
 	for _, x := range wishes {
 		list = append(list, *x)
 	}
@@ -385,6 +390,7 @@
 	mc, mp := worths(w.classes, w.plans)
 	r.Score = measure.Rate(mc, mp, list, beyond, costs)
 	r.Service = r.Score.Service
+	return list
 }
 
 // channels compares what the nodes saw with what was allowed.
@@ -425,6 +431,10 @@
 	fmt.Fprintf(&b, "\nday %s, seed %d: service %.3f (whole %.3f, worst 10 s %.3f, worst class %.3f, worst plan %.3f, prices %.3f); use beyond quotas cost %.3f\n", r.Day, r.Seed,
 		r.Service, s.Whole, s.Worst10s, s.WorstClass, s.WorstPlan, s.Prices, s.Beyond)
 	fmt.Fprintf(&b, "%d tries in %.1f s, %d more that found no room at the clients; %.0f%% of the units that went inside quotas went beyond\n", r.Tries, r.Seconds, r.Dropped, 100*r.BeyondShare)
+	fmt.Fprintf(&b, "%.0f%% of the sends crossed halls; the spill changed by %.0f points from second to second at the most\n", 100*s.CrossShare, 100*r.Swing)
+	if r.Loss != nil {
+		fmt.Fprintln(&b, r.Loss.Text())
+	}
 	fmt.Fprintf(&b, "\nchannels of a plan with a ceiling, as the nodes saw them (units; shares of the ceiling)\n")
 	for _, c := range r.Channels {
 		fmt.Fprintf(&b, "  %s %-10s inside %7.0f beyond %6.0f  most overdrawn %6.1f (%5.1f%%)  nearest to the ceiling %+6.1f%%\n", c.Customer, c.Plan, c.Inside, c.Beyond, c.Overrun, 100*c.OfCeiling, 100*c.Closest)
--- a/internal/lab/timeline.go
+++ b/internal/lab/timeline.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"hitchspring/internal/drill"
 	"hitchspring/internal/lab/day"
 	"hitchspring/internal/standin/fault"
 	"hitchspring/internal/standin/node"
@@ -77,24 +78,39 @@
 			w.restarted++
 		}
 		return nil
+	case verb == "drill":
+		return w.drill("hall-"+string(rune('a'+s.N)), s.Span(1))
+	case verb == "die" || verb == "trickle": // nobody tells discovery; cold when it is back
+		for _, i := range which {
+			n, _ := w.node(i)
+			n.Stop()
+		}
+		for k, i := range which {
+			d := s.Span(1)
+			if verb == "trickle" {
+				d += time.Duration(k) * s.Span(2)
+			}
+			w.backLater(ctx, d, i)
+		}
+		return nil
+	case verb == "vanish":
+		for _, i := range which {
+			n, _ := w.node(i)
+			for at := range w.day.Ingresses {
+				n.Cut(at, s.Span(1)+time.Second)
+			}
+			w.backLater(ctx, s.Span(1), i)
+		}
+		return nil
 	case verb == "out":
 		for _, i := range which {
 			n, t := w.node(i)
 			n.Stop()
 			w.tell(t, "DELETED")
 		}
-		w.later(ctx, s.Span(1), func() {
-			for _, i := range which {
-				if n, _ := w.node(i); !n.Down() { // somebody has started it meanwhile
-					continue
-				}
-				if err := w.restart(i); err != nil {
-					w.mu.Lock()
-					w.notes = append(w.notes, fmt.Sprintf("node %d does not come back: %v", i, err))
-					w.mu.Unlock()
-				}
-			}
-		})
+		for _, i := range which {
+			w.backLater(ctx, s.Span(1), i)
+		}
 		return nil
 	}
 	for _, i := range which {
@@ -105,6 +121,34 @@
 	return nil
 }
 
+// backLater starts a node anew after a while, where nobody has done so meanwhile.
+func (w *World) backLater(ctx context.Context, d time.Duration, i int) {
+	n, _ := w.node(i)
+	w.later(ctx, d, func() {
+		if now, _ := w.node(i); now != n {
+			return
+		}
+		if err := w.restart(i); err != nil {
+			w.mu.Lock()
+			w.notes = append(w.notes, fmt.Sprintf("node %d does not come back: %v", i, err))
+			w.mu.Unlock()
+		}
+	})
+}
+
+// drill takes a hall out by the file that all instances read.
+func (w *World) drill(hall string, d time.Duration) error {
+	now := time.Now()
+	l, err := drill.Load(w.drills, now)
+	if err == nil {
+		l, err = l.Begin(drill.Drill{Hall: hall, Until: now.Add(d), Why: "the lab's"}, now)
+	}
+	if err == nil {
+		err = l.Save(w.drills)
+	}
+	return err
+}
+
 // restart ends a node and starts it cold, at other addresses under its old id.
 func (w *World) restart(i int) error {
 	n, _ := w.node(i)
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -54,6 +54,7 @@
 	Mixed     []string // programs that the ingresses are in turn, in place of Ingress
 	MemoryMB  int
 	Tolerance time.Duration // of the rules' time limits; 0: the platform's 50 ms
+	Halls     bool          // the ingresses know of halls: [halls] is in their options
 	HTTP      float64       // share of the wishes that come through gates, which ask over HTTP
 	GateFault []string      // rules for all gates, from the start
 	Live      io.Writer     // a table each second; nil: none
@@ -110,6 +111,7 @@
 	classes   []class
 	plans     []*plan
 	dir       string
+	drills    string // the file of drills
 	net       string // the loopback network of this run: three bytes of an address
 	began     time.Time
 	rng       *rand.Rand
@@ -193,6 +195,7 @@
 		return err
 	}
 	w.onClose(func() { os.RemoveAll(w.dir) })
+	w.drills = filepath.Join(w.dir, "drills.toml")
 	if err := w.openStore(); err != nil {
 		return err
 	}
@@ -413,6 +416,9 @@
 		}
 		options += "[store]\nkind = \"redis\"\n" + where
 	}
+	if w.cfg.Halls {
+		options += fmt.Sprintf("[halls]\nnear = [%q]\ndrills = %q\n", "hall-"+string(rune('a'+(i+1)%3)), w.drills)
+	}
 	if options != "" {
 		file := filepath.Join(w.dir, g.name+".toml")
 		if err := os.WriteFile(file, []byte(options), 0o600); err != nil {
@@ -429,7 +435,7 @@
 	var cs, ps []any
 	for _, c := range w.classes {
 		cs = append(cs, map[string]any{"name": c.name, "value": c.worth, "objectiveUs": us(c.aim), "deadlineUs": us(c.deadline), "lateShare": c.late,
-			"effect": c.effect, "group": "cell", "windowUs": us(keyMemory)})
+			"effect": c.effect, "group": map[bool]string{true: "all", false: "cell"}[c.effect == "read_like"], "windowUs": us(keyMemory)})
 	}
 	for _, p := range w.plans {
 		ps = append(ps, map[string]any{"name": p.name, "price": p.price, "refill": p.rate, "burst": p.burst(), "concurrency": p.open,
--- a/internal/standin/node/node.go
+++ b/internal/standin/node/node.go
@@ -309,6 +309,21 @@
 	return held, capacity, down
 }
 
+// Able is what it does now for whoever reaches it, in seconds of work a second: with all that slows it, 0 while it is down,
+// paused, or cut from everybody.
+func (n *Node) Able() (able float64) {
+	n.change(func(now time.Duration) {
+		reached := false
+		for _, until := range n.cuts {
+			reached = reached || until <= now
+		}
+		if reached && !n.down {
+			able = n.m.rate() * float64(n.m.Cores)
+		}
+	})
+	return able
+}
+
 func (n *Node) accept(instance int, ln net.Listener) {
 	for {
 		nc, err := ln.Accept()
--- a/logic/api.go
+++ b/logic/api.go
@@ -133,6 +133,15 @@
 	Gone
 )
 
+// Hall is what is known of a hall.
+type Hall struct {
+	Zone     string
+	Price    float64    // what a server there counts for, against one with the same load elsewhere
+	Rate     float64    // attempts a second that it may be sent; below 0: any
+	Lost     bool       // it takes nothing, and what is out there will not be answered soon
+	Unproven []ServerID // servers that are not to be sent to yet
+}
+
 // Event is something a gateway is told.
 type Event interface{ event() }
 
@@ -179,6 +188,12 @@
 		From int
 		Body []byte
 	}
+	// HallsChanged brings what is known of halls. Without it another hall costs a fixed factor.
+	HallsChanged struct {
+		Halls []Hall
+		Reach float64       // share of all halls' capacity that is to be had
+		Pace  time.Duration // a refused request should not come back before, while a hall returns
+	}
 	// CountReply answers a Count; for one name replies come in order.
 	CountReply struct {
 		Name    string
@@ -195,6 +210,7 @@
 func (TimerFired) event()    {}
 func (ProbeEnded) event()    {}
 func (PeerMessage) event()   {}
+func (HallsChanged) event()  {}
 func (CountReply) event()    {}
 
 // Action is something a gateway wants done.
--- /dev/null
+++ b/logic/halls.go
@@ -0,0 +1,103 @@
+package logic
+
+import "time"
+
+// hall is what the gateway was last told of a hall, and what is left of the rate that it may be sent.
+type hall struct {
+	Hall
+	credit float64
+	at     time.Duration
+}
+
+const (
+	leastCredit = 1.5  // sends that may come at once to a hall with a rate
+	creditFor   = 0.1  // seconds of its rate, the same
+	reachStep   = 0.03 // a fall of what is to be had that the window follows at once
+	spreadShort = 0.95 // below this share of all capacity retries are spread
+)
+
+// hallsChanged takes over what is known of halls. The window shrinks with what is lost, at once: its own way
+// there would cost the work that many round trips bring too much.
+func (g *Gateway) hallsChanged(ev HallsChanged) {
+	for _, s := range g.fleet {
+		s.unproven = false
+	}
+	for _, f := range ev.Halls {
+		h := g.halls[f.Zone]
+		if h == nil {
+			h = &hall{at: g.now}
+			g.halls[f.Zone] = h
+		}
+		lost := f.Lost && !h.Lost
+		if h.Rate < 0 && f.Rate >= 0 {
+			h.credit, h.at = 0, g.now
+		}
+		h.Hall = f
+		for _, id := range f.Unproven {
+			if s := g.servers[id]; s != nil {
+				s.unproven = true
+			}
+		}
+		if lost {
+			g.strand(f.Zone)
+		}
+	}
+	if ev.Reach < g.reach-reachStep {
+		least := max(leastWindow, float64(len(g.fleet))/float64(g.set.Gateways))
+		g.window = min(g.window, max(g.window*ev.Reach/g.reach, least))
+		g.reach = ev.Reach
+	}
+	g.reach, g.pace = max(g.reach, ev.Reach), ev.Pace
+}
+
+// hasRoom says whether the hall may be sent another attempt.
+func (h *hall) hasRoom(now time.Duration) bool {
+	switch {
+	case h == nil || h.Rate < 0:
+		return true
+	case h.Lost:
+		return false
+	}
+	h.credit = min(h.credit+h.Rate*(now-h.at).Seconds(), max(leastCredit, h.Rate*creditFor))
+	h.at = now
+	return h.credit >= 1
+}
+
+func (h *hall) spend() {
+	if h != nil && h.Rate >= 0 {
+		h.credit--
+	}
+}
+
+// strand deals with what is out in a hall that has just been lost: it no longer fills the window, and what may be
+// repeated anywhere goes to the queues again, at no cost to the budget of further attempts.
+func (g *Gateway) strand(zone string) {
+	for _, r := range g.live {
+		for _, a := range r.attempts {
+			if a.ended || a.s.Zone != zone {
+				continue
+			}
+			if !a.lost {
+				a.lost = true
+				g.busy--
+			}
+			switch {
+			case r.final || r.held || r.Handed || r.class.Effect != Safe || !g.repeatable(r):
+			case g.set.SecondCopies && r.outs == 1:
+				g.hold(r)
+			case !g.set.SecondCopies && g.set.MayCancel:
+				g.retries++
+				g.do(Cancel{ID: r.ID, Attempt: a.n})
+			}
+		}
+	}
+}
+
+// spread draws a part of a retry-after while capacity is missing, so that those who were refused together do not
+// come back together.
+func (g *Gateway) spread(after time.Duration) time.Duration {
+	if g.reach >= spreadShort || after <= 0 {
+		return after
+	}
+	return after - time.Duration(g.rng.Float64()*float64(after)/2)
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -79,6 +79,10 @@
 	hosts   float64 // servers that they came from, until others have taken their place
 	hostsAt time.Duration
 
+	halls map[string]*hall
+	reach float64       // of the halls' capacity
+	pace  time.Duration // least retry-after while a hall returns
+
 	askShare     float64 // share of the sparse customers' requests that the counter is asked for
 	counterFails int
 }
@@ -127,7 +131,8 @@
 	}
 	g := &Gateway{set: set, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), sweep: time.Second,
 		classes: map[string]*class{}, plans: map[string]*Plan{}, customers: map[string]*customer{},
-		requests: map[RequestID]*request{}, servers: map[ServerID]*server{}, askShare: 1}
+		requests: map[RequestID]*request{}, servers: map[ServerID]*server{}, askShare: 1,
+		halls: map[string]*hall{}, reach: 1}
 	for _, c := range set.Classes {
 		if c.Aim <= 0 || c.Deadline < c.Aim {
 			return nil, fmt.Errorf("logic: class %q: aim %v, deadline %v", c.Name, c.Aim, c.Deadline)
@@ -175,6 +180,8 @@
 		g.tick()
 	case CountReply:
 		g.counted(ev)
+	case HallsChanged:
+		g.hallsChanged(ev)
 	}
 	g.release()
 	return g.out
@@ -668,6 +675,7 @@
 	slowAt, lastSent time.Duration
 	banned           time.Duration // no work before, unless too many are
 	fails, badRound  int           // failures in a row; last round with an untimely end
+	unproven         bool          // of a hall that was lost, and not known to be back itself
 }
 
 // slowness is the relative latency as remembered, or what the longest wait already shows.
@@ -691,11 +699,15 @@
 	bestScore := math.Inf(1)
 	anchor := r.anchor()
 	for _, s := range g.fleet {
-		if anchor != nil && !sameGroup(r.class.Group, anchor.s, s) || !g.coldRoom(s) {
+		bound := anchor != nil && r.class.Effect != Safe && !sameGroup(r.class.Group, anchor.s, s)
+		h := g.halls[s.Zone]
+		if bound || s.unproven || !g.coldRoom(s) || !h.hasRoom(g.now) {
 			continue
 		}
 		score := g.slowness(s) * (1 + float64(len(s.out))) / g.warmth(s) * (1 + 0.1*g.rng.Float64())
-		if s.Zone != g.set.Zone && g.set.CrossZonePrice > 0 {
+		if h != nil {
+			score *= h.Price
+		} else if s.Zone != g.set.Zone && g.set.CrossZonePrice > 0 {
 			score *= 1.3
 		}
 		if r.tried(s) || s.fails >= failsToBan && (s.banned > g.now || len(s.out) > 0) {
@@ -778,6 +790,7 @@
 	r.attempts = append(r.attempts, a)
 	r.outs, r.cust.open, g.busy = r.outs+1, r.cust.open+1, g.busy+1
 	s.out = append(s.out, a)
+	g.halls[s.Zone].spend()
 	s.lastSent, g.lastSent, s.phase = g.now, g.now, 1
 	var stop time.Duration
 	if !g.set.SecondCopies && r.class.mean > 0 && r.class.Effect != Unsafe { // ends for another
@@ -795,8 +808,8 @@
 			g.judge(a, r.class, TimedOut, 0)
 		}
 	}
-	if !g.set.SecondCopies || r.Handed || r.outs != 1 || g.retries < 1 || g.now > r.arrived+r.class.Aim ||
-		r.beyond || r.class.mean == 0 || g.pressed() || !g.repeatable(r) || !g.mayGo(r) {
+	if !g.set.SecondCopies || r.Handed || r.held || r.outs != 1 || g.retries < 1 || r.beyond ||
+		g.now > r.arrived+r.class.Aim || r.class.mean == 0 || g.pressed() || !g.repeatable(r) || !g.mayGo(r) {
 		return
 	}
 	if last := r.attempts[len(r.attempts)-1]; g.now-last.sent < r.class.takes(hedgeDevs) {
@@ -833,7 +846,7 @@
 			r.cust.block -= ev.Settled - r.Units
 		}
 		g.close(r)
-	case r.outs > 0:
+	case r.outs > 0 || r.held: // held: since its hall was lost
 	case !g.repeatable(r) || r.GiveUpAt-g.now < r.class.takes(0)+2*g.sweep || g.retries < 1:
 		g.giveUp(r)
 	default: // tried again where its class, its time and the budget allow
@@ -853,7 +866,7 @@
 }
 
 func (g *Gateway) refuse(r *request, after time.Duration) {
-	g.do(Refuse{ID: r.ID, RetryAfter: min(after, g.set.MaxRetryAfter)})
+	g.do(Refuse{ID: r.ID, RetryAfter: g.spread(min(max(after, g.pace), g.set.MaxRetryAfter))})
 	g.close(r)
 }
 
@@ -893,7 +906,8 @@
 			g.servers[e.ID] = s
 		}
 		if s.slow == 0 || s.Started != e.Started { // new or restarted: only what is still out stays
-			*s = server{out: s.out, slow: 1, slowAt: g.now, badRound: -1, phase: g.rng.Float64()}
+			*s = server{out: s.out, slow: 1, slowAt: g.now, badRound: -1, phase: g.rng.Float64(),
+				unproven: s.unproven}
 		}
 		s.Server = e
 	}
