--- a/cmd/hitchspring/cli.go
+++ b/cmd/hitchspring/cli.go
@@ -17,7 +17,7 @@
 
 // cli is the command line.
 type cli struct {
-	Options string `help:"The options file (TOML); without it everything is as ROUTER_CONFIG has it." env:"HITCHSPRING_OPTIONS" type:"path" placeholder:"FILE"`
+	Options string `help:"The options file (TOML); without it everything is as ROUTER_CONFIG has it." env:"HITCHSPRING_OPTIONS" placeholder:"FILE"`
 
 	Serve      serveCmd                  `cmd:"" default:"1" help:"Serve, as ROUTER_CONFIG and the options say. The default."`
 	Check      checkCmd                  `cmd:"" help:"Say what is wrong with the settings, or print those in force."`
--- a/cmd/lab/experiment.go
+++ b/cmd/lab/experiment.go
@@ -17,6 +17,7 @@
 type experimentCmd struct {
 	File string `arg:"" help:"The experiment (TOML)." type:"path"`
 	Out  string `help:"Folder for results.jsonl and index.html; results there are not played again." type:"path" default:"found/experiment"`
+	Jobs int    `help:"Runs at once." default:"1"`
 }
 
 func (c *experimentCmd) run(ctx context.Context, out io.Writer) (int, error) {
@@ -24,15 +25,15 @@
 	if err != nil {
 		return failed, err
 	}
-	return played(ctx, s, c.Out, out)
+	return played(ctx, s, c.Out, c.Jobs, out)
 }
 
 // played plays an experiment and writes its page, also of what an interruption has left.
-func played(ctx context.Context, s *experiment.Spec, dir string, out io.Writer) (int, error) {
+func played(ctx context.Context, s *experiment.Spec, dir string, jobs int, out io.Writer) (int, error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return failed, err
 	}
-	lines, err := s.Run(ctx, experiment.Config{Results: filepath.Join(dir, "results.jsonl"), Out: out})
+	lines, err := s.Run(ctx, experiment.Config{Results: filepath.Join(dir, "results.jsonl"), Out: out, Jobs: jobs})
 	if len(lines) > 0 {
 		io.WriteString(out, s.Text(lines))
 		page := filepath.Join(dir, "index.html")
@@ -85,5 +86,5 @@
 		defer os.RemoveAll(dir)
 		c.Out = dir
 	}
-	return played(ctx, s, c.Out, out)
+	return played(ctx, s, c.Out, 1, out)
 }
--- a/cmd/lab/halls.go
+++ b/cmd/lab/halls.go
@@ -15,6 +15,7 @@
 	Seeds int    `help:"How many, from --seed on." default:"3"`
 	Seed  uint64 `help:"The first." default:"1"`
 	On    bool   `help:"Only with [halls] on; else each run is also played with it off."`
+	Jobs  int    `help:"Runs at once: a run takes about a third of a core." default:"4"`
 	Out   string `help:"Folder for results.jsonl and index.html." type:"path" default:"found/halls"`
 }
 
@@ -36,7 +37,7 @@
 	if err := s.Check(); err != nil {
 		return failed, err
 	}
-	code, err := played(ctx, s, c.Out, out)
+	code, err := played(ctx, s, c.Out, c.Jobs, out)
 	if err != nil {
 		return code, err
 	}
--- a/internal/config/halls.go
+++ b/internal/config/halls.go
@@ -36,8 +36,8 @@
 			wrong(key, "%v is out of range, %v to %v", *v, least, most)
 		}
 	}
-	number("near_price", &h.NearPrice, 1.3, 1, 100)
-	number("far_price", &h.FarPrice, max(1.6, h.NearPrice), 1, 100)
+	number("near_price", &h.NearPrice, 2, 1, 100)
+	number("far_price", &h.FarPrice, max(3, h.NearPrice), 1, 100)
 	if h.FarPrice < h.NearPrice {
 		wrong("far_price", "%v is below near_price %v", h.FarPrice, h.NearPrice)
 	}
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -88,6 +88,9 @@
 	if err != nil {
 		return List{}, fmt.Errorf("drills: %w", err)
 	}
+	if len(text) == 0 { // half written: to end all drills the file is removed, or holds a comment
+		return List{}, fmt.Errorf("%s: drills: the file is empty", path)
+	}
 	l, err := Parse(text, now)
 	if err != nil {
 		return List{}, fmt.Errorf("%s: %w", path, err)
--- a/internal/halls/halls.go
+++ b/internal/halls/halls.go
@@ -37,8 +37,8 @@
 type Config struct {
 	Own           string        // the instance's hall
 	Near          []string      // halls of the second tier; those in neither are the third
-	NearPrice     float64       // what a node there counts for against one at home with the same load: 1.3
-	FarPrice      float64       // the same in the third tier: 1.6
+	NearPrice     float64       // what a node there counts for against one at home with the same load: 2
+	FarPrice      float64       // the same in the third tier: 3
 	Overprovision float64       // a hall keeps all its work down to 1/Overprovision of its capacity: 1.4
 	Panic         float64       // below this share of all capacity no hall is preferred and no drill is kept: 0.3
 	Ramp          time.Duration // from a return to the whole rate, at the most: 4 s
@@ -52,8 +52,8 @@
 
 // The defaults, and what nobody has had a need to set.
 const (
-	nearPrice     = 1.3
-	farPrice      = 1.6
+	nearPrice     = 2.0
+	farPrice      = 3.0
 	overprovision = 1.4
 	panicShare    = 0.3
 	usualRamp     = 4 * time.Second
--- a/internal/lab/experiment/spec.go
+++ b/internal/lab/experiment/spec.go
@@ -30,6 +30,7 @@
 	Defect  string `toml:"defect"` // of lab prove: a build that is known to be worse
 	Store   string `toml:"store"`  // instead of the day's
 	Halls   bool   `toml:"halls"`  // [halls] is on
+	Lines   string `toml:"lines"`  // of that section, beside the usual
 }
 
 // Spec is an experiment.
@@ -216,7 +217,7 @@
 func (s *Spec) key(c Cell, digests []string) string {
 	parts := []string{c.Day, fmt.Sprint(c.Seed), time.Duration(s.Length).String(), fmt.Sprint(s.Rate)}
 	for _, v := range c.Variants {
-		parts = append(parts, s.Variants[v].Name+"@"+digests[v]+s.Variants[v].Store+map[bool]string{true: "+halls"}[s.Variants[v].Halls])
+		parts = append(parts, s.Variants[v].Name+"@"+digests[v]+s.Variants[v].Store+map[bool]string{true: "+halls"}[s.Variants[v].Halls]+s.Variants[v].Lines)
 	}
 	return strings.Join(parts, " ")
 }
--- /dev/null
+++ b/internal/lab/halls_test.go
@@ -0,0 +1,79 @@
+package lab
+
+import (
+	"testing"
+	"time"
+
+	"hitchspring/internal/lab/day"
+)
+
+// sent is what a hall's nodes saw between two times of the load, in seconds.
+func sent(r *Report, hall string, from, to float64) (n float64) {
+	for _, h := range r.Halls {
+		if h.Hall != "hall-"+hall {
+			continue
+		}
+		for k, v := range h.Sends {
+			if at := float64(k) * hallSpan.Seconds(); at >= from && at+hallSpan.Seconds() <= to {
+				n += v * hallSpan.Seconds()
+			}
+		}
+	}
+	return n
+}
+
+func sends(r *Report, hall string) []float64 {
+	for _, h := range r.Halls {
+		if h.Hall == "hall-"+hall {
+			return h.Sends
+		}
+	}
+	return nil
+}
+
+// Three halls and three ingresses that know of them. Whatever becomes of a hall the rules hold by what the nodes saw; a hall
+// that is lost, or taken out, gets nothing once that is known, and work again when it is back.
+func TestHalls(t *testing.T) {
+	type span struct {
+		hall     string
+		from, to float64
+	}
+	for name, c := range map[string]struct {
+		faults []string
+		store  string
+		http   float64
+		quiet  []span // nothing comes to the hall
+		back   string // it has work again in the last second, at a load that wants it: cold nodes are slow
+	}{
+		"dies":                {faults: []string{"hall/a:die 3s at 2s"}, quiet: []span{{"a", 2.5, 5}}},
+		"vanishes":            {faults: []string{"hall/a:vanish 3s at 1s"}, quiet: []span{{"a", 3.5, 4}}, back: "a"},
+		"through both fronts": {faults: []string{"hall/b:vanish 4s at 1500ms"}, http: 0.5, quiet: []span{{"b", 5, 5.5}}},
+		"fails again":         {faults: []string{"hall/a:die 1500ms at 1500ms", "hall/a:die 1500ms at 5s"}, quiet: []span{{"a", 2, 3}, {"a", 5.5, 6.5}}},
+		"one by one":          {faults: []string{"hall/c:trickle 2s 500ms at 1500ms"}, quiet: []span{{"c", 2, 3}}, back: "c"},
+		"two at once":         {faults: []string{"hall/a:vanish 3s at 2s", "hall/c:die 3s at 2s"}, quiet: []span{{"c", 2.5, 4.5}}},
+		"cut from one":        {faults: []string{"hall/a:cut 0 3s at 2s"}, back: "a"},
+		"half drained":        {faults: []string{"node/0:drain at 500ms", "node/3:drain at 500ms", "node/6:stop at 3s", "node/9:stop at 3s"}, quiet: []span{{"a", 6, 9}}},
+		"with the store":      {faults: []string{"hall/a:die 3s at 2s", "store:stop 2s at 2s"}, store: day.StoreRedis, quiet: []span{{"a", 2.5, 5}}},
+		"drill":               {faults: []string{"hall/b:drill 4s at 1500ms"}, quiet: []span{{"b", 3.5, 5}}, back: "b"},
+		"while nodes lose":    {faults: []string{"hall/a:die 3s at 2s", "node/1:drop-after for 4s share 0.2 at 2s", "node/2:drop-before for 4s share 0.2 at 2s"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cfg := testConfig(t)
+			cfg.Hot, cfg.For, cfg.Halls, cfg.Faults, cfg.Store, cfg.HTTP = 0, 10*time.Second, true, c.faults, c.store, c.http
+			if c.back != "" {
+				cfg.Rate = 1.2
+			}
+			r := play(t, cfg)
+			holds(t, r)
+			for _, s := range c.quiet {
+				if n := sent(r, s.hall, s.from, s.to); n > 0 {
+					t.Errorf("%.0f commands came to hall %s between %.1f and %.1f s: %.0f", n, s.hall, s.from, s.to, sends(r, s.hall))
+				}
+			}
+			if c.back != "" && sent(r, c.back, 9, 10) == 0 {
+				t.Errorf("nothing comes to hall %s at the end: %.0f", c.back, sends(r, c.back))
+			}
+		})
+	}
+}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -55,6 +55,7 @@
 	MemoryMB  int
 	Tolerance time.Duration // of the rules' time limits; 0: the platform's 50 ms
 	Halls     bool          // the ingresses know of halls: [halls] is in their options
+	HallLines string        // further lines of that section
 	HTTP      float64       // share of the wishes that come through gates, which ask over HTTP
 	GateFault []string      // rules for all gates, from the start
 	Live      io.Writer     // a table each second; nil: none
@@ -417,7 +418,7 @@
 		options += "[store]\nkind = \"redis\"\n" + where
 	}
 	if w.cfg.Halls {
-		options += fmt.Sprintf("[halls]\nnear = [%q]\ndrills = %q\n", "hall-"+string(rune('a'+(i+1)%3)), w.drills)
+		options += fmt.Sprintf("[halls]\nnear = [%q]\ndrills = %q\n%s\n", "hall-"+string(rune('a'+(i+1)%3)), w.drills, w.cfg.HallLines)
 	}
 	if options != "" {
 		file := filepath.Join(w.dir, g.name+".toml")
--- a/logic/halls.go
+++ b/logic/halls.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// strand deals with what is out in a hall that has just been lost: it no longer fills the window, and what may be
-// repeated anywhere goes to the queues again, at no cost to the budget of further attempts.
+// strand deals with what is out in a hall that has just been lost: it no longer fills the window, and what may
+// be repeated anywhere goes to the queues again, at no cost to the budget of further attempts.
 func (g *Gateway) strand(zone string) {
 	for _, r := range g.live {
 		for _, a := range r.attempts {
@@ -93,8 +93,8 @@
 	}
 }
 
-// spread draws a part of a retry-after while capacity is missing, so that those who were refused together do not
-// come back together.
+// spread draws a part of a retry-after while capacity is missing, so that those who were refused together do
+// not come back together.
 func (g *Gateway) spread(after time.Duration) time.Duration {
 	if g.reach >= spreadShort || after <= 0 {
 		return after
--- /dev/null
+++ b/logic/halls_test.go
@@ -0,0 +1,157 @@
+package logic
+
+import (
+	"testing"
+	"time"
+)
+
+func hallRig(t *testing.T) *rig {
+	set := settings()
+	set.CrossZonePrice = 0.01
+	r := newRig(t, set, Server{ID: "a0", State: Running, Zone: "a"}, Server{ID: "a1", State: Running, Zone: "a", Cell: 1}, Server{ID: "b0", State: Running, Zone: "b", Cell: 2},
+		Server{ID: "b1", State: Running, Zone: "b", Cell: 3})
+	r.pass(20 * ms)
+	return r
+}
+
+func (r *rig) zones(sends []Send) map[string]int {
+	out := map[string]int{}
+	for _, s := range sends {
+		out[r.g.servers[s.Server].Zone]++
+	}
+	return out
+}
+
+func facts(halls ...Hall) HallsChanged { return HallsChanged{Halls: halls, Reach: 1} }
+
+// The price moves work, a rate bounds it, a closed hall gets none, and neither does a server that is not proven.
+func TestHallFacts(t *testing.T) {
+	for name, c := range map[string]struct {
+		ev    HallsChanged
+		check func(z map[string]int, sends []Send) bool
+	}{
+		"price":  {facts(Hall{Zone: "a", Price: 50, Rate: -1}, Hall{Zone: "b", Price: 1, Rate: -1}), func(z map[string]int, _ []Send) bool { return z["a"] == 0 && z["b"] == 6 }},
+		"closed": {facts(Hall{Zone: "a", Price: 1, Rate: 0}, Hall{Zone: "b", Price: 9, Rate: -1}), func(z map[string]int, _ []Send) bool { return z["a"] == 0 && z["b"] == 6 }},
+		"lost":   {facts(Hall{Zone: "a", Price: 1, Lost: true}, Hall{Zone: "b", Price: 9, Rate: -1}), func(z map[string]int, _ []Send) bool { return z["a"] == 0 && z["b"] == 6 }},
+		"rate":   {facts(Hall{Zone: "a", Price: 1, Rate: 1}, Hall{Zone: "b", Price: 9, Rate: -1}), func(z map[string]int, _ []Send) bool { return z["a"] <= 1 && z["b"] >= 5 }},
+		"unproven": {facts(Hall{Zone: "a", Price: 1, Rate: -1, Unproven: []ServerID{"a0"}}, Hall{Zone: "b", Price: 99, Rate: -1}), func(_ map[string]int, s []Send) bool {
+			return len(s) == 6 && s[0].Server == "a1" && s[5].Server == "a1"
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := hallRig(t)
+			r.tell(c.ev)
+			var sends []Send
+			for id := range RequestID(6) {
+				sends = append(sends, only[Send](r.arrive(id+1, "read", "free"))...)
+			}
+			if z := r.zones(sends); !c.check(z, sends) {
+				t.Fatal(z, sends)
+			}
+		})
+	}
+}
+
+// A rate is kept over time, however many wait.
+func TestHallRate(t *testing.T) {
+	r := hallRig(t)
+	r.tell(facts(Hall{Zone: "a", Price: 1, Rate: 10}, Hall{Zone: "b", Price: 1, Rate: 0}))
+	sends, id := 0, RequestID(0)
+	for end := r.now + 2*time.Second; r.now < end; {
+		id++
+		got := only[Send](append(r.arrive(id, "read", "free"), r.pass(10*ms)...))
+		sends += len(got)
+		for _, s := range got {
+			r.tell(AttemptEnded{ID: s.ID, Server: s.Server, Outcome: Done, Took: ms, Finished: true})
+		}
+	}
+	if sends < 15 || sends > 23 {
+		t.Fatalf("%d sends in 2 s at 10 a second", sends)
+	}
+}
+
+// What was out in a hall that is lost no longer fills the window; reads go again at once, and cost no retry; keyed work
+// and unsafe work do not go to another rack, and each request has one final answer.
+func TestStrand(t *testing.T) {
+	r := hallRig(t)
+	r.tell(facts(Hall{Zone: "a", Price: 1, Rate: -1}, Hall{Zone: "b", Price: 99, Rate: -1}))
+	for id, class := range []string{"read", "book", "pay"} {
+		if s := only[Send](r.arrive(RequestID(id+1), class, "free")); len(s) != 1 || r.g.servers[s[0].Server].Zone != "a" {
+			t.Fatal(class, s)
+		}
+	}
+	busy, retries := r.g.busy, r.g.retries
+	acts := r.tell(HallsChanged{Halls: []Hall{{Zone: "a", Price: 1, Lost: true}, {Zone: "b", Price: 1, Rate: -1}}, Reach: 0.5})
+	sends := only[Send](acts)
+	if len(sends) != 1 || sends[0].ID != 1 || r.g.servers[sends[0].Server].Zone != "b" {
+		t.Fatalf("%v: only the read goes again", acts)
+	}
+	if r.g.busy != busy-3+1 || r.g.retries != retries {
+		t.Fatalf("busy %d, it was %d; retries %v, they were %v", r.g.busy, busy, r.g.retries, retries)
+	}
+	finals := map[RequestID]int{}
+	count := func(acts []Action) {
+		for _, a := range only[Refuse](acts) {
+			finals[a.ID]++
+		}
+		for _, a := range only[Fail](acts) {
+			finals[a.ID]++
+		}
+	}
+	r.now += 50 * ms
+	count(r.tell(AttemptEnded{ID: 1, Attempt: 1, Server: sends[0].Server, Outcome: Done, Took: 50 * ms, Finished: true}))
+	for id, server := range map[RequestID]ServerID{1: "a0", 2: "a0", 3: "a0"} {
+		for n, a := range r.g.requests[id].attempts {
+			if !a.ended {
+				acts := r.tell(AttemptEnded{ID: id, Attempt: n, Server: server, Outcome: TimedOut, Took: time.Second})
+				if s := only[Send](acts); len(s) > 0 && r.g.servers[s[0].Server].Zone != "a" {
+					t.Fatalf("%v went to another rack", s)
+				}
+				count(acts)
+			}
+		}
+	}
+	count(r.pass(3 * time.Second))
+	if finals[1] != 0 || finals[2] != 1 || finals[3] != 1 {
+		t.Fatalf("final answers %v", finals)
+	}
+	if r.g.busy != 0 {
+		t.Fatalf("busy %d at the end", r.g.busy)
+	}
+}
+
+// A loss narrows the window by what is gone, at once and only once; the return does not widen it by itself.
+func TestReach(t *testing.T) {
+	r := hallRig(t)
+	r.g.window = 20
+	for range 5 {
+		r.tell(HallsChanged{Reach: 0.6})
+	}
+	if w := r.g.window; w < 11 || w > 13 {
+		t.Fatalf("window %v", w)
+	}
+	r.tell(HallsChanged{Reach: 1})
+	if w := r.g.window; w > 13 {
+		t.Fatalf("window %v after the return", w)
+	}
+}
+
+// While capacity is missing, those who are refused together are told different times, none longer than is allowed, and none
+// before the pace of a return.
+func TestSpreadRefusals(t *testing.T) {
+	r := hallRig(t)
+	r.tell(HallsChanged{Reach: 0.5, Pace: 800 * ms, Halls: []Hall{{Zone: "a", Price: 1, Lost: true}, {Zone: "b", Price: 1, Lost: true}}})
+	for id := range RequestID(30) {
+		r.arrive(id+1, "read", "free")
+	}
+	times := map[time.Duration]bool{}
+	for _, a := range only[Refuse](r.pass(3 * time.Second)) {
+		if a.RetryAfter > time.Second || a.RetryAfter < 400*ms {
+			t.Fatalf("retry after %v", a.RetryAfter)
+		}
+		times[a.RetryAfter] = true
+	}
+	if len(times) < 20 {
+		t.Fatalf("%d different times", len(times))
+	}
+}
