--- a/logic/halls.go
+++ b/logic/halls.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// strand deals with what is out in a hall that has just been lost: it no longer fills the window, and what may
-// be repeated anywhere goes to the queues again, at no cost to the budget of further attempts.
+// strand deals with what is out in a hall that has just been lost: it no longer fills the window, and what
+// may be repeated anywhere goes to the queues again, at no cost to the budget of further attempts.
 func (g *Gateway) strand(zone string) {
 	for _, r := range g.live {
 		for _, a := range r.attempts {
