Look for a server once, not for each held request; weigh cold servers' answers by warmth

A profile showed the event loop in release(): while no server had room, each event looked at each server for each held request, fell seconds behind, and answered after the clients had left. And a fleet that was cold as a whole took its own slowness for what a warm server can do, so that cold-start space stayed at its floor.

Where a request that is bound to no rack finds no server nobody does, and the scan ends; the figure of a server's answers is computed once a moment, and over warmth, not heads. The book of halls tells reach without ramps, takes the most that nodes were seen to answer, and makes a ramp no deeper than what the halls that are up can carry.

--- a/internal/halls/halls.go
+++ b/internal/halls/halls.go
@@ -78,6 +78,7 @@
 	slowGain    = 0.15
 	slowMost    = 8.0
 	slowHalf    = 6.0  // seconds after which half of what was learned of a node's speed is forgotten
+	eachHalf    = 30.0 // seconds after which half of what a node was once seen to answer is forgotten
 	rateSpan    = 1.0  // seconds over which rates and shares are averaged
 	greyBelow   = 0.5  // of what it should have: the hall is called grey
 	lateLead    = 0.05 // by which a hall's late answers must exceed the others' to be called pressed
@@ -130,7 +131,8 @@
 	probed      time.Duration
 	sent, done  meter // attempts and answers a second
 	ends, late  meter
-	capacity    float64
+	capacity    float64 // what it can take, in usual warm nodes
+	warm        float64 // the same, were nobody slow: a node that has much to do looks slow, and is no less for it
 	share, rate float64 // of its rate that a returning hall may have; in attempts a second
 	price       float64
 }
@@ -567,22 +569,25 @@
 	for _, h := range b.order {
 		b.step(now, h)
 	}
-	b.measure(now)
+	b.measure(now, dt)
 	b.relieve(now, dt)
 	return b.facts(now)
 }
 
 // measure sums up what each hall can take.
-func (b *Book) measure(now time.Duration) {
+func (b *Book) measure(now time.Duration, dt float64) {
 	answers, units := 0.0, 0.0
 	for _, h := range b.order {
 		has := 0.0
-		h.capacity = 0
+		h.capacity, h.warm = 0, 0
 		for _, n := range h.nodes {
 			if n.State == logic.Running {
 				has += n.weight()
 			}
 			h.capacity += b.takes(now, n)
+			if n.State == logic.Running && !n.unproven {
+				h.warm += n.weight() * b.warmth(now, n)
+			}
 		}
 		if has >= h.peak || now-h.peakAt > remembered {
 			h.peak, h.peakAt = has, now
@@ -596,20 +601,30 @@
 			h.share = from + (1-from)*min(1, max(0, (now-h.rampAt).Seconds()/h.ramp.Seconds()))
 		case Up:
 			answers += h.done.now(now)
-			units += h.capacity
+			units += h.warm
 		}
 	}
-	if units > 0 && answers > 0 {
-		b.perUnit = answers / units
+	// What a node can do does not fall because it is asked for less: the most counts, and is forgotten slowly.
+	b.perUnit *= math.Exp2(-dt / eachHalf)
+	if units >= 1 {
+		b.perUnit = max(b.perUnit, answers/units)
 	}
-	can, had, lost := 0.0, 0.0, 0
+	can, had, up, lost := 0.0, 0.0, 0.0, 0
 	for _, h := range b.order {
+		had += h.peak
+		if h.state == Up {
+			up += h.peak
+		}
+	}
+	for _, h := range b.order {
+		if h.state == Returning && had > 0 { // no deeper than the others can carry: where none is up, cold nodes' own space is the bound
+			h.share = max(h.share, (1-up/had)/float64(int(1)<<h.caution))
+		}
 		for _, n := range h.nodes {
-			if n.State == logic.Running && !n.unproven {
-				can += n.weight() * h.share
+			if n.State == logic.Running && !n.unproven && h.share > 0 { // a ramp is no loss: it has a rate of its own
+				can += n.weight()
 			}
 		}
-		had += h.peak
 		if h.state == Lost {
 			lost++
 		}
@@ -631,7 +646,7 @@
 			if each == 0 {
 				each = firstRate
 			}
-			h.rate = max(h.share*headroom*each*h.capacity, 0.5)
+			h.rate = max(h.share*headroom*each*h.warm, 0.5)
 		}
 	}
 }
--- a/internal/lab/halls_test.go
+++ b/internal/lab/halls_test.go
@@ -51,6 +51,7 @@
 		"fails again":         {faults: []string{"hall/a:die 1500ms at 1500ms", "hall/a:die 1500ms at 5s"}, quiet: []span{{"a", 2, 3}, {"a", 5.5, 6.5}}},
 		"one by one":          {faults: []string{"hall/c:trickle 2s 500ms at 1500ms"}, quiet: []span{{"c", 2, 3}}, back: "c"},
 		"two at once":         {faults: []string{"hall/a:vanish 3s at 2s", "hall/c:die 3s at 2s"}, quiet: []span{{"c", 2.5, 4.5}}},
+		"all die":             {faults: []string{"hall/a:die 2500ms at 2s", "hall/b:die 2s at 2s", "hall/c:die 2s at 2s"}, quiet: []span{{"a", 2.5, 4}, {"b", 2.5, 4}}, back: "c"},
 		"cut from one":        {faults: []string{"hall/a:cut 0 3s at 2s"}, back: "a"},
 		"half drained":        {faults: []string{"node/0:drain at 500ms", "node/3:drain at 500ms", "node/6:stop at 3s", "node/9:stop at 3s"}, quiet: []span{{"a", 6, 9}}},
 		"with the store":      {faults: []string{"hall/a:die 3s at 2s", "store:stop 2s at 2s"}, store: day.StoreRedis, quiet: []span{{"a", 2.5, 5}}},
--- a/logic/halls_test.go
+++ b/logic/halls_test.go
@@ -1,6 +1,7 @@
 package logic
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -155,3 +156,29 @@
 		t.Fatalf("%d different times", len(times))
 	}
 }
+
+// BenchmarkHeld is an event while nobody may be sent to: it must not grow with what is held.
+func BenchmarkHeld(b *testing.B) {
+	for _, held := range []int{10, 1000, 5000} {
+		b.Run(fmt.Sprint(held), func(b *testing.B) {
+			set := settings()
+			set.Classes[0].Deadline = time.Hour
+			g, err := New(set, 7)
+			if err != nil {
+				b.Fatal(err)
+			}
+			now := time.Minute
+			var fleet []Server
+			for i := range 32 {
+				fleet = append(fleet, Server{ID: ServerID(fmt.Sprint("s", i)), State: Running, Started: now})
+			}
+			g.Handle(now, FleetChanged{Whole: true, Servers: fleet}, nil)
+			for id := range RequestID(held) {
+				g.Handle(now, Arrival{Request{ID: id + 1, Class: "read", Plan: "free", Customer: "c", Units: 1, GiveUpAt: now + time.Hour, Spread: 2}}, nil)
+			}
+			for b.Loop() {
+				g.Handle(now, CountReply{Name: "x"}, nil)
+			}
+		})
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -78,6 +78,8 @@
 	flowAt  time.Duration
 	hosts   float64 // servers that they came from, until others have taken their place
 	hostsAt time.Duration
+	each    float64 // of eachAnswers, as of eachAt
+	eachAt  time.Duration
 
 	halls map[string]*hall
 	reach float64       // of the halls' capacity
@@ -565,13 +567,18 @@
 }
 
 // release fills the window: the head of the highest queue goes first. One that may not go yet, by its
-// customer's cap or ceiling or for want of a server of its group, lets the next pass.
+// customer's cap or ceiling or for want of a server of its group, lets the next pass. Where one that is bound to
+// no group finds no server, nobody does: looking on would cost a look at each server for each that is held.
 func (g *Gateway) release() {
 	for i := 0; i < len(g.queue) && g.hasRoom(); {
 		r := g.queue[i]
-		var s *server
-		if g.mayGo(r) {
-			s = g.choose(r)
+		if !g.mayGo(r) {
+			i++
+			continue
+		}
+		s := g.choose(r)
+		if s == nil && r.anchor() == nil {
+			return
 		}
 		if s == nil {
 			i++
@@ -936,14 +943,23 @@
 	return cold + (1-cold)*max(0, age.Seconds())/g.set.WarmAfter.Seconds()
 }
 
-// eachAnswers is the answers a second that a server gives here. Where most of the fleet has just gone, the
+// eachAnswers is the answers a second that a warm server gives here. Where most of the fleet has just gone, the
 // few that are left have not earned its answers: both figures fade alike.
 func (g *Gateway) eachAnswers() float64 {
-	return g.flow * math.Exp(-(g.now - g.flowAt).Seconds()) / max(g.earners(), 1)
+	if g.eachAt != g.now { // many servers are looked at in one moment
+		g.eachAt = g.now
+		g.each = g.flow * math.Exp(-(g.now - g.flowAt).Seconds()) / max(g.earners(), 0.1)
+	}
+	return g.each
 }
 
+// earners is the warm servers that the answers came from; a cold one counts by its warmth, else a fleet that is
+// cold as a whole would take its own slowness for all that servers can do.
 func (g *Gateway) earners() float64 {
-	n := float64(len(g.fleet))
+	n := 0.0
+	for _, s := range g.fleet {
+		n += g.warmth(s)
+	}
 	return n + max(0, g.hosts-n)*math.Exp(-(g.now-g.hostsAt).Seconds())
 }
 
