--- a/logic/logic.go
+++ b/logic/logic.go
@@ -567,8 +567,8 @@
 }
 
 // release fills the window: the head of the highest queue goes first. One that may not go yet, by its
-// customer's cap or ceiling or for want of a server of its group, lets the next pass. Where one that is bound to
-// no group finds no server, nobody does: looking on would cost a look at each server for each that is held.
+// customer's cap or ceiling or for want of a server of its group, lets the next pass. Where one that is bound
+// to no group finds no server, nobody does: looking on would cost a look at each server for each that is held.
 func (g *Gateway) release() {
 	for i := 0; i < len(g.queue) && g.hasRoom(); {
 		r := g.queue[i]
@@ -943,8 +943,8 @@
 	return cold + (1-cold)*max(0, age.Seconds())/g.set.WarmAfter.Seconds()
 }
 
-// eachAnswers is the answers a second that a warm server gives here. Where most of the fleet has just gone, the
-// few that are left have not earned its answers: both figures fade alike.
+// eachAnswers is the answers a second that a warm server gives here. Where most of the fleet has just gone,
+// the few that are left have not earned its answers: both figures fade alike.
 func (g *Gateway) eachAnswers() float64 {
 	if g.eachAt != g.now { // many servers are looked at in one moment
 		g.eachAt = g.now
@@ -953,8 +953,8 @@
 	return g.each
 }
 
-// earners is the warm servers that the answers came from; a cold one counts by its warmth, else a fleet that is
-// cold as a whole would take its own slowness for all that servers can do.
+// earners is the warm servers that the answers came from; a cold one counts by its warmth, else a fleet that
+// is cold as a whole would take its own slowness for all that servers can do.
 func (g *Gateway) earners() float64 {
 	n := 0.0
 	for _, s := range g.fleet {
