--- a/logic/logic.go
+++ b/logic/logic.go
@@ -568,7 +568,7 @@
 
 // release fills the window: the head of the highest queue goes first. One that may not go yet, by its
 // customer's cap or ceiling or for want of a server of its group, lets the next pass. Where one that is bound
-// to no group finds no server, nobody does: looking on would cost a look at each server for each that is held.
+// to no group finds none, nobody does: looking on would cost a look at each server for each that is held.
 func (g *Gateway) release() {
 	for i := 0; i < len(g.queue) && g.hasRoom(); {
 		r := g.queue[i]
