Read both programs' command lines by one package

Need: hitchspring's new command line set up kong, its ends by help and its completion in the same way as the lab's, word for word.

Change: internal/cmdline does that for both; each program keeps its own errors and exit codes.

Result: the tests of both programs pass; help, near names, completion and 'no command' read as before.

--- a/cmd/hitchspring/cli.go
+++ b/cmd/hitchspring/cli.go
@@ -11,6 +11,7 @@
 	"github.com/alecthomas/kong"
 	kongcompletion "github.com/jotaen/kong-completion"
 
+	"hitchspring/internal/cmdline"
 	"hitchspring/internal/config"
 	"hitchspring/internal/version"
 )
@@ -63,32 +64,20 @@
 	return err
 }
 
-// helped ends the parser after it has printed help.
-type helped struct{}
-
 // command runs the program as its arguments say. Without any it serves, and nothing of the command line is built.
-func command(args []string, out io.Writer, log *slog.Logger) (err error) {
+func command(args []string, out io.Writer, log *slog.Logger) error {
 	if len(args) == 0 {
 		return run(os.Getenv("HITCHSPRING_OPTIONS"), log)
 	}
-	defer func() {
-		if p := recover(); p != nil {
-			if _, ok := p.(helped); !ok {
-				panic(p)
-			}
-			err = nil
-		}
-	}()
 	var c cli
-	parser, err := kong.New(&c, kong.Name("hitchspring"), kong.Description("The ingress: clients on one side, playout nodes on the other, the decision module between."),
-		kong.Writers(out, out), kong.Exit(func(int) { panic(helped{}) }), kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
-	if err != nil {
-		return err
-	}
-	kongcompletion.Register(parser)
-	k, err := parser.Parse(args)
-	if err != nil {
+	parsed := false
+	_, err := cmdline.Run(&c, "hitchspring", "The ingress: clients on one side, playout nodes on the other, the decision module between.", args, out,
+		func(k *kong.Context) error {
+			parsed = true
+			return k.Run(&env{ctx: context.Background(), out: out, log: log, options: c.Options})
+		})
+	if err != nil && !parsed {
 		return errors.New(strings.ReplaceAll(err.Error(), "\n", " ") + "; hitchspring --help lists the commands")
 	}
-	return k.Run(&env{ctx: context.Background(), out: out, log: log, options: c.Options})
+	return err
 }
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -17,6 +17,7 @@
 	"github.com/alecthomas/kong"
 	kongcompletion "github.com/jotaen/kong-completion"
 
+	"hitchspring/internal/cmdline"
 	"hitchspring/internal/lab"
 	"hitchspring/internal/lab/day"
 	"hitchspring/internal/version"
@@ -55,43 +56,32 @@
 	run(ctx context.Context, out io.Writer) (int, error)
 }
 
-// helped ends the parser after it has printed help.
-type helped struct{}
-
 func run(ctx context.Context, args []string, out io.Writer) (code int, err error) {
-	defer func() {
-		if p := recover(); p != nil {
-			if _, ok := p.(helped); !ok {
-				panic(p)
-			}
-			if code, err = lab.Clean, nil; len(args) == 0 {
-				code, err = failed, errors.New("no command")
-			}
-		}
-	}()
 	var c cli
-	parser, err := kong.New(&c, kong.Name("lab"), kong.Description("Runs the whole service on loopback, with faults, and judges the five rules by what the peers saw.\n"+
-		"Exit codes: 0 no rule broke, 1 one did, 2 nothing could be run or judged."),
-		kong.Writers(out, out), kong.Exit(func(int) { panic(helped{}) }), kong.UsageOnError(), kong.ConfigureHelp(kong.HelpOptions{Compact: true}))
-	if err != nil {
-		return failed, err
-	}
-	kongcompletion.Register(parser)
 	words := args
 	if len(args) == 0 {
 		words = []string{"--help"}
 	}
-	k, err := parser.Parse(words)
-	if err != nil {
-		return failed, err
-	}
-	if j, ok := k.Selected().Target.Addr().Interface().(job); ok {
-		return j.run(ctx, out)
-	}
-	if err := k.Run(); err != nil {
-		return failed, err
+	code = failed
+	done, err := cmdline.Run(&c, "lab", "Runs the whole service on loopback, with faults, and judges the five rules by what the peers saw.\n"+
+		"Exit codes: 0 no rule broke, 1 one did, 2 nothing could be run or judged.", words, out, func(k *kong.Context) (err error) {
+		if j, ok := k.Selected().Target.Addr().Interface().(job); ok {
+			code, err = j.run(ctx, out)
+			return err
+		}
+		if err := k.Run(); err != nil {
+			return err
+		}
+		code = lab.Clean
+		return nil
+	}, kong.UsageOnError())
+	switch {
+	case done && len(args) == 0:
+		return failed, errors.New("no command")
+	case done:
+		return lab.Clean, nil
 	}
-	return lab.Clean, nil
+	return code, err
 }
 
 // play is the flags of whatever plays days.
