Send a closed hall nothing, also of what its rate had saved up

Need: a hall that returned and was then taken out or lost by the list kept up to 1.5 sends, or a tenth of a second of its rate: the module closed it by the word Lost alone, though a rate of 0 says so for every cause.

Change: a rate of 0 is closed. The case of Lost in hasRoom goes.

Result: TestHallClosed fails on the old line (one send) and passes.

--- a/logic/api.go
+++ b/logic/api.go
@@ -137,8 +137,8 @@
 type Hall struct {
 	Zone     string
 	Price    float64    // what a server there counts for, against one with the same load elsewhere
-	Rate     float64    // attempts a second that it may be sent; below 0: any
-	Lost     bool       // it takes nothing, and what is out there will not be answered soon
+	Rate     float64    // attempts a second that it may be sent; 0: none; below 0: any
+	Lost     bool       // with Rate 0: what is out there will not be answered soon
 	Unproven []ServerID // servers that are not to be sent to yet
 }
 
--- a/logic/halls.go
+++ b/logic/halls.go
@@ -55,7 +55,7 @@
 	switch {
 	case h == nil || h.Rate < 0:
 		return true
-	case h.Lost:
+	case h.Rate == 0:
 		return false
 	}
 	h.credit = min(h.credit+h.Rate*(now-h.at).Seconds(), max(leastCredit, h.Rate*creditFor))
--- a/logic/halls_test.go
+++ b/logic/halls_test.go
@@ -71,6 +71,22 @@
 	}
 }
 
+// A hall that is closed gets none, also of what its rate had saved up.
+func TestHallClosed(t *testing.T) {
+	r := hallRig(t)
+	b := Hall{Zone: "b", Price: 1, Rate: 0}
+	r.tell(facts(Hall{Zone: "a", Price: 1, Rate: 30}, b))
+	r.pass(time.Second)
+	if s := only[Send](r.arrive(1, "read", "free")); len(s) != 1 {
+		t.Fatalf("%v: the rate lets one go", s)
+	}
+	r.pass(time.Second)
+	r.tell(facts(Hall{Zone: "a", Price: 1, Rate: 0}, b))
+	if s := only[Send](append(r.arrive(2, "read", "free"), r.pass(100*ms)...)); len(s) != 0 {
+		t.Fatalf("%v went to a closed hall", s)
+	}
+}
+
 // What was out in a hall that is lost no longer fills the window; reads go again at once, and cost no retry; keyed work
 // and unsafe work do not go to another rack, and each request has one final answer.
 func TestStrand(t *testing.T) {
