Keep the defaults of [halls] in one place

Need: the options file and the book each had the seven figures, and could come to differ.

Change: package halls names them, the options file calls them. Behaviour is as it was.

--- a/internal/config/halls.go
+++ b/internal/config/halls.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"hitchspring/internal/halls"
 )
 
 // Halls says how work is kept in the instance's own hall, and what becomes of it when a hall is lost. Absent: another hall
@@ -36,14 +38,14 @@
 			wrong(key, "%v is out of range, %v to %v", *v, least, most)
 		}
 	}
-	number("near_price", &h.NearPrice, 2, 1, 100)
-	number("far_price", &h.FarPrice, max(3, h.NearPrice), 1, 100)
+	number("near_price", &h.NearPrice, halls.DefaultNearPrice, 1, 100)
+	number("far_price", &h.FarPrice, max(halls.DefaultFarPrice, h.NearPrice), 1, 100)
 	if h.FarPrice < h.NearPrice {
 		wrong("far_price", "%v is below near_price %v", h.FarPrice, h.NearPrice)
 	}
-	number("overprovision", &h.Overprovision, 1.4, 1, 10)
-	number("panic", &h.Panic, 0.3, 0.01, 1)
-	number("ramp_from", &h.RampFrom, 0.3, 0.01, 1)
+	number("overprovision", &h.Overprovision, halls.DefaultOverprovision, 1, 10)
+	number("panic", &h.Panic, halls.DefaultPanic, 0.01, 1)
+	number("ramp_from", &h.RampFrom, halls.DefaultRampFrom, 0.01, 1)
 	span := func(key string, v *Duration, usual, least, most time.Duration) {
 		if *v == 0 {
 			*v = Duration(usual)
@@ -52,7 +54,7 @@
 			wrong(key, "%v is out of range, %v to %v", d, least, most)
 		}
 	}
-	span("ramp", &h.Ramp, 4*time.Second, time.Second, 10*time.Minute)
-	span("forget", &h.Forget, time.Minute, time.Second, 24*time.Hour)
+	span("ramp", &h.Ramp, halls.DefaultRamp, time.Second, 10*time.Minute)
+	span("forget", &h.Forget, halls.DefaultForget, time.Second, 24*time.Hour)
 	return faults
 }
--- a/internal/halls/halls.go
+++ b/internal/halls/halls.go
@@ -37,29 +37,32 @@
 type Config struct {
 	Own           string        // the instance's hall
 	Near          []string      // halls of the second tier; those in neither are the third
-	NearPrice     float64       // what a node there counts for against one at home with the same load: 2
-	FarPrice      float64       // the same in the third tier: 3
-	Overprovision float64       // a hall keeps all its work down to 1/Overprovision of its capacity: 1.4
-	Panic         float64       // below this share of all capacity no hall is preferred and no drill is kept: 0.3
-	Ramp          time.Duration // from a return to the whole rate, at the most: 4 s
-	RampFrom      float64       // share of the rate with which a return begins: 0.3
-	Forget        time.Duration // of a calm hall, after which one step of caution is taken back: 60 s
+	NearPrice     float64       // what a node there counts for against one at home with the same load
+	FarPrice      float64       // the same in the third tier
+	Overprovision float64       // a hall keeps all its work down to 1/Overprovision of its capacity
+	Panic         float64       // below this share of all capacity no hall is preferred and no drill is kept
+	Ramp          time.Duration // from a return to the whole rate, at the most
+	RampFrom      float64       // share of the rate with which a return begins
+	Forget        time.Duration // of a calm hall, after which one step of caution is taken back
 	WarmAfter     time.Duration // of a node's cold start
 	ColdShare     float64       // of its capacity at the start
 	Probe         bool          // nodes may be probed
 	Aims          map[string]time.Duration
 }
 
-// The defaults, and what nobody has had a need to set.
+// The defaults of Config, which the options file has too.
 const (
-	nearPrice     = 2.0
-	farPrice      = 3.0
-	overprovision = 1.4
-	panicShare    = 0.3
-	usualRamp     = 4 * time.Second
-	rampFrom      = 0.3
-	usualForget   = time.Minute
+	DefaultNearPrice     = 2.0
+	DefaultFarPrice      = 3.0
+	DefaultOverprovision = 1.4
+	DefaultPanic         = 0.3
+	DefaultRamp          = 4 * time.Second
+	DefaultRampFrom      = 0.3
+	DefaultForget        = time.Minute
+)
 
+// What nobody has had a need to set.
+const (
 	leastRamp   = time.Second            // also after a loss that was shorter
 	mostCaution = 4                      // doublings of the ramp
 	remembered  = time.Minute            // for which what a hall once had counts as its own
@@ -181,13 +184,13 @@
 
 // New returns a book that knows no node yet.
 func New(cfg Config) *Book {
-	cfg.NearPrice = cmp.Or(cfg.NearPrice, nearPrice)
-	cfg.FarPrice = cmp.Or(cfg.FarPrice, farPrice)
-	cfg.Overprovision = cmp.Or(cfg.Overprovision, overprovision)
-	cfg.Panic = cmp.Or(cfg.Panic, panicShare)
-	cfg.Ramp = cmp.Or(cfg.Ramp, usualRamp)
-	cfg.RampFrom = cmp.Or(cfg.RampFrom, rampFrom)
-	cfg.Forget = cmp.Or(cfg.Forget, usualForget)
+	cfg.NearPrice = cmp.Or(cfg.NearPrice, DefaultNearPrice)
+	cfg.FarPrice = cmp.Or(cfg.FarPrice, DefaultFarPrice)
+	cfg.Overprovision = cmp.Or(cfg.Overprovision, DefaultOverprovision)
+	cfg.Panic = cmp.Or(cfg.Panic, DefaultPanic)
+	cfg.Ramp = cmp.Or(cfg.Ramp, DefaultRamp)
+	cfg.RampFrom = cmp.Or(cfg.RampFrom, DefaultRampFrom)
+	cfg.Forget = cmp.Or(cfg.Forget, DefaultForget)
 	return &Book{cfg: cfg, halls: map[string]*hall{}, nodes: map[logic.ServerID]*node{}, usual: map[string]float64{}, reach: 1}
 }
 
--- a/internal/halls/halls_test.go
+++ b/internal/halls/halls_test.go
@@ -411,7 +411,7 @@
 				open := false
 				for i, h := range ev.Halls {
 					s := b.order[i]
-					if !(h.Price >= 1 && h.Price <= farPrice) || !(h.Rate >= -1 && h.Rate < 1e6) {
+					if !(h.Price >= 1 && h.Price <= DefaultFarPrice) || !(h.Rate >= -1 && h.Rate < 1e6) {
 						t.Fatalf("%+v", h)
 					}
 					if s.state == Lost && cfg.Probe && !b.panicked && h.Rate != 0 {
