--- a/cmd/hitchspring/main.go
+++ b/cmd/hitchspring/main.go
@@ -43,6 +43,7 @@
 	Discovery string         `json:"discovery"`
 	Counter   string         `json:"counter"`
 	Seed      string         `json:"seed"`
+	AdminAddr string         `json:"admin_addr"`
 	Known     discovery.List `json:"known"`
 	Limits    struct {
 		Cores    float64 `json:"cores"`
@@ -91,6 +92,9 @@
 		}
 		cfg.Auth, cfg.Leases = auth, leases
 	}
+	if cfg.Admin = os.Getenv("ROUTER_ADMIN_ADDR"); cfg.Admin == "" { // the variable is what differs from process to process
+		cfg.Admin = f.AdminAddr
+	}
 	if o.Metrics != nil {
 		cfg.Metrics = o.Metrics.Listen
 	}
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,200 @@
+// Package admin is the operators' door: HTTP/1.1 on an address of its own, one call to a connection. In: calls. Out: a yes (2xx) or
+// a no (4xx, 5xx) at once, whatever the ingress is busy with, and however many callers never finish a call. It decides nothing about
+// requests, and its service must never wait for the event loop.
+package admin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// MostConns is how many descriptors the door may hold, the listener among them.
+	MostConns  = 14
+	mostOpen   = MostConns - 2          // one more for a moment, when a newcomer takes another's place
+	leastStay  = 50 * time.Millisecond  // a connection may stay so long before a newcomer takes its place
+	callTime   = 900 * time.Millisecond // a caller waits one second
+	mostHeader = 2 << 10
+	mostID     = 128
+)
+
+// ErrUnknown is what a service says of a node that was never listed.
+var ErrUnknown = errors.New("no such node was ever listed")
+
+// Service is what the door opens on. None of its methods may wait for the event loop; each is called by many goroutines.
+type Service interface {
+	// Serving says whether this process is ready to serve.
+	Serving() bool
+	// Figures are lines NAME=NUMBER.
+	Figures() []byte
+	// Suspend takes a node out, and is in force when it returns; ErrUnknown where it was never listed.
+	Suspend(id string) error
+	// Resume puts a node back.
+	Resume(id string) error
+	// Leave drains the ingress; an error where there is nothing to drain yet, or any more.
+	Leave() error
+	// Return ends the drain.
+	Return() error
+}
+
+// Server is a door that is open.
+type Server struct {
+	srv  *http.Server
+	done chan struct{}
+}
+
+// Open serves calls on ln until Close.
+func Open(ln net.Listener, s Service, log *slog.Logger) *Server {
+	d := &Server{done: make(chan struct{}), srv: &http.Server{Handler: Handler(s, log), ReadTimeout: callTime, ReadHeaderTimeout: callTime,
+		WriteTimeout: callTime, MaxHeaderBytes: mostHeader, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelInfo)}}
+	d.srv.SetKeepAlivesEnabled(false)
+	go func() {
+		defer close(d.done)
+		d.srv.Serve(&bounded{Listener: ln, open: map[*caller]time.Time{}})
+	}()
+	return d
+}
+
+// Close ends the door, and the calls on it after a moment.
+func (d *Server) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), leastStay)
+	defer cancel()
+	if d.srv.Shutdown(ctx) != nil {
+		d.srv.Close()
+	}
+	<-d.done
+}
+
+// Handler is the calls.
+func Handler(s Service, log *slog.Logger) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !s.Serving() {
+			http.Error(w, "not serving", http.StatusServiceUnavailable)
+			return
+		}
+		yes(w)
+	})
+	mux.HandleFunc("GET /v1/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		w.Write(s.Figures())
+	})
+	onNode := func(verb string, do func(id string) error) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			id := r.PathValue("id")
+			if !usable(id) {
+				http.Error(w, fmt.Sprintf("backend id: 1 to %d letters, digits and .-_: are wanted", mostID), http.StatusBadRequest)
+				return
+			}
+			switch err := do(id); {
+			case errors.Is(err, ErrUnknown):
+				http.Error(w, fmt.Sprintf("backend %s: %v", id, err), http.StatusNotFound)
+			case err != nil:
+				log.Error("an operator's call failed", "call", verb, "node", id, "err", err)
+				http.Error(w, fmt.Sprintf("backend %s: %v", id, err), http.StatusServiceUnavailable)
+			default:
+				log.Info("an operator's call", "call", verb, "node", id)
+				yes(w)
+			}
+		}
+	}
+	onAll := func(verb string, do func() error) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			if err := do(); err != nil {
+				http.Error(w, err.Error(), http.StatusServiceUnavailable)
+				return
+			}
+			log.Info("an operator's call", "call", verb)
+			yes(w)
+		}
+	}
+	mux.HandleFunc("PUT /v1/backends/{id}/suspend", onNode("suspend", s.Suspend))
+	mux.HandleFunc("PUT /v1/backends/{id}/resume", onNode("resume", s.Resume))
+	mux.HandleFunc("PUT /v1/ingress/drain", onAll("drain", s.Leave))
+	mux.HandleFunc("PUT /v1/ingress/activate", onAll("activate", s.Return))
+	return mux
+}
+
+func yes(w http.ResponseWriter) { io.WriteString(w, "ok\n") }
+
+// usable says whether an id can be one of discovery's.
+func usable(id string) bool {
+	if id == "" || len(id) > mostID {
+		return false
+	}
+	for _, c := range []byte(id) {
+		switch {
+		case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9', c == '.', c == '-', c == '_', c == ':':
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// bounded is a listener that holds few connections. Where all places are taken, a newcomer has that of the one who has been
+// there longest, as soon as that has had the time that a call needs.
+type bounded struct {
+	net.Listener
+	mu   sync.Mutex
+	open map[*caller]time.Time // since when
+}
+
+// caller is a connection of a bounded listener.
+type caller struct {
+	net.Conn
+	from *bounded
+	once sync.Once
+}
+
+// Accept is net.Listener's.
+func (b *bounded) Accept() (net.Conn, error) {
+	nc, err := b.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	for {
+		oldest, stayed, free := b.longest(time.Now())
+		switch {
+		case free:
+			c := &caller{Conn: nc, from: b}
+			b.mu.Lock()
+			b.open[c] = time.Now()
+			b.mu.Unlock()
+			return c, nil
+		case stayed >= leastStay:
+			oldest.Close()
+		default:
+			time.Sleep(min(leastStay-stayed, 5*time.Millisecond)) // a place may come free before
+		}
+	}
+}
+
+// longest is who has been there longest, and whether there is a place anyway.
+func (b *bounded) longest(now time.Time) (oldest *caller, stayed time.Duration, free bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for c, since := range b.open {
+		if oldest == nil || now.Sub(since) > stayed {
+			oldest, stayed = c, now.Sub(since)
+		}
+	}
+	return oldest, stayed, len(b.open) < mostOpen
+}
+
+// Close is net.Conn's.
+func (c *caller) Close() error {
+	c.once.Do(func() {
+		c.from.mu.Lock()
+		delete(c.from.open, c)
+		c.from.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,12 +16,14 @@
 	"time"
 
 	"hitchspring/internal/discovery"
+	"hitchspring/internal/figures"
 	"hitchspring/internal/halls"
 	"hitchspring/internal/lease"
 	"hitchspring/internal/nodes"
 	"hitchspring/internal/resp"
 	"hitchspring/internal/settings"
 	"hitchspring/internal/store"
+	"hitchspring/internal/suspend"
 	"hitchspring/logic"
 )
 
@@ -47,9 +49,12 @@
 	Settings    logic.Settings
 	Store       func(store.Sink) (store.Counter, error) // makes the shared counter; nil: the settings know none
 	Connections settings.Connections
-	Leases      *Leases       // of attempts that who asks sends itself; nil: none are granted
-	Halls       *halls.Config // what an operator says of halls; nil: another hall costs a fixed factor
-	Summary     time.Duration // between two lines of the log that sum up what happened; 0: none
+	Leases      *Leases        // of attempts that who asks sends itself; nil: none are granted
+	Halls       *halls.Config  // what an operator says of halls; nil: another hall costs a fixed factor
+	Summary     time.Duration  // between two lines of the log that sum up what happened; 0: none
+	Operated    bool           // somebody asks for the figures of the cluster
+	Words       WordStore      // of what operators say of nodes; nil: it ends with the process
+	Said        []suspend.Word // what they have said before
 }
 
 // lister keeps the list of nodes up to date, as package discovery does.
@@ -161,6 +166,8 @@
 	mostHeld  int       // of heldBytes
 	mostUnits float64   // of one request
 	sum       *summary  // nil: no lines that sum up
+	fig       *figures.Set
+	ops       operators
 }
 
 // New checks the configuration and returns a core that does not run yet.
@@ -197,8 +204,11 @@
 		events: make(chan event, eventQueue), stopped: make(chan struct{}), start: start,
 		epoch: time.Duration(start.UnixNano()), mod: mod, requests: map[logic.RequestID]*Request{},
 		keys: map[uint64]bool{}, mostConns: cfg.Sockets * 3 / 8,
+		fig:      newFigures(cfg.Settings.Classes),
+		ops:      operators{book: suspend.New(), store: cfg.Words, spoke: make(chan struct{}, 1)},
 		mostHeld: cfg.Memory / memoryShare, mostUnits: cmp.Or(cfg.Settings.MaxUnits, math.MaxFloat64)}
-	g.nodes = nodes.New(owner{g}, nodes.Config{ConnectTimeout: cfg.Connections.ConnectTimeout, Idle: cfg.Connections.Idle, MostConns: g.mostConns,
+	g.ops.book.Merge(cfg.Said)
+	g.nodes = nodes.New(owner{g}, nodes.Config{Sent: g.fig.Sent, ConnectTimeout: cfg.Connections.ConnectTimeout, Idle: cfg.Connections.Idle, MostConns: g.mostConns,
 		Frames: resp.NewBudget(cfg.Memory / memoryShare)})
 	if cfg.Leases != nil {
 		g.handing = newHanding(*cfg.Leases)
@@ -328,6 +338,9 @@
 		g.tickHalls()
 	}
 	g.summarize()
+	if g.cfg.Operated {
+		g.lookAtCluster()
+	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -341,6 +354,9 @@
 			for n := 1; n < mostBatch && len(g.events) > 0; n++ {
 				g.handle(<-g.events)
 			}
+		case <-g.ops.spoke:
+			g.now = g.clock(time.Now())
+			g.relist()
 		case <-timer.C:
 		}
 		g.now = g.clock(time.Now())
@@ -440,15 +456,14 @@
 // --- requests ---
 
 func (g *Core) arrived(r *Request) {
+	g.fig.Took()
 	// Many clients with large bodies must not fill the memory: beyond the bounds nothing is taken.
 	if len(g.requests) >= g.net.MaxOpen || g.heldBytes+r.Size > g.mostHeld {
-		r.final = true
-		r.Place.Answer(Answer{Kind: Refused, RetryAfter: fullRetry})
+		g.final(r, Answer{Kind: Refused, RetryAfter: fullRetry})
 		return
 	}
 	if g.keys[r.Key] { // the one who asked first has its answer, and nobody else
-		r.final = true
-		r.Place.Answer(Answer{Kind: Repeated})
+		g.final(r, Answer{Kind: Repeated})
 		return
 	}
 	g.lastID++
@@ -468,8 +483,7 @@
 	if r == nil || r.final {
 		return
 	}
-	r.final = true
-	r.Place.Answer(a)
+	g.final(r, a)
 	g.forget(r)
 }
 
@@ -479,6 +493,7 @@
 		return
 	}
 	r.final = true
+	g.fig.Left()
 	g.tell(logic.Abandoned{ID: r.ID})
 	g.forget(r)
 }
@@ -543,8 +558,7 @@
 	g.sum.ended(o)
 	if o == logic.Done && !r.final {
 		g.sum.served(g.now-r.came, g.classes[r.Class].Aim)
-		r.final = true
-		r.Place.Answer(Answer{Kind: Served, Value: rep.Value})
+		g.final(r, Answer{Kind: Served, Value: rep.Value})
 	}
 	r.out--
 	g.ended(r, logic.AttemptEnded{ID: r.ID, Attempt: a.N, Server: a.Node(), Outcome: o, Took: g.now - a.Began,
@@ -561,7 +575,7 @@
 }
 
 func (g *Core) probe(id logic.ServerID) (sent bool) {
-	if !g.nodes.Knows(id) {
+	if !g.nodes.Knows(id) || g.out(id) {
 		return false
 	}
 	a := &nodes.Attempt{Began: g.now, Stop: g.now + probeTimeout}
@@ -584,22 +598,6 @@
 
 // --- the list and the counter ---
 
-func (g *Core) fleet(f discovery.List) {
-	g.sum.add(lists, 1)
-	ev := logic.FleetChanged{Whole: f.All}
-	entries := make([]nodes.Entry, 0, len(f.Targets))
-	for _, t := range f.Targets {
-		s := t.Server()
-		entries = append(entries, nodes.Entry{Server: s, Addr: t.Endpoint})
-		ev.Servers = append(ev.Servers, s)
-	}
-	g.nodes.Set(entries, f.All)
-	if g.halls != nil {
-		g.halls.list(g.now, ev)
-	}
-	g.tell(ev)
-}
-
 // held is the list as it stands.
 func (g *Core) held() logic.Event {
 	return logic.FleetChanged{Whole: true, Servers: g.nodes.Servers()}
--- a/internal/core/grant.go
+++ b/internal/core/grant.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"time"
 
+	"hitchspring/internal/figures"
 	"hitchspring/internal/lease"
 	"hitchspring/internal/nodes"
 	"hitchspring/logic"
@@ -247,6 +248,11 @@
 	x.r.out--
 	if over {
 		x.r.final = true
+		end := figures.Errored
+		if o == logic.Done {
+			end = figures.Answered
+		}
+		g.fig.Ended(x.r.Class, end)
 		x.close()
 		x.tell(Answer{Kind: Over, State: x.entry.State})
 	}
--- /dev/null
+++ b/internal/core/operate.go
@@ -0,0 +1,173 @@
+package core
+
+import (
+	"sync"
+	"time"
+
+	"hitchspring/internal/discovery"
+	"hitchspring/internal/figures"
+	"hitchspring/internal/nodes"
+	"hitchspring/internal/suspend"
+	"hitchspring/logic"
+)
+
+// clusterEvery is the time between two looks at how many nodes are avoided.
+const clusterEvery = 100 * time.Millisecond
+
+// WordStore keeps the operators' words on nodes where the next process of this ingress finds them. Both methods may be called
+// by many goroutines, and may take the time of a disk.
+type WordStore interface {
+	// Save puts words into stable storage, beside those that another process has put there.
+	Save([]suspend.Word) error
+}
+
+// operators is what operators have said, and the list that it lies over. Its lock is never held over a wait.
+type operators struct {
+	mu    sync.Mutex
+	book  *suspend.Book
+	store WordStore     // nil: words end with the process
+	spoke chan struct{} // room for one: the loop shall look at the book
+
+	listed map[logic.ServerID]discovery.Target // the loop's: the list without the operators' word
+}
+
+// Figures is what this process has done since its start.
+func (g *Core) Figures() *figures.Set { return g.fig }
+
+// Suspend takes a node out until Resume: the list has it as draining from now on, whatever discovery says. It returns
+// suspend.ErrUnknown for a node that was never listed, and never waits for the core's goroutine.
+func (g *Core) Suspend(id logic.ServerID) error { return g.say(id, true) }
+
+// Resume puts a node back, as one that has just started.
+func (g *Core) Resume(id logic.ServerID) error { return g.say(id, false) }
+
+func (g *Core) say(id logic.ServerID, out bool) error {
+	o := &g.ops
+	o.mu.Lock()
+	changed, err := o.book.Say(id, out, g.clock(time.Now()))
+	words := o.book.Words()
+	o.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if changed {
+		o.signal()
+	}
+	if o.store != nil { // also of a repeat: the first may have failed here
+		return o.store.Save(words)
+	}
+	return nil
+}
+
+// Heard takes in words that another process of this ingress has recorded. It may be called at any time.
+func (g *Core) Heard(words []suspend.Word) {
+	o := &g.ops
+	o.mu.Lock()
+	changed := o.book.Merge(words)
+	o.mu.Unlock()
+	if len(changed) > 0 {
+		g.log.Info("suspensions of another process", "nodes", changed)
+		o.signal()
+	}
+}
+
+// out reports whether operators have taken a node out.
+func (g *Core) out(id logic.ServerID) bool {
+	g.ops.mu.Lock()
+	defer g.ops.mu.Unlock()
+	return g.ops.book.Out(id)
+}
+
+func (o *operators) signal() {
+	select {
+	case o.spoke <- struct{}{}:
+	default:
+	}
+}
+
+// fleet takes a list or a change of discovery's.
+func (g *Core) fleet(f discovery.List) {
+	g.sum.add(lists, 1)
+	if f.All || g.ops.listed == nil {
+		g.ops.listed = make(map[logic.ServerID]discovery.Target, len(f.Targets))
+	}
+	ids := make([]logic.ServerID, 0, len(f.Targets))
+	for _, t := range f.Targets {
+		id := logic.ServerID(t.UID)
+		ids = append(ids, id)
+		if t.State == discovery.Deleted {
+			delete(g.ops.listed, id)
+		} else {
+			g.ops.listed[id] = t
+		}
+	}
+	g.ops.mu.Lock()
+	g.ops.book.Listed(ids)
+	g.ops.mu.Unlock()
+	g.overlaid(f)
+}
+
+// relist hands the list over again, after the operators have spoken.
+func (g *Core) relist() {
+	f := discovery.List{Targets: make([]discovery.Target, 0, len(g.ops.listed))}
+	for _, t := range g.ops.listed {
+		f.Targets = append(f.Targets, t)
+	}
+	g.overlaid(f)
+	g.flush()
+}
+
+// overlaid tells connections, halls and the module the list as it holds under the operators' word.
+func (g *Core) overlaid(f discovery.List) {
+	ev := logic.FleetChanged{Whole: f.All, Servers: make([]logic.Server, 0, len(f.Targets))}
+	entries := make([]nodes.Entry, 0, len(f.Targets))
+	g.ops.mu.Lock()
+	for _, t := range f.Targets {
+		s := g.ops.book.Over(t.Server())
+		entries = append(entries, nodes.Entry{Server: s, Addr: t.Endpoint})
+		ev.Servers = append(ev.Servers, s)
+	}
+	g.ops.mu.Unlock()
+	g.nodes.Set(entries, f.All)
+	if g.halls != nil {
+		g.halls.list(g.now, ev)
+	}
+	g.tell(ev)
+}
+
+// lookAtCluster brings the figures of the cluster up to date.
+func (g *Core) lookAtCluster() {
+	g.after(clusterEvery, g.lookAtCluster)
+	avoided := 0
+	g.ops.mu.Lock()
+	for id := range g.ops.listed {
+		if g.ops.book.Out(id) || g.mod.Avoids(id) {
+			avoided++
+		}
+	}
+	g.ops.mu.Unlock()
+	g.fig.Cluster(len(g.ops.listed), avoided)
+}
+
+// newFigures are the figures of the settings' classes.
+func newFigures(classes []logic.Class) *figures.Set {
+	names := make([]string, len(classes))
+	for i, c := range classes {
+		names[i] = c.Name
+	}
+	return figures.New(names)
+}
+
+// final hands out the one final answer of a request, and counts it.
+func (g *Core) final(r *Request, a Answer) {
+	r.final = true
+	end := figures.Errored
+	switch a.Kind {
+	case Served, Granted, Over:
+		end = figures.Answered
+	case Refused:
+		end = figures.Deferred
+	}
+	g.fig.Ended(r.Class, end)
+	r.Place.Answer(a)
+}
--- a/internal/core/summary.go
+++ b/internal/core/summary.go
@@ -23,10 +23,10 @@
 	lists
 	countCalls
 	countMillis // of the calls that were answered, summed
-	figures
+	allFigures
 )
 
-var figureNames = [figures]string{"arrived", "served", "late", "cut", "first", "further", "hold_ms", "dials", "lists", "calls", "call_ms"}
+var figureNames = [allFigures]string{"arrived", "served", "late", "cut", "first", "further", "hold_ms", "dials", "lists", "calls", "call_ms"}
 
 var outcomeNames = [...]string{logic.Failed: "failed", logic.Done: "done", logic.Full: "full", logic.TimedOut: "timeout",
 	logic.NoConnect: "noconnect", logic.Reset: "reset", logic.Cancelled: "cancelled", logic.Moot: "moot"}
@@ -35,7 +35,7 @@
 // (lab fleet-logs). A nil one counts nothing. The core's goroutine owns it.
 type summary struct {
 	dialed  int // as of the last line
-	counts  [figures]float64
+	counts  [allFigures]float64
 	refuse  [logic.Reasons]int
 	fail    [logic.Reasons]int
 	ends    [len(outcomeNames)]int
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -41,6 +41,9 @@
 	Targets []Target `json:"targets"`
 }
 
+// Deleted is the state of an entry of a change that ends a node.
+const Deleted = "DELETED"
+
 // Target is one node of the list.
 type Target struct {
 	UID      string  `json:"uid"`
@@ -60,7 +63,7 @@
 	switch t.State {
 	case "SERVING":
 		s.State = logic.Running
-	case "DELETED":
+	case Deleted:
 		s.State = logic.Gone
 	}
 	return s
@@ -249,7 +252,7 @@
 	if t.UID == "" {
 		return errors.New("no id")
 	}
-	if _, _, err := net.SplitHostPort(t.Endpoint); err != nil && t.State != "DELETED" {
+	if _, _, err := net.SplitHostPort(t.Endpoint); err != nil && t.State != Deleted {
 		return fmt.Errorf("%s: %w", t.UID, err)
 	}
 	if t.BootMS < 0 || t.BootMS > math.MaxInt64/int64(time.Millisecond) {
--- /dev/null
+++ b/internal/figures/figures.go
@@ -0,0 +1,102 @@
+// Package figures counts what an ingress does with requests, and words it as plain text for operators. In: one call for each
+// request taken, for its one end, for each attempt that was written whole. Out: lines NAME=NUMBER in a stable order. It decides
+// nothing. All of it is safe for many goroutines, and none of it waits.
+package figures
+
+import (
+	"strconv"
+	"sync/atomic"
+)
+
+// prefix stands before every figure.
+const prefix = "edge_router."
+
+// End is how a request ended.
+type End uint8
+
+// The ends.
+const (
+	Answered End = iota // served
+	Deferred            // refused: trying again is harmless
+	Errored             // failed
+	ends
+)
+
+var endNames = [ends]string{"answered", "deferred", "errored"}
+
+// Set is the figures of one process; each counts from 0.
+type Set struct {
+	classes   []string
+	index     map[string]int
+	ended     [][ends]atomic.Int64 // by class
+	sends     atomic.Int64
+	current   atomic.Int64
+	size      atomic.Int64
+	unhealthy atomic.Int64
+}
+
+// New returns figures for the classes of the settings, in their order.
+func New(classes []string) *Set {
+	s := &Set{classes: classes, index: map[string]int{}, ended: make([][ends]atomic.Int64, len(classes))}
+	for i, c := range classes {
+		s.index[c] = i
+	}
+	return s
+}
+
+// Took counts a request as taken and not ended.
+func (s *Set) Took() { s.current.Add(1) }
+
+// Ended counts the one end of a request that was taken.
+func (s *Set) Ended(class string, e End) {
+	s.current.Add(-1)
+	if i, ok := s.index[class]; ok {
+		s.ended[i][e].Add(1)
+	}
+}
+
+// Left counts a request whose client has gone, which has no end of its own.
+func (s *Set) Left() { s.current.Add(-1) }
+
+// Sent counts an attempt that was written to its last byte.
+func (s *Set) Sent() { s.sends.Add(1) }
+
+// Cluster says how many nodes are listed, and how many of them are avoided now.
+func (s *Set) Cluster(size, unhealthy int) {
+	s.size.Store(int64(size))
+	s.unhealthy.Store(int64(unhealthy))
+}
+
+// Current is the number of requests taken and not ended.
+func (s *Set) Current() int64 { return s.current.Load() }
+
+// Count is how many requests of a class ended so.
+func (s *Set) Count(class string, e End) int64 {
+	i, ok := s.index[class]
+	if !ok {
+		return 0
+	}
+	return s.ended[i][e].Load()
+}
+
+// Sends is the number of attempts written whole.
+func (s *Set) Sends() int64 { return s.sends.Load() }
+
+// Text is all figures, a line each.
+func (s *Set) Text() []byte {
+	b := make([]byte, 0, 512)
+	line := func(name string, n int64) {
+		b = append(append(b, prefix...), name...)
+		b = append(strconv.AppendInt(append(b, '='), n, 10), '\n')
+	}
+	for i, c := range s.classes {
+		for e, name := range endNames {
+			line("transactions."+c+"."+name, s.ended[i][e].Load())
+		}
+	}
+	line("sends", s.sends.Load())
+	line("current", s.current.Load())
+	line("cluster_size", s.size.Load())
+	line("cluster_unhealthy", s.unhealthy.Load())
+	return b
+}
--- a/internal/front/resp/client.go
+++ b/internal/front/resp/client.go
@@ -26,7 +26,10 @@
 	firstCommand  = 2400 * time.Millisecond // from connecting to the end of the first command, and for the rest of a later one
 	idleTime      = 2100 * time.Millisecond // a connection without an open request is closed then
 	tidyEvery     = 250 * time.Millisecond
-	writeStall    = 3 * time.Second // for a client to read an answer
+	leaveTidy     = 50 * time.Millisecond   // the same of a front that leaves
+	leaveOpen     = 600 * time.Millisecond  // of leaving: new connections still come; then those without an open request are closed
+	leaveRead     = 1200 * time.Millisecond // of leaving: a connection that never pauses is read no further
+	writeStall    = 3 * time.Second         // for a client to read an answer
 	mostKey       = 256
 	slotPause     = 5 * time.Millisecond // before a further connection is closed for want of a place
 	newcomer      = 50 * time.Millisecond
@@ -78,7 +81,9 @@
 	mostUnsent int64 // bytes of answers that clients have not read, all together
 	mu         sync.Mutex
 	clients    map[*client]bool
-	draining   bool
+	draining   bool           // the listener is closed for good
+	leaving    atomic.Int64   // since when, in nanoseconds of Unix time; 0: it serves
+	turned     chan struct{}  // room for one: leaving has changed
 	wg         sync.WaitGroup // of clients
 	stop       context.CancelFunc
 	own        sync.WaitGroup // of the goroutines that accept and tidy
@@ -115,7 +120,7 @@
 // answers that are unread. It does not serve yet.
 func New(ln net.Listener, c Core, most, memory int) *Front {
 	return &Front{ln: ln, core: c, slots: make(chan struct{}, most), frames: resp.NewBudget(memory),
-		mostUnsent: int64(memory), clients: map[*client]bool{}}
+		mostUnsent: int64(memory), clients: map[*client]bool{}, turned: make(chan struct{}, 1)}
 }
 
 // Start serves until Drain.
@@ -126,6 +131,39 @@
 	f.own.Go(func() { f.tidy(ctx) })
 }
 
+// Leave begins to let the clients go, once: PING says no, each connection is closed after its next answer, after 0.6 s also
+// those without an open request, after 1.2 s also those that never pause. New ones are served in the same way. The listener
+// stays.
+func (f *Front) Leave() {
+	if f.leaving.CompareAndSwap(0, time.Now().UnixNano()) {
+		f.turn()
+	}
+}
+
+// Return ends what Leave has begun; a connection that is about to be closed is closed all the same.
+func (f *Front) Return() {
+	f.leaving.Store(0)
+	f.turn()
+}
+
+// Leaving reports whether Leave holds.
+func (f *Front) Leaving() bool { return f.leaving.Load() != 0 }
+
+// left is for how long the front has been leaving; below 0 where it is not.
+func (f *Front) left(now time.Time) time.Duration {
+	if since := f.leaving.Load(); since != 0 {
+		return time.Duration(now.UnixNano() - since)
+	}
+	return -1
+}
+
+func (f *Front) turn() {
+	select {
+	case f.turned <- struct{}{}:
+	default:
+	}
+}
+
 // accept takes connections until the listener closes.
 func (f *Front) accept() {
 	for {
@@ -205,12 +243,20 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-f.turned:
+			if f.Leaving() {
+				tick.Reset(leaveTidy)
+			} else {
+				tick.Reset(tidyEvery)
+			}
 		case now := <-tick.C:
+			left := f.left(now)
 			f.mu.Lock()
 			for c := range f.clients {
 				c.mu.Lock()
 				idle := now.Sub(c.used)
 				over := len(c.waiting) == 0 && (c.spoken && idle > idleTime || !c.spoken && idle > firstCommand-tidyEvery)
+				over = over || left > leaveOpen && (c.spoken || idle > leaveOpen) || left > leaveRead
 				c.mu.Unlock()
 				if over {
 					c.close()
@@ -328,6 +374,9 @@
 	defer in.Close()
 	limited, paused := false, int32(0)
 	for {
+		if c.f.left(time.Now()) > leaveRead { // what has not been read yet comes again on another connection
+			return true
+		}
 		f, err := in.Next()
 		switch {
 		case f != nil:
@@ -397,7 +446,11 @@
 	}
 	switch string(args[0]) {
 	case "PING":
-		c.reply(redcon.AppendString(nil, "PONG"))
+		if c.f.Leaving() {
+			c.reply(redcon.AppendError(nil, "ERR draining"))
+		} else {
+			c.reply(redcon.AppendString(nil, "PONG"))
+		}
 	case "Q.ASK", "Q.DO":
 		r, err := c.f.parse(args, at)
 		if err != nil {
@@ -498,7 +551,7 @@
 		buf, c.out = c.out, buf[:0]
 		ready := c.ready
 		c.ready = 0
-		c.ended = c.closing && len(c.waiting) == 0
+		c.ended = (c.closing || ready > 0 && c.f.Leaving()) && len(c.waiting) == 0
 		last := c.ended
 		c.mu.Unlock()
 		if len(buf) > 0 {
--- /dev/null
+++ b/internal/ingress/door.go
@@ -0,0 +1,50 @@
+package ingress
+
+import (
+	"errors"
+	"net"
+
+	"hitchspring/internal/admin"
+	"hitchspring/internal/front/resp"
+	"hitchspring/internal/suspend"
+	"hitchspring/logic"
+)
+
+// door is the ingress as its operators see it.
+type door struct{ g *Gateway }
+
+// Serving, Figures, Suspend, Resume, Leave and Return are admin.Service's.
+func (d door) Serving() bool {
+	f := d.g.front.Load()
+	return f != nil && !d.g.over.Load() && !f.Leaving()
+}
+
+func (d door) Figures() []byte { return d.g.core.Figures().Text() }
+
+func (d door) Suspend(id string) error { return word(d.g.core.Suspend(logic.ServerID(id))) }
+
+func (d door) Resume(id string) error { return word(d.g.core.Resume(logic.ServerID(id))) }
+
+func (d door) Leave() error { return d.whileServing((*resp.Front).Leave) }
+
+func (d door) Return() error { return d.whileServing((*resp.Front).Return) }
+
+// whileServing does something to the front; before the first client, and during a shutdown, there is nothing to do it to.
+func (d door) whileServing(do func(*resp.Front)) error {
+	f := d.g.front.Load()
+	if f == nil || d.g.over.Load() {
+		return errors.New("this process does not serve: it starts, or shuts down")
+	}
+	do(f)
+	return nil
+}
+
+func word(err error) error {
+	if errors.Is(err, suspend.ErrUnknown) {
+		return admin.ErrUnknown
+	}
+	return err
+}
+
+// AdminAddr is where operators call, once Ready has closed; nil where there is no door.
+func (g *Gateway) AdminAddr() net.Addr { return g.admin }
--- /dev/null
+++ b/internal/ingress/door_test.go
@@ -0,0 +1,392 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"hitchspring/internal/discovery"
+	"hitchspring/internal/standin/scripted"
+	"hitchspring/internal/store"
+	"hitchspring/logic"
+)
+
+// call makes one operator's call, with the second that operators wait.
+func call(t testing.TB, g *Gateway, verb, path string) (status int, body string) {
+	t.Helper()
+	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	req, err := http.NewRequest(verb, "http://"+g.AdminAddr().String()+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		t.Errorf("%s %s: %v", verb, path, err)
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text)
+}
+
+func wantCall(t testing.TB, g *Gateway, verb, path string, status int) {
+	t.Helper()
+	if got, body := call(t, g, verb, path); got != status {
+		t.Errorf("%s %s: %d %q, want %d", verb, path, got, body, status)
+	}
+}
+
+// figure reads one of the figures; -1 where it is not there.
+func figure(t testing.TB, g *Gateway, name string) int {
+	t.Helper()
+	_, body := call(t, g, "GET", "/v1/metrics")
+	for line := range strings.Lines(body) {
+		if k, v, _ := strings.Cut(strings.TrimSpace(line), "="); k == "edge_router."+name {
+			n, _ := strconv.Atoi(v)
+			return n
+		}
+	}
+	return -1
+}
+
+func eventually(t testing.TB, within time.Duration, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(within); !is(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", within, what)
+		}
+	}
+}
+
+func doorConfig(disc string, known discovery.List) Config {
+	cfg := testConfig(disc, known)
+	cfg.Admin = "127.0.0.1:0"
+	return cfg
+}
+
+// stalling is a counter whose adds hold the caller, which is the event loop, for a while.
+type stalling struct {
+	hold    time.Duration
+	holding chan struct{}
+}
+
+func (s *stalling) Add(*store.Call) {
+	select {
+	case s.holding <- struct{}{}:
+		time.Sleep(s.hold)
+	default:
+	}
+}
+func (s *stalling) Move(string)             {}
+func (s *stalling) Run(ctx context.Context) { <-ctx.Done() }
+
+// A hundred callers who say nothing, a byte a second or a megabyte of headers keep nobody out, and neither does an event
+// loop that stands still.
+func TestDoorAnswersWhileCrowdedAndStalled(t *testing.T) {
+	be := scripted.NewNode(t, func(int, []string, net.Conn) string { return served })
+	list := fleetOf(be.Addr)
+	cfg := doorConfig(scripted.Registry(t, list, nil), list)
+	cfg.Settings.Counter, cfg.Settings.CounterTimeout = true, 50*time.Millisecond
+	cfg.Settings.Plans = []logic.Plan{{Name: "p", Price: 1, Rate: 1, Burst: 4}}
+	stall := &stalling{hold: 2 * time.Second, holding: make(chan struct{}, 1)}
+	cfg.Store = func(store.Sink) (store.Counter, error) { return stall, nil }
+	g, _ := runIngress(t, cfg)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer close(stop)
+	for i := range 100 {
+		wg.Go(func() {
+			for {
+				nc, err := net.Dial("tcp", g.AdminAddr().String())
+				if err != nil {
+					return
+				}
+				switch i % 3 {
+				case 1:
+					io.WriteString(nc, "G")
+				case 2:
+					io.WriteString(nc, "GET /v1/readyz HTTP/1.1\r\nX: "+strings.Repeat("x", 1<<20))
+				}
+				gone := make(chan struct{})
+				go func() {
+					defer close(gone)
+					io.Copy(io.Discard, nc)
+				}()
+				select {
+				case <-stop:
+				case <-gone:
+					select {
+					case <-stop:
+					case <-time.After(500 * time.Millisecond):
+					}
+				case <-time.After(4 * time.Second):
+				}
+				nc.Close()
+				<-gone
+				select {
+				case <-stop:
+					return
+				default:
+				}
+			}
+		})
+	}
+	nc, _ := dial(t, g.Addr().String())
+	for id := range 20 { // the block is spent, and the counter is asked
+		io.WriteString(nc, ask(id, readFields))
+	}
+	eventually(t, 5*time.Second, "the event loop is held", func() bool { return len(stall.holding) == 1 })
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		wantCall(t, g, "GET", "/v1/readyz", 200)
+		wantCall(t, g, "GET", "/v1/metrics", 200)
+	}
+}
+
+func TestDoorSaysNo(t *testing.T) {
+	list := fleetOf(scripted.NewNode(t, nil).Addr)
+	g, _ := runIngress(t, doorConfig(scripted.Registry(t, list, nil), list))
+	for _, c := range []struct {
+		verb, path string
+		status     int
+	}{
+		{"GET", "/v1/readyz", 200},
+		{"PUT", "/v1/readyz", 405},
+		{"GET", "/v1/ingress/drain", 405},
+		{"POST", "/v1/backends/s0/suspend", 405},
+		{"GET", "/v2/readyz", 404},
+		{"GET", "/", 404},
+		{"PUT", "/v1/backends/never/suspend", 404},
+		{"PUT", "/v1/backends/never/resume", 404},
+		{"PUT", "/v1/backends/a%2Fb/suspend", 400},
+		{"PUT", "/v1/backends/" + strings.Repeat("x", 200) + "/suspend", 400},
+		{"PUT", "/v1/backends/s0/resume", 200}, // listed, and nobody took it out
+	} {
+		wantCall(t, g, c.verb, c.path, c.status)
+	}
+	cfg := doorConfig("127.0.0.1:1", list)
+	cfg.Admin = g.AdminAddr().String()
+	second, err := New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := second.Run(t.Context()); err == nil || !strings.Contains(err.Error(), "admin_addr") || !strings.Contains(err.Error(), cfg.Admin) {
+		t.Fatalf("a taken address: %v", err)
+	}
+	cfg.Admin = "nonsense"
+	if _, err := New(cfg, slog.New(slog.DiscardHandler)); err == nil || !strings.Contains(err.Error(), "nonsense") {
+		t.Fatalf("a bad address: %v", err)
+	}
+}
+
+// A node that was taken out gets nothing from the grace on, whatever discovery deletes, lists again or says; one call puts it
+// back, and it is in use again.
+func TestSuspendHoldsOverTheList(t *testing.T) {
+	var sent [2]atomic.Int64
+	var nodes [2]*scripted.Node
+	for i := range nodes {
+		nodes[i] = scripted.NewNode(t, func(int, []string, net.Conn) string {
+			sent[i].Add(1)
+			return served
+		})
+	}
+	list := fleetOf(nodes[0].Addr, nodes[1].Addr)
+	changes := make(chan discovery.List)
+	cfg := doorConfig(scripted.Registry(t, list, changes), list)
+	cfg.Settings.WarmAfter, cfg.Settings.ColdShare = 10*time.Second, 0.25
+	g, _ := runIngress(t, cfg)
+	nc, in := dial(t, g.Addr().String())
+	id := 0
+	load := func() {
+		id++
+		io.WriteString(nc, ask(id, readFields))
+		wantValue(t, in)
+	}
+	eventually(t, 5*time.Second, "both nodes in use", func() bool {
+		load()
+		return sent[0].Load() > 0 && sent[1].Load() > 0
+	})
+	wantCall(t, g, "PUT", "/v1/backends/s0/suspend", 200)
+	wantCall(t, g, "PUT", "/v1/backends/s0/suspend", 200)
+	eventually(t, time.Second, "s0 counts as avoided", func() bool { return figure(t, g, "cluster_unhealthy") == 1 })
+	before := sent[0].Load()
+	change := func(state string) {
+		one := list.Targets[0]
+		one.State = state
+		list.Rev++
+		changes <- discovery.List{Rev: list.Rev, Targets: []discovery.Target{one}}
+	}
+	for _, state := range []string{"SERVING", "DELETED", "SERVING", "DRAINING", "SERVING"} {
+		change(state)
+		for range 20 {
+			load()
+		}
+	}
+	whole := list
+	whole.Rev++
+	changes <- whole
+	for range 50 {
+		load()
+	}
+	if n := sent[0].Load() - before; n > 0 {
+		t.Fatalf("%d sends to a node that was taken out", n)
+	}
+	wantCall(t, g, "PUT", "/v1/backends/s0/resume", 200)
+	eventually(t, 5*time.Second, "s0 in use again", func() bool {
+		load()
+		return sent[0].Load() > before
+	})
+	eventually(t, time.Second, "nobody is avoided", func() bool { return figure(t, g, "cluster_unhealthy") == 0 })
+	if n := figure(t, g, "cluster_size"); n != 2 {
+		t.Fatalf("cluster_size is %d, want 2", n)
+	}
+}
+
+// Drained: no at once, late connections are served, every connection is closed between two requests with nothing lost, one
+// that never pauses too. Activated: yes again, also right after.
+func TestDrainAndActivate(t *testing.T) {
+	be := scripted.NewNode(t, func(int, []string, net.Conn) string { return served })
+	list := fleetOf(be.Addr)
+	g, _ := runIngress(t, doorConfig(scripted.Registry(t, list, nil), list))
+	addr := g.Addr().String()
+	ping := func() string {
+		nc, in := dial(t, addr)
+		defer nc.Close()
+		io.WriteString(nc, command("PING"))
+		return line(t, in)
+	}
+	// Drained and back within 50 ms.
+	wantCall(t, g, "PUT", "/v1/ingress/drain", 200)
+	wantCall(t, g, "PUT", "/v1/ingress/drain", 200)
+	if s := ping(); s == "+PONG" {
+		t.Fatal("PING says yes after the drain")
+	}
+	wantCall(t, g, "GET", "/v1/readyz", 503)
+	wantCall(t, g, "PUT", "/v1/ingress/activate", 200)
+	if s := ping(); s != "+PONG" {
+		t.Fatalf("PING says %s after activate", s)
+	}
+	wantCall(t, g, "GET", "/v1/readyz", 200)
+
+	idle, idleIn := dial(t, addr)
+	io.WriteString(idle, ask(1, readFields))
+	wantValue(t, idleIn)
+	busy, busyIn := dial(t, addr)
+	var written, answered atomic.Int64
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { // never pauses: always some commands ahead of the answers
+		for id := 1000; ; id++ {
+			if _, err := io.WriteString(busy, ask(id, readFields)); err != nil {
+				return
+			}
+			written.Add(1)
+			for written.Load()-answered.Load() > 20 {
+				time.Sleep(time.Millisecond)
+				if answered.Load() < 0 {
+					return
+				}
+			}
+		}
+	})
+	ended := make(chan error, 1)
+	go func() {
+		for {
+			head, err := busyIn.ReadString('\n')
+			if err == nil && head != "$5\r\n" {
+				err = fmt.Errorf("answer %q", head)
+			}
+			if err == nil {
+				_, err = busyIn.ReadString('\n')
+			}
+			if err != nil {
+				answered.Store(-1 << 40)
+				busy.Close()
+				ended <- err
+				return
+			}
+			answered.Add(1)
+		}
+	}()
+	eventually(t, 5*time.Second, "the busy connection is served", func() bool { return answered.Load() > 50 })
+	wantCall(t, g, "PUT", "/v1/ingress/drain", 200)
+	late, lateIn := dial(t, addr)
+	io.WriteString(late, ask(2, readFields))
+	wantValue(t, lateIn)
+	for name, in := range map[string]*bufio.Reader{"the idle": idleIn, "the late": lateIn} {
+		if rest, err := io.ReadAll(in); len(rest) > 0 || err != nil {
+			t.Fatalf("%s connection ends with %q, %v", name, rest, err)
+		}
+	}
+	select {
+	case err := <-ended:
+		if err != io.EOF {
+			t.Fatalf("the connection that never pauses ends with %v, want a clean end", err)
+		}
+	case <-time.After(4 * time.Second):
+		t.Fatal("the connection that never pauses is open 4 s after the drain")
+	}
+	wantCall(t, g, "PUT", "/v1/ingress/activate", 200)
+	if s := ping(); s != "+PONG" {
+		t.Fatalf("PING says %s after activate", s)
+	}
+}
+
+// The figures are what the clients got and the nodes saw, with errors, resets and repeats among them.
+func TestFiguresAreTrue(t *testing.T) {
+	var seen atomic.Int64
+	be := scripted.NewNode(t, func(n int, args []string, nc net.Conn) string {
+		if strings.HasPrefix(args[0], "Q.") {
+			seen.Add(1)
+		}
+		switch n % 7 {
+		case 3:
+			return "-ERR failed\r\n"
+		case 5:
+			nc.Close()
+			return ""
+		case 6:
+			return "-BUSY\r\n"
+		}
+		return served
+	})
+	list := fleetOf(be.Addr)
+	cfg := doorConfig(scripted.Registry(t, list, nil), list)
+	cfg.Settings.MaxAttempts = 3
+	g, _ := runIngress(t, cfg)
+	nc, in := dial(t, g.Addr().String())
+	got := map[string]int{}
+	for id := range 300 {
+		io.WriteString(nc, ask(id+1, readFields))
+		switch l := line(t, in); {
+		case strings.HasPrefix(l, "$"):
+			line(t, in)
+			got["answered"]++
+		case strings.HasPrefix(l, "-BUSY"):
+			got["deferred"]++
+		default:
+			got["errored"]++
+		}
+	}
+	for name, n := range got {
+		if f := figure(t, g, "transactions.read."+name); f != n {
+			t.Errorf("%s is %d, clients got %d", name, f, n)
+		}
+	}
+	if len(got) < 2 || figure(t, g, "sends") != int(seen.Load()) || figure(t, g, "current") != 0 {
+		t.Errorf("answers %v; sends %d, the node saw %d; current %d", got, figure(t, g, "sends"), seen.Load(), figure(t, g, "current"))
+	}
+	if figure(t, g, "transactions.write.answered") != 0 {
+		t.Error("a class without a request is not there with 0")
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -8,12 +8,14 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"hitchspring/internal/admin"
 	"hitchspring/internal/core"
 	"hitchspring/internal/drill"
 	"hitchspring/internal/front/forwardauth"
@@ -40,6 +42,7 @@
 	Counter string // the address of tally, where Store is nil
 	Auth    *Auth  // nil: no gate may ask
 	Metrics string // host:port where figures are served; empty: nowhere
+	Admin   string // host:port of the operators' door; empty: there is none
 	Drills  string // file of the halls that are taken out on purpose; empty: there is none
 	core.Config
 }
@@ -58,8 +61,11 @@
 	log   *slog.Logger
 	ready chan struct{}
 	addr  net.Addr
-	auth  *forwardauth.Front // nil: off
-	at    net.Addr           // of auth
+	auth  *forwardauth.Front         // nil: off
+	at    net.Addr                   // of auth
+	admin net.Addr                   // of the door; nil: there is none
+	front atomic.Pointer[resp.Front] // nil until clients are taken
+	over  atomic.Bool                // shutting down
 	reg   *prometheus.Registry
 }
 
@@ -70,6 +76,10 @@
 			return nil, fmt.Errorf("not an address: %w", err)
 		}
 	}
+	if _, _, err := net.SplitHostPort(cfg.Admin); cfg.Admin != "" && err != nil {
+		return nil, fmt.Errorf("admin_addr %q: %w", cfg.Admin, err)
+	}
+	cfg.Operated = cfg.Admin != ""
 	if cfg.Store == nil {
 		if cfg.Settings.Counter && cfg.Counter == "" {
 			return nil, errors.New("the settings name a shared counter, the configuration has no address of it")
@@ -110,6 +120,14 @@
 
 // Run serves until ctx ends, then answers what it has taken and returns.
 func (g *Gateway) Run(ctx context.Context) error {
+	if g.cfg.Admin != "" { // first, so that a start that takes its time says so
+		ln, err := net.Listen("tcp", g.cfg.Admin)
+		if err != nil {
+			return fmt.Errorf("admin_addr: %w", err)
+		}
+		g.admin = ln.Addr()
+		defer admin.Open(ln, door{g}, g.log).Close()
+	}
 	g.core.Start()
 	defer g.core.End()
 	if g.cfg.Drills != "" {
@@ -141,6 +159,9 @@
 	if g.cfg.Metrics != "" {
 		conns -= mostMetrics
 	}
+	if g.cfg.Admin != "" {
+		conns -= admin.MostConns
+	}
 	if conns-spare < leastConns {
 		return fmt.Errorf("the limit on sockets leaves %d for clients, %d at least are wanted: fewer forward_auth.connections", conns-spare, leastConns)
 	}
@@ -165,11 +186,14 @@
 	f := resp.New(ln, g.core, conns-spare, memory)
 	f.Start()
 	g.addr = ln.Addr()
+	g.front.Store(f)
 	close(g.ready)
 	g.log.Info("serving", "listen", g.cfg.Listen)
 
 	<-ctx.Done()
 	g.log.Info("shutting down")
+	g.over.Store(true)
+	f.Leave()
 	limit, cancel := context.WithTimeout(context.Background(), graceAll)
 	defer cancel()
 	if g.auth != nil {
--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -99,6 +99,7 @@
 	Idle           time.Duration // a node closes a connection that has been idle for so long
 	MostConns      int           // to all nodes together
 	Frames         *resp.Budget  // memory of answers that are coming in
+	Sent           func()        // told of each attempt that was written to its last byte, from any goroutine
 }
 
 // Pool is the connections to all nodes. It is not safe for many goroutines: its owner's alone calls it.
@@ -116,6 +117,9 @@
 
 // New returns a pool that knows no node.
 func New(owner Owner, cfg Config) *Pool {
+	if cfg.Sent == nil {
+		cfg.Sent = func() {}
+	}
 	return &Pool{cfg: cfg, owner: owner, nodes: map[logic.ServerID]*node{}}
 }
 
@@ -139,6 +143,7 @@
 	nc      net.Conn // set before connUp is posted
 	raw     syscall.RawConn
 	frames  *resp.Budget
+	sent    func()
 	work    chan job
 	dead    chan struct{}
 	writing sync.Mutex              // held from before a command's first byte until whole tells of it
@@ -266,6 +271,9 @@
 			n, err := c.nc.Write(j.buf)
 			if n == len(j.buf) {
 				c.whole.Store(j.a)
+				if j.a.Command != nil {
+					c.sent()
+				}
 			}
 			c.writing.Unlock()
 			if err != nil {
@@ -477,7 +485,7 @@
 			p.starved = true
 			return
 		}
-		c := &conn{node: n, addr: n.addr, frames: p.cfg.Frames, work: make(chan job, 1), dead: make(chan struct{})}
+		c := &conn{node: n, addr: n.addr, frames: p.cfg.Frames, sent: p.cfg.Sent, work: make(chan job, 1), dead: make(chan struct{})}
 		n.dialing++
 		n.conns++
 		p.conns++
--- /dev/null
+++ b/internal/suspend/suspend.go
@@ -0,0 +1,144 @@
+// Package suspend keeps the operators' word on nodes, which lies over discovery's list: a node that was taken out is draining
+// until it is put back, whatever the list says of it, and one that was put back counts as started at that moment. In: ids as they are
+// listed, calls with the time of the call. Out: entries of the list as the decision module shall have them. It does no I/O and is not
+// safe for many goroutines.
+package suspend
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+	"time"
+
+	"hitchspring/logic"
+)
+
+// mostKnown is how many ids are remembered; beyond, those that were listed longest ago and are not taken out go first.
+const mostKnown = 4096
+
+// ErrUnknown is said of an id that was never listed.
+var ErrUnknown = errors.New("no such node was ever listed")
+
+// Word is the last thing that operators said of a node.
+type Word struct {
+	ID  logic.ServerID `json:"id"`
+	Out bool           `json:"out"`
+	At  time.Duration  `json:"at"` // on the clock that all instances share
+}
+
+// entry is what is kept of an id.
+type entry struct {
+	word   Word
+	spoken bool
+	listed uint64 // number of the list that last had it
+}
+
+// Book is the words on all nodes.
+type Book struct {
+	known map[logic.ServerID]*entry
+	lists uint64
+}
+
+// New returns a book in which nothing is known.
+func New() *Book { return &Book{known: map[logic.ServerID]*entry{}} }
+
+// Listed remembers the ids of a list or of a change to it.
+func (b *Book) Listed(ids []logic.ServerID) {
+	b.lists++
+	for _, id := range ids {
+		b.entry(id).listed = b.lists
+	}
+	b.shorten()
+}
+
+func (b *Book) entry(id logic.ServerID) *entry {
+	e := b.known[id]
+	if e == nil {
+		e = &entry{}
+		b.known[id] = e
+	}
+	return e
+}
+
+// shorten forgets the oldest ids that nobody has taken out, a quarter at a time.
+func (b *Book) shorten() {
+	if len(b.known) <= mostKnown {
+		return
+	}
+	type aged struct {
+		id     logic.ServerID
+		listed uint64
+	}
+	var old []aged
+	for id, e := range b.known {
+		if !e.word.Out && e.listed < b.lists {
+			old = append(old, aged{id, e.listed})
+		}
+	}
+	slices.SortFunc(old, func(x, y aged) int { return cmp.Or(cmp.Compare(x.listed, y.listed), cmp.Compare(x.id, y.id)) })
+	for _, o := range old[:min(len(old), len(b.known)-mostKnown*3/4)] {
+		delete(b.known, o.id)
+	}
+}
+
+// Say records a call. A repeat changes nothing; an id that was never listed is ErrUnknown.
+func (b *Book) Say(id logic.ServerID, out bool, now time.Duration) (changed bool, err error) {
+	e := b.known[id]
+	if e == nil {
+		return false, ErrUnknown
+	}
+	if e.word.Out == out {
+		return false, nil
+	}
+	e.word, e.spoken = Word{ID: id, Out: out, At: max(now, e.word.At+1)}, true
+	return true, nil
+}
+
+// Merge takes in words that were recorded elsewhere; of two on one node the later counts. It returns the ids that changed.
+func (b *Book) Merge(words []Word) (changed []logic.ServerID) {
+	for _, w := range words {
+		if w.ID == "" {
+			continue
+		}
+		e := b.entry(w.ID)
+		if e.spoken && e.word.At >= w.At {
+			continue
+		}
+		if e.word.Out != w.Out || e.word.At != w.At {
+			changed = append(changed, w.ID)
+		}
+		e.word, e.spoken = w, true
+	}
+	b.shorten()
+	return changed
+}
+
+// Words is the last word on each node of which there is one, in the order of ids.
+func (b *Book) Words() (out []Word) {
+	for _, e := range b.known {
+		if e.spoken {
+			out = append(out, e.word)
+		}
+	}
+	slices.SortFunc(out, func(x, y Word) int { return cmp.Compare(x.ID, y.ID) })
+	return out
+}
+
+// Out reports whether a node is taken out.
+func (b *Book) Out(id logic.ServerID) bool {
+	e := b.known[id]
+	return e != nil && e.word.Out
+}
+
+// Over is an entry of the list as it holds under the operators' word.
+func (b *Book) Over(s logic.Server) logic.Server {
+	e := b.known[s.ID]
+	switch {
+	case e == nil || !e.spoken:
+	case !e.word.Out: // it was restarted meanwhile, at the latest now
+		s.Started = max(s.Started, e.word.At)
+	case s.State == logic.Running:
+		s.State = logic.Draining
+	}
+	return s
+}
--- /dev/null
+++ b/internal/suspend/suspend_test.go
@@ -0,0 +1,103 @@
+package suspend
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"hitchspring/logic"
+)
+
+// Whatever is listed and called in whatever order: a node is draining exactly while the last word on it is out, its start is
+// never before it was put back, and a book that merges another's words says the same.
+func TestBook(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, out, back, listed := New(), map[logic.ServerID]bool{}, map[logic.ServerID]time.Duration{}, map[logic.ServerID]bool{}
+		ids := []logic.ServerID{"a", "b", "c", "d"}
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 3).Draw(t, "passes")) * time.Second
+			id := rapid.SampledFrom(ids).Draw(t, "id")
+			switch rapid.SampledFrom([]string{"list", "out", "back", "merge"}).Draw(t, "step") {
+			case "list":
+				b.Listed([]logic.ServerID{id})
+				listed[id] = true
+			case "out", "back":
+				isOut := rapid.Bool().Draw(t, "out")
+				changed, err := b.Say(id, isOut, now)
+				if listed[id] == errors.Is(err, ErrUnknown) {
+					t.Fatalf("%s was listed: %v, the answer is %v", id, listed[id], err)
+				}
+				if err != nil {
+					continue
+				}
+				if changed != (out[id] != isOut) {
+					t.Fatalf("a call on %s changed something: %v; before it was out: %v", id, changed, out[id])
+				}
+				if changed && !isOut {
+					back[id] = now
+				}
+				out[id] = isOut
+			case "merge":
+				other := New()
+				other.Merge(b.Words())
+				if len(other.Merge(b.Words())) > 0 {
+					t.Fatal("words that were merged before have changed something")
+				}
+				other.Listed(ids)
+				b = other
+				for _, id := range ids {
+					listed[id] = true
+				}
+			}
+			for _, id := range ids {
+				for _, state := range []logic.ServerState{logic.Running, logic.Draining, logic.Gone} {
+					s := b.Over(logic.Server{ID: id, State: state, Started: time.Millisecond})
+					want := state
+					if out[id] && state == logic.Running {
+						want = logic.Draining
+					}
+					if s.State != want {
+						t.Fatalf("%s out: %v, listed as %v: it is %v", id, out[id], state, s.State)
+					}
+					if !out[id] && s.Started < back[id] {
+						t.Fatalf("%s was put back at %v and counts as started at %v", id, back[id], s.Started)
+					}
+				}
+			}
+		}
+	})
+}
+
+// Ids are ever new: the book stays bounded, and forgets nobody who is out.
+func TestBounded(t *testing.T) {
+	b := New()
+	b.Listed([]logic.ServerID{"kept"})
+	b.Say("kept", true, 1)
+	for i := range 3 * mostKnown {
+		b.Listed([]logic.ServerID{logic.ServerID(fmt.Sprint("s", i))})
+	}
+	if len(b.known) > mostKnown || !b.Out("kept") {
+		t.Fatalf("%d ids known, kept is out: %v", len(b.known), b.Out("kept"))
+	}
+	if _, err := b.Say(logic.ServerID(fmt.Sprint("s", 3*mostKnown-1)), true, 2); err != nil {
+		t.Fatal("the id that was listed last is forgotten: ", err)
+	}
+}
+
+// Of two words on one node the later counts, in whichever order they are heard.
+func TestLaterWordCounts(t *testing.T) {
+	early, late := []Word{{ID: "a", Out: true, At: 1}}, []Word{{ID: "a", Out: false, At: 2}}
+	for _, order := range [][][]Word{{early, late}, {late, early}} {
+		b := New()
+		for _, w := range order {
+			b.Merge(w)
+		}
+		if b.Out("a") {
+			t.Fatalf("order %v: a is out", order)
+		}
+	}
+}
--- a/logic/api.go
+++ b/logic/api.go
@@ -305,3 +305,9 @@
 func (g *Gateway) State() (window float64, busy, held, servers int) {
 	return g.window, g.busy, len(g.queue), len(g.fleet)
 }
+
+// Avoids reports whether a server that serves by the list is left out by choice: after failures in a row, or with its hall.
+func (g *Gateway) Avoids(id ServerID) bool {
+	s := g.servers[id]
+	return s != nil && s.State == Running && (s.unproven || s.banned > g.now || g.dark[s.Zone].until > g.now)
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,6 +43,7 @@
 	failPenalty  = 8.0                    // what a failed attempt counts for, in mean latencies
 	lastResort   = 100.0                  // factor on a server that is taken only where there is no other
 	failsToBan   = 3                      // failures in a row that eject a server
+	unused       = 2 * time.Second        // then a cold server has its turn like a warm one
 	coldRate     = 1.5                    // sends to a cold server, in what a warm one so small answers
 	forgetAims   = 8.0                    // longest aims after which half of a server's slowness is forgotten
 )
@@ -776,7 +777,7 @@
 			continue
 		}
 		score := g.slowness(s) * (1 + float64(len(s.out))) * (1 + 0.1*g.rng.Float64())
-		if !g.thin { // else what may go to cold servers at all is too little to leave any of it
+		if !g.thin && g.now-max(s.lastSent, s.Started) < unused { // many: too little may go to cold ones at all
 			score /= g.warmth(s)
 		}
 		if !g.mine(s) {
