Replace the process in service: a baton between processes, and what is known goes over

Need: the platform starts the next process beside the old one; the second ended for a taken address, which broke the rule on faults. Change: internal/handover (locks, states and words on file, the split), logic/state.go (the module's facts), the front stops its use of the inherited socket and lets go of the baton after it has left its state; a process may hold half of the limits where it may be two.

--- a/cmd/hitchspring/main.go
+++ b/cmd/hitchspring/main.go
@@ -22,6 +22,7 @@
 	"hitchspring/internal/discovery"
 	"hitchspring/internal/front/forwardauth"
 	"hitchspring/internal/halls"
+	"hitchspring/internal/handover"
 	"hitchspring/internal/ingress"
 	"hitchspring/internal/settings"
 	"hitchspring/internal/store"
@@ -29,6 +30,9 @@
 	"hitchspring/logic"
 )
 
+// processes of one ingress that may be there at one time, where the platform replaces them in service.
+const processes = 2
+
 func main() {
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	if err := command(os.Args[1:], os.Stdout, log); err != nil {
@@ -95,6 +99,17 @@
 	if cfg.Admin = os.Getenv("ROUTER_ADMIN_ADDR"); cfg.Admin == "" { // the variable is what differs from process to process
 		cfg.Admin = f.AdminAddr
 	}
+	if fd := os.Getenv("ROUTER_SOCKET_FD"); fd != "" {
+		if cfg.SocketFD, err = strconv.Atoi(fd); err != nil || cfg.SocketFD < 3 {
+			return ingress.Config{}, nil, fmt.Errorf("ROUTER_SOCKET_FD %q: the number of an open descriptor is wanted", fd)
+		}
+	}
+	if cfg.SocketFD > 0 { // limits hold for two processes together
+		cfg.Sockets, cfg.Memory = cfg.Sockets/processes, cfg.Memory/processes
+	}
+	if cfg.Admin != "" || cfg.SocketFD > 0 { // who else would have something to keep
+		cfg.StateDir = os.Getenv("TMPDIR")
+	}
 	if o.Metrics != nil {
 		cfg.Metrics = o.Metrics.Listen
 	}
@@ -172,7 +187,12 @@
 	}
 	runtime.GOMAXPROCS(max(1, int(f.Limits.Cores)))
 	if f.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(f.Limits.MemoryMB << 20 / 4 * 3)
+		debug.SetMemoryLimit(int64(cfg.Memory) / 4 * 3)
+	}
+	if cfg.SocketFD > 0 {
+		if cfg.Listener, err = handover.Inherited(cfg.SocketFD); err != nil {
+			return fmt.Errorf("ROUTER_SOCKET_FD: %w", err)
+		}
 	}
 	gw, err := ingress.New(cfg, log)
 	if err != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -49,12 +49,11 @@
 	Settings    logic.Settings
 	Store       func(store.Sink) (store.Counter, error) // makes the shared counter; nil: the settings know none
 	Connections settings.Connections
-	Leases      *Leases        // of attempts that who asks sends itself; nil: none are granted
-	Halls       *halls.Config  // what an operator says of halls; nil: another hall costs a fixed factor
-	Summary     time.Duration  // between two lines of the log that sum up what happened; 0: none
-	Operated    bool           // somebody asks for the figures of the cluster
-	Words       WordStore      // of what operators say of nodes; nil: it ends with the process
-	Said        []suspend.Word // what they have said before
+	Leases      *Leases       // of attempts that who asks sends itself; nil: none are granted
+	Halls       *halls.Config // what an operator says of halls; nil: another hall costs a fixed factor
+	Summary     time.Duration // between two lines of the log that sum up what happened; 0: none
+	Operated    bool          // somebody asks for the figures of the cluster
+	Words       WordStore     // of what operators say of nodes; nil: it ends with the process
 }
 
 // lister keeps the list of nodes up to date, as package discovery does.
@@ -207,7 +206,6 @@
 		fig:      newFigures(cfg.Settings.Classes),
 		ops:      operators{book: suspend.New(), store: cfg.Words, spoke: make(chan struct{}, 1)},
 		mostHeld: cfg.Memory / memoryShare, mostUnits: cmp.Or(cfg.Settings.MaxUnits, math.MaxFloat64)}
-	g.ops.book.Merge(cfg.Said)
 	g.nodes = nodes.New(owner{g}, nodes.Config{Sent: g.fig.Sent, ConnectTimeout: cfg.Connections.ConnectTimeout, Idle: cfg.Connections.Idle, MostConns: g.mostConns,
 		Frames: resp.NewBudget(cfg.Memory / memoryShare)})
 	if cfg.Leases != nil {
@@ -399,6 +397,12 @@
 		g.reported(ev)
 	case drills:
 		g.drills(ev)
+	case giveOver:
+		g.giveOver(ev)
+	case takeOver:
+		g.takeOver(ev.State)
+	case alone:
+		g.mod.Release()
 	case endAll:
 		for _, r := range g.requests {
 			g.cutOff(r)
--- /dev/null
+++ b/internal/core/handover.go
@@ -0,0 +1,65 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"hitchspring/internal/discovery"
+	"hitchspring/internal/handover"
+)
+
+// lentFor is how long the attempts count that the old process had out when it gave its work away: nearly all have ended then.
+const lentFor = 700 * time.Millisecond
+
+// The events of a replacement.
+type (
+	giveOver struct{ tell chan<- handover.State }
+	takeOver struct{ handover.State }
+	alone    struct{}
+)
+
+// GiveOver parts what the module knows with the next process of this ingress, and returns that one's part. It is called once,
+// when no more clients are taken; the core goes on with what it has.
+func (g *Core) GiveOver(ctx context.Context) (handover.State, error) {
+	got := make(chan handover.State, 1)
+	select {
+	case g.events <- giveOver{got}:
+	case <-ctx.Done():
+		return handover.State{}, ctx.Err()
+	}
+	select {
+	case s := <-got:
+		return s, nil
+	case <-ctx.Done():
+		return handover.State{}, ctx.Err()
+	case <-g.stopped:
+		return handover.State{}, errors.New("the core has ended")
+	}
+}
+
+// TakeOver goes on from what the process before has left. It is called before clients are taken.
+func (g *Core) TakeOver(s handover.State) { g.post(takeOver{s}) }
+
+// Alone tells that no other process of this ingress is there any more.
+func (g *Core) Alone() { g.post(alone{}) }
+
+func (g *Core) giveOver(ev giveOver) {
+	kept, given := handover.Split(g.mod.Learned())
+	g.mod.Keep(kept)
+	s := handover.State{At: g.now, Learned: given, List: discovery.List{Rev: g.ops.rev, All: true}}
+	for _, t := range g.ops.listed {
+		s.List.Targets = append(s.List.Targets, t)
+	}
+	ev.tell <- s
+}
+
+func (g *Core) takeOver(s handover.State) {
+	if g.ops.lists < 2 && s.List.Rev > g.ops.rev { // discovery is silent: the other's list is newer than the configuration's
+		g.fleet(s.List.Usable(g.log))
+		g.flush()
+	}
+	g.mod.Learn(g.now, s.Learned)
+	g.after(lentFor, g.mod.Release)
+	g.log.Info("went on from the process before", "channels", len(s.Learned.Customers), "nodes", len(s.Learned.Servers), "age", g.now-s.At)
+}
--- a/internal/core/operate.go
+++ b/internal/core/operate.go
@@ -28,7 +28,10 @@
 	store WordStore     // nil: words end with the process
 	spoke chan struct{} // room for one: the loop shall look at the book
 
-	listed map[logic.ServerID]discovery.Target // the loop's: the list without the operators' word
+	// The loop's alone: the list without the operators' word, its revision, and how often one has come.
+	listed map[logic.ServerID]discovery.Target
+	rev    int64
+	lists  int
 }
 
 // Figures is what this process has done since its start.
@@ -88,6 +91,8 @@
 // fleet takes a list or a change of discovery's.
 func (g *Core) fleet(f discovery.List) {
 	g.sum.add(lists, 1)
+	g.ops.lists++
+	g.ops.rev = max(g.ops.rev, f.Rev)
 	if f.All || g.ops.listed == nil {
 		g.ops.listed = make(map[logic.ServerID]discovery.Target, len(f.Targets))
 	}
--- a/internal/front/resp/client.go
+++ b/internal/front/resp/client.go
@@ -26,10 +26,10 @@
 	firstCommand  = 2400 * time.Millisecond // from connecting to the end of the first command, and for the rest of a later one
 	idleTime      = 2100 * time.Millisecond // a connection without an open request is closed then
 	tidyEvery     = 250 * time.Millisecond
-	leaveTidy     = 50 * time.Millisecond   // the same of a front that leaves
-	leaveOpen     = 600 * time.Millisecond  // of leaving: new connections still come; then those without an open request are closed
-	leaveRead     = 1200 * time.Millisecond // of leaving: a connection that never pauses is read no further
-	writeStall    = 3 * time.Second         // for a client to read an answer
+	leaveTidy     = 50 * time.Millisecond  // the same of a front that leaves
+	leaveOpen     = 600 * time.Millisecond // of leaving: new connections still come; then those without an open request are closed
+	leaveRead     = 700 * time.Millisecond // of leaving: a connection that never pauses is read no further
+	writeStall    = 3 * time.Second        // for a client to read an answer
 	mostKey       = 256
 	slotPause     = 5 * time.Millisecond // before a further connection is closed for want of a place
 	newcomer      = 50 * time.Millisecond
@@ -132,7 +132,7 @@
 }
 
 // Leave begins to let the clients go, once: PING says no, each connection is closed after its next answer, after 0.6 s also
-// those without an open request, after 1.2 s also those that never pause. New ones are served in the same way. The listener
+// those without an open request, after 0.7 s also those that never pause. New ones are served in the same way. The listener
 // stays.
 func (f *Front) Leave() {
 	if f.leaving.CompareAndSwap(0, time.Now().UnixNano()) {
@@ -285,6 +285,9 @@
 	}
 }
 
+// Close closes the listener: this process's use of it, where others have it too.
+func (f *Front) Close() { f.ln.Close() }
+
 // Drain closes the listener, and every connection as soon as nothing on it waits for an answer; where ctx ends first, at
 // once. It returns when all have ended.
 func (f *Front) Drain(ctx context.Context) {
--- a/internal/ingress/door.go
+++ b/internal/ingress/door.go
@@ -16,7 +16,7 @@
 // Serving, Figures, Suspend, Resume, Leave and Return are admin.Service's.
 func (d door) Serving() bool {
 	f := d.g.front.Load()
-	return f != nil && !d.g.over.Load() && !f.Leaving()
+	return d.g.prepared.Load() && !d.g.over.Load() && (f == nil || !f.Leaving())
 }
 
 func (d door) Figures() []byte { return d.g.core.Figures().Text() }
@@ -46,5 +46,10 @@
 	return err
 }
 
-// AdminAddr is where operators call, once Ready has closed; nil where there is no door.
-func (g *Gateway) AdminAddr() net.Addr { return g.admin }
+// AdminAddr is where operators call; nil while the door is not open.
+func (g *Gateway) AdminAddr() net.Addr {
+	if a := g.admin.Load(); a != nil {
+		return a
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ingress/handover.go
@@ -0,0 +1,106 @@
+package ingress
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"hitchspring/internal/handover"
+	"hitchspring/internal/suspend"
+)
+
+// giveTime is what giving over may take; after it the next process starts without.
+const giveTime = 300 * time.Millisecond
+
+// keep takes a place in the folder that the processes of this ingress share, and follows what the others say there. Where that
+// fails, the ingress serves without.
+func (g *Gateway) keep() (end func()) {
+	if g.cfg.StateDir == "" {
+		return func() {}
+	}
+	dir, err := handover.Open(g.cfg.StateDir, g.cfg.Listen, g.log)
+	if err != nil {
+		g.log.Warn("nothing is kept for the next process", "err", err)
+		return func() {}
+	}
+	g.dir = dir
+	g.words.dir.Store(dir)
+	g.core.Heard(dir.Words())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.dir.Watch(ctx, func(others int) {
+			if others == 0 {
+				g.core.Alone()
+			}
+		}, g.core.Heard)
+	}()
+	return func() {
+		cancel()
+		<-done
+		g.dir.Close()
+	}
+}
+
+// listen opens the clients' socket. Where the platform holds it, this process is ready to serve from here on, and takes clients
+// when the one before takes none any more; nil, nil where ctx ends first.
+func (g *Gateway) listen(ctx context.Context) (net.Listener, error) {
+	if g.cfg.Listener == nil {
+		ln, err := net.Listen("tcp", g.cfg.Listen)
+		if err != nil {
+			return nil, fmt.Errorf("listening: %w", err)
+		}
+		return ln, nil
+	}
+	g.prepared.Store(true)
+	if g.dir == nil {
+		return g.cfg.Listener, nil
+	}
+	began := time.Now()
+	if err := g.dir.Take(ctx); err != nil {
+		g.cfg.Listener.Close()
+		if ctx.Err() != nil {
+			return nil, nil
+		}
+		return nil, err
+	}
+	if s, ok := g.dir.Left(time.Duration(time.Now().UnixNano())); ok {
+		g.core.TakeOver(s)
+	}
+	g.log.Info("takes the clients", "waited", time.Since(began).Round(time.Millisecond))
+	return g.cfg.Listener, nil
+}
+
+// handOn leaves what is known to the next process, if there is one, and lets it take the clients.
+func (g *Gateway) handOn() {
+	if g.dir == nil {
+		return
+	}
+	defer g.dir.Release()
+	if g.dir.Others() == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), giveTime)
+	defer cancel()
+	s, err := g.core.GiveOver(ctx)
+	if err == nil {
+		err = g.dir.Leave(s)
+	}
+	if err != nil {
+		g.log.Warn("the next process starts without what is known here", "err", err)
+	}
+}
+
+// words keeps operators' words in the folder, where there is one that can be used.
+type words struct{ dir atomic.Pointer[handover.Dir] }
+
+// Save is core.WordStore's.
+func (w *words) Save(said []suspend.Word) error {
+	if d := w.dir.Load(); d != nil {
+		return d.Save(said)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ingress/handover_test.go
@@ -0,0 +1,219 @@
+package ingress
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"hitchspring/internal/discovery"
+	"hitchspring/internal/standin/scripted"
+)
+
+// held is a listening socket that the platform holds, of which each process gets a copy.
+func held(t testing.TB) (ln *net.TCPListener, inherit func() net.Listener) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l.(*net.TCPListener), func() net.Listener {
+		f, err := l.(*net.TCPListener).File()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer f.Close()
+		copied, err := net.FileListener(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return copied
+	}
+}
+
+// crowd is clients that ask one request after another, each on a kept connection, and go over to a new one when theirs is closed.
+type crowd struct {
+	answered, odd, turned atomic.Int64 // turned: closed with a request on it that has no answer
+	wg                    sync.WaitGroup
+	stop                  chan struct{}
+	pause                 time.Duration
+}
+
+func (c *crowd) run(addr string, n int) {
+	c.stop = make(chan struct{})
+	var id atomic.Int64
+	for range n {
+		c.wg.Go(func() {
+			for {
+				nc, err := net.Dial("tcp", addr)
+				if err != nil {
+					c.odd.Add(1)
+					return
+				}
+				c.talk(nc, &id)
+				nc.Close()
+				select {
+				case <-c.stop:
+					return
+				default:
+				}
+			}
+		})
+	}
+}
+
+func (c *crowd) talk(nc net.Conn, id *atomic.Int64) {
+	in := bufio.NewReader(nc)
+	for {
+		select {
+		case <-c.stop:
+			return
+		case <-time.After(c.pause):
+		}
+		// As clients do: a connection that was closed meanwhile is not used.
+		nc.SetReadDeadline(time.Now().Add(50 * time.Microsecond))
+		if _, err := in.Peek(1); err == io.EOF {
+			return
+		}
+		nc.SetReadDeadline(time.Now().Add(10 * time.Second))
+		if _, err := io.WriteString(nc, ask(int(id.Add(1)), readFields)); err != nil {
+			c.turned.Add(1)
+			return
+		}
+		head, err := in.ReadString('\n')
+		switch {
+		case err != nil:
+			c.turned.Add(1)
+			return
+		case strings.HasPrefix(head, "$"):
+			if _, err := in.ReadString('\n'); err != nil {
+				c.odd.Add(1)
+				return
+			}
+			c.answered.Add(1)
+		default:
+			c.odd.Add(1)
+		}
+	}
+}
+
+func (c *crowd) end() {
+	close(c.stop)
+	c.wg.Wait()
+}
+
+// At full load one process follows another, twice in a row: no request is lost, failed or turned back, and what operators said
+// to the first holds at the last.
+func TestReplacementUnderLoad(t *testing.T) {
+	var sent [3]atomic.Int64
+	var nodes []string
+	for i := range 3 {
+		nodes = append(nodes, scripted.NewNode(t, func(int, []string, net.Conn) string {
+			sent[i].Add(1)
+			time.Sleep(5 * time.Millisecond)
+			return served
+		}).Addr)
+	}
+	list := fleetOf(nodes...)
+	registry := scripted.Registry(t, list, nil)
+	ln, inherit := held(t)
+	dir := t.TempDir()
+	start := func() (*Gateway, func() error) {
+		cfg := doorConfig(registry, list)
+		cfg.Listen, cfg.Listener, cfg.StateDir = ln.Addr().String(), inherit(), dir
+		return startBeside(t, cfg)
+	}
+	old, stop := start()
+	eventually(t, 5*time.Second, "the first process serves", func() bool { s, _ := call(t, old, "GET", "/v1/readyz"); return s == 200 })
+	c := crowd{pause: 2 * time.Millisecond}
+	c.run(ln.Addr().String(), 20)
+	time.Sleep(300 * time.Millisecond)
+	wantCall(t, old, "PUT", "/v1/backends/s2/suspend", 200)
+	time.Sleep(300 * time.Millisecond)
+	before := [3]int64{2: sent[2].Load()}
+	for round := range 2 {
+		next, stopNext := start()
+		eventually(t, 5*time.Second, "the next process says yes", func() bool { s, _ := call(t, next, "GET", "/v1/readyz"); return s == 200 })
+		if round == 1 { // told to one while both are there
+			wantCall(t, old, "PUT", "/v1/backends/s1/suspend", 200)
+			time.Sleep(500 * time.Millisecond)
+			before[1] = sent[1].Load()
+		}
+		had := c.answered.Load()
+		if err := stop(); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, 5*time.Second, "the next process answers", func() bool { return c.answered.Load() > had+100 })
+		old, stop = next, stopNext
+	}
+	c.end()
+	if c.odd.Load() > 0 || c.turned.Load() > 2 {
+		t.Errorf("%d answered, %d lost or failed, %d turned back", c.answered.Load(), c.odd.Load(), c.turned.Load())
+	}
+	for i := 1; i <= 2; i++ {
+		if n := sent[i].Load() - before[i]; n > 0 {
+			t.Errorf("%d sends to s%d, which is suspended", n, i)
+		}
+	}
+	t.Logf("%d answered, %d turned back", c.answered.Load(), c.turned.Load())
+}
+
+// startBeside runs a process and waits for its door alone: its clients may still be another's.
+func startBeside(t *testing.T, cfg Config) (*Gateway, func() error) {
+	t.Helper()
+	g, stop := runAside(t, cfg)
+	eventually(t, 5*time.Second, "the door opens", func() bool { return g.AdminAddr() != nil })
+	return g, stop
+}
+
+// A process that is told of a suspension and dies at once leaves it to the next; one that dies before its yes leaves the
+// first in place; discovery and the counter that say nothing keep no process from its yes.
+func TestReplacementInTrouble(t *testing.T) {
+	be := scripted.NewNode(t, func(int, []string, net.Conn) string { return served })
+	list := fleetOf(be.Addr)
+	mute := scripted.Listen(t, func(nc net.Conn) { io.Copy(io.Discard, nc) })
+	ln, inherit := held(t)
+	dir := t.TempDir()
+	start := func(known discovery.List) (*Gateway, func() error) {
+		cfg := doorConfig(mute, known)
+		cfg.Listen, cfg.Listener, cfg.StateDir = ln.Addr().String(), inherit(), dir
+		return startBeside(t, cfg)
+	}
+	yes := func(g *Gateway) {
+		t.Helper()
+		eventually(t, 6*time.Second, "yes", func() bool { s, _ := call(t, g, "GET", "/v1/readyz"); return s == 200 })
+	}
+	first, stopFirst := start(list)
+	yes(first)
+	_, stopEarly := start(list)
+	stopEarly() // before its yes, or after: it never had the baton
+	nc, in := dial(t, ln.Addr().String())
+	io.WriteString(nc, ask(1, readFields))
+	wantValue(t, in)
+	wantCall(t, first, "PUT", "/v1/backends/s0/suspend", 200)
+
+	// The next one's own list is older than the first one's: what goes over has the node.
+	second, _ := start(discovery.List{All: true})
+	yes(second)
+	stopFirst()
+	eventually(t, 5*time.Second, "the list goes over", func() bool { return figure(t, second, "cluster_size") == 1 })
+	if n := figure(t, second, "cluster_unhealthy"); n != 1 {
+		t.Fatalf("after the replacement %d nodes are avoided, the suspended one is wanted", n)
+	}
+	wantCall(t, second, "PUT", "/v1/backends/s0/resume", 200)
+	nc, in = dial(t, ln.Addr().String())
+	eventually(t, 5*time.Second, "the node that was put back serves", func() bool {
+		io.WriteString(nc, ask(int(time.Now().UnixNano()%1e9), readFields))
+		l := line(t, in)
+		if strings.HasPrefix(l, "$") {
+			line(t, in)
+			return true
+		}
+		return false
+	})
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -67,8 +67,9 @@
 	live     []*request // in order of arrival
 	queue    []*request // the priority queues end to end: highest worth first, in order of arrival within one
 
-	window, lag     float64       // attempts that may be out; mean latency of answers, seconds
-	busy, roundNo   int           // attempts that fill the window
+	window, lag     float64 // attempts that may be out; mean latency of answers, seconds
+	busy, lentBusy  int     // attempts that fill the window; those of them that another process has out
+	roundNo         int
 	lately          int           // untimely ends in the round before
 	good, bad, hit  int           // in this round: timely and untimely ends, servers with untimely ones
 	round, lastSent time.Duration // when the window's round ends; last attempt out
@@ -300,7 +301,7 @@
 	asked                     []*request
 	span, spent               time.Duration // of the window that a sparse one is asked for in; no room before
 	seen, refreshed, nextCall time.Duration
-	open                      int // attempts out
+	open, lent                int // attempts out; those of them that another process has out
 	ceiling                   float64
 	ceilingAt                 time.Duration
 }
--- /dev/null
+++ b/logic/state.go
@@ -0,0 +1,132 @@
+package logic
+
+import (
+	"math"
+	"time"
+)
+
+// Learned is what a gateway knows, as facts with their times, for another process of the same gateway. It holds nothing of
+// requests but how much is out for them.
+type Learned struct {
+	Window, Lag, Flow float64
+	FlowAt            time.Duration
+	AskShare          float64
+	Busy              int // attempts that fill the window
+	Classes           []LearnedClass
+	Servers           []LearnedServer
+	Customers         []LearnedCustomer
+}
+
+// LearnedClass is a class's latency, in seconds.
+type LearnedClass struct {
+	Name      string
+	Mean, Dev float64
+}
+
+// LearnedServer is what is known of a server that was started at a time.
+type LearnedServer struct {
+	ID                                ServerID
+	Started, SlowAt, LastSent, Banned time.Duration
+	Slow                              float64
+	Fails                             int
+}
+
+// LearnedCustomer is the picture of a customer's store, and what is leased of it.
+type LearnedCustomer struct {
+	ID, Plan               string
+	Spread, First          int
+	Block, Owed            float64 // leased and not spent; to tell the counter
+	Level, Demand, Others  float64
+	At, Looked, Spent      time.Duration
+	Epoch                  int64
+	Total                  float64
+	SeenUnits, SeenFor     float64
+	SeenAt, Seen, NextCall time.Duration
+	Refreshed              time.Duration
+	Silent                 bool
+	Ceiling                float64
+	CeilingAt              time.Duration
+	Open                   int // attempts out
+}
+
+// Learned returns what is known now.
+func (g *Gateway) Learned() Learned {
+	l := Learned{Window: g.window, Lag: g.lag, Flow: g.flow, FlowAt: g.flowAt, AskShare: g.askShare, Busy: g.busy}
+	for _, c := range g.set.Classes {
+		if k := g.classes[c.Name]; k.mean > 0 {
+			l.Classes = append(l.Classes, LearnedClass{c.Name, k.mean, k.dev})
+		}
+	}
+	for _, s := range g.fleet {
+		l.Servers = append(l.Servers, LearnedServer{ID: s.ID, Started: s.Started, SlowAt: s.slowAt, LastSent: s.lastSent, Banned: s.banned,
+			Slow: s.slow, Fails: s.fails})
+	}
+	for _, c := range g.roster {
+		l.Customers = append(l.Customers, LearnedCustomer{ID: c.id, Plan: c.plan.Name, Spread: c.spread,
+			First: (g.set.Me - c.place + g.set.Gateways) % g.set.Gateways, Block: c.block, Owed: c.owed, Level: c.level, Demand: c.demand,
+			Others: c.others, At: c.at, Looked: c.looked, Spent: c.spent, Epoch: c.epoch, Total: c.total, SeenUnits: c.seenUnits,
+			SeenFor: c.seenFor, SeenAt: c.seenAt, Seen: c.seen, NextCall: c.nextCall, Refreshed: c.refreshed, Silent: c.silent,
+			Ceiling: c.ceiling, CeilingAt: c.ceilingAt, Open: c.open})
+	}
+	return l
+}
+
+// Learn takes over what another process knew. Its attempts that are out count here until Release.
+func (g *Gateway) Learn(now time.Duration, l Learned) {
+	g.now = max(now, g.now)
+	g.Release()
+	if l.Window > 0 {
+		g.window, g.askShare = max(l.Window, leastWindow), min(1, max(l.AskShare, leastAsked))
+		g.lag, g.flow, g.flowAt = l.Lag, l.Flow, l.FlowAt
+	}
+	for _, k := range l.Classes {
+		if c := g.classes[k.Name]; c != nil {
+			c.mean, c.dev = k.Mean, k.Dev
+		}
+	}
+	for _, k := range l.Servers {
+		if s := g.servers[k.ID]; s != nil && s.Started == k.Started {
+			s.slow, s.slowAt, s.lastSent, s.fails, s.banned = max(k.Slow, 0.01), k.SlowAt, k.LastSent, k.Fails, k.Banned
+		}
+	}
+	for _, k := range l.Customers {
+		if p := g.plans[k.Plan]; p != nil && k.ID != "" {
+			g.learnCustomer(p, k)
+		}
+	}
+	g.lentBusy = l.Busy
+	g.busy += l.Busy
+}
+
+func (g *Gateway) learnCustomer(p *Plan, k LearnedCustomer) {
+	c := g.customer(&request{Request: Request{Customer: k.ID, Spread: k.Spread, First: max(k.First, 0)}, plan: p})
+	c.block, c.owed, c.level, c.demand, c.others = k.Block, k.Owed, k.Level, k.Demand, k.Others
+	c.at, c.looked, c.spent, c.epoch, c.total = k.At, k.Looked, k.Spent, k.Epoch, k.Total
+	c.seenUnits, c.seenFor, c.seenAt, c.seen, c.refreshed = k.SeenUnits, k.SeenFor, k.SeenAt, k.Seen, k.Refreshed
+	c.nextCall, c.silent, c.ceiling, c.ceilingAt = k.NextCall, k.Silent, k.Ceiling, k.CeilingAt
+	c.lent = k.Open
+	c.open += k.Open
+}
+
+// Release ends what Learn has counted for the other process: nothing of it is out any more.
+func (g *Gateway) Release() {
+	g.busy -= g.lentBusy
+	g.lentBusy = 0
+	for _, c := range g.roster {
+		c.open -= c.lent
+		c.lent = 0
+	}
+}
+
+// Keep lays down what is left here of the units of each customer, in the order of Learned, after the rest was given to another
+// process of this gateway. From then on ceilings do not fill here any more: they do there.
+func (g *Gateway) Keep(kept []LearnedCustomer) {
+	for _, k := range kept {
+		if c := g.customers[k.ID]; c != nil {
+			c.block, c.owed, c.ceiling = k.Block, k.Owed, k.Ceiling
+		}
+	}
+	for _, p := range g.plans {
+		p.CeilingRate = min(p.CeilingRate, math.SmallestNonzeroFloat32)
+	}
+}
