Count a node that is put back as started when discovery says so, if it says so

Checked: each attempt's end by node; the warm nodes took 200 ms each while the cold ones were spared. Change: a word that puts a node back knows since when it was out; a start that discovery has told of after that is believed.

--- a/internal/suspend/suspend.go
+++ b/internal/suspend/suspend.go
@@ -1,5 +1,6 @@
 // Package suspend keeps the operators' word on nodes, which lies over discovery's list: a node that was taken out is draining
-// until it is put back, whatever the list says of it, and one that was put back counts as started at that moment. In: ids as they are
+// until it is put back, whatever the list says of it, and one that was put back counts as started then, unless discovery
+// has told of a restart since it was taken out. In: ids as they are
 // listed, calls with the time of the call. Out: entries of the list as the decision module shall have them. It does no I/O and is not
 // safe for many goroutines.
 package suspend
@@ -24,6 +25,8 @@
 	ID  logic.ServerID `json:"id"`
 	Out bool           `json:"out"`
 	At  time.Duration  `json:"at"` // on the clock that all instances share
+	// Since is when a node that was put back had been taken out.
+	Since time.Duration `json:"since,omitempty"`
 }
 
 // entry is what is kept of an id.
@@ -90,7 +93,11 @@
 	if e.word.Out == out {
 		return false, nil
 	}
-	e.word, e.spoken = Word{ID: id, Out: out, At: max(now, e.word.At+1)}, true
+	w := Word{ID: id, Out: out, At: max(now, e.word.At+1)}
+	if !out {
+		w.Since = e.word.At
+	}
+	e.word, e.spoken = w, true
 	return true, nil
 }
 
@@ -135,8 +142,9 @@
 	e := b.known[s.ID]
 	switch {
 	case e == nil || !e.spoken:
-	case !e.word.Out: // it was restarted meanwhile, at the latest now
-		s.Started = max(s.Started, e.word.At)
+	case !e.word.Out && s.Started <= e.word.Since: // its restart has not been told: at the latest, it was when it was put back
+		s.Started = e.word.At
+	case !e.word.Out:
 	case s.State == logic.Running:
 		s.State = logic.Draining
 	}
--- a/internal/suspend/suspend_test.go
+++ b/internal/suspend/suspend_test.go
@@ -72,6 +72,19 @@
 	})
 }
 
+// A restart that discovery has told of since the node was taken out is the true one: the node has been warming since.
+func TestToldRestartCounts(t *testing.T) {
+	for _, c := range []struct{ listed, want time.Duration }{{0, 20}, {9, 20}, {10, 20}, {12, 12}, {25, 25}} {
+		b := New()
+		b.Listed([]logic.ServerID{"a"})
+		b.Say("a", true, 10)
+		b.Say("a", false, 20)
+		if s := b.Over(logic.Server{ID: "a", State: logic.Running, Started: c.listed}); s.Started != c.want {
+			t.Errorf("out at 10, back at 20, listed as started at %d: counts as started at %d, want %d", c.listed, s.Started, c.want)
+		}
+	}
+}
+
 // Ids are ever new: the book stays bounded, and forgets nobody who is out.
 func TestBounded(t *testing.T) {
 	b := New()
