Let crawling servers say nothing of what a cold one can take; count its slowness once

Seen: by each attempt's end, the cold servers (answers in 100 ms) were sent 8 to 15 a second, half of what they could do, while three that crawl (700 ms) held the window. At fault: earners() takes a server that crawls for one that answers, so the rate for cold ones fell with the fleet's; and choose() counted a cold one's slowness twice, as learned and by its warmth. Test: TestCrawlingServersHoldNoColdOneBack fails without.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -145,8 +145,7 @@
 	g := &Gateway{set: set, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), sweep: time.Second,
 		classes: map[string]*class{}, plans: map[string]*Plan{}, customers: map[string]*customer{},
 		requests: map[RequestID]*request{}, servers: map[ServerID]*server{},
-		halls: map[string]*hall{}, dark: map[string]dark{}, reach: 1, askShare: 1,
-		thin: set.Gateways > fewGateways}
+		halls: map[string]*hall{}, dark: map[string]dark{}, reach: 1, askShare: 1, thin: set.Gateways > fewGateways}
 	g.cold = g.rng.Float64()
 	for _, c := range set.Classes {
 		if c.Aim <= 0 || c.Deadline < c.Aim {
@@ -777,10 +776,11 @@
 		if bound || s.unproven || !g.coldRoom(s) || !h.hasRoom(g.now) {
 			continue
 		}
-		score := g.slowness(s) * (1 + float64(len(s.out))) * (1 + 0.1*g.rng.Float64())
+		score := g.slowness(s)
 		if !g.thin && g.now-max(s.lastSent, s.Started) < unused { // many: too little may go to cold ones at all
-			score /= g.warmth(s)
+			score = max(score, 1/g.warmth(s)) // its answers show the same
 		}
+		score *= (1 + float64(len(s.out))) * (1 + 0.1*g.rng.Float64())
 		if !g.mine(s) {
 			score *= strange
 		}
@@ -801,8 +801,7 @@
 }
 
 func sameGroup(group Group, a, b *server) bool {
-	return group == GroupAll || group == GroupZone && a.Zone == b.Zone ||
-		group == GroupCell && a.Cell == b.Cell
+	return group == GroupAll || group == GroupZone && a.Zone == b.Zone || group == GroupCell && a.Cell == b.Cell
 }
 
 func (r *request) tried(s *server) bool {
@@ -1040,7 +1039,11 @@
 func (g *Gateway) earners() float64 {
 	n := 0.0
 	for _, s := range g.fleet {
-		n += g.warmth(s)
+		w := g.warmth(s)
+		if !g.thin { // a crawling one answers little, and that says nothing of the others
+			w = min(w, 1/max(1, g.slowness(s)))
+		}
+		n += w
 	}
 	return n + max(0, g.hosts-n)*math.Exp(-(g.now-g.hostsAt).Seconds())
 }
--- a/logic/state_test.go
+++ b/logic/state_test.go
@@ -77,3 +77,29 @@
 		t.Fatal("a cold server was not used for 5 s")
 	}
 }
+
+// A server that crawls answers little, and that says nothing of what the others can do: it must not hold back the one that is
+// cold.
+func TestCrawlingServersHoldNoColdOneBack(t *testing.T) {
+	servers := []Server{{ID: "cold", State: Running, Started: time.Minute}}
+	for _, id := range []ServerID{"a", "b", "c", "d"} {
+		servers = append(servers, Server{ID: id, State: Running})
+	}
+	r := newRig(t, settings(), servers...)
+	r.now += 8 * time.Second // the start has faded
+	r.pass(10 * ms)
+	g := r.g
+	g.flow, g.flowAt = 40, g.now
+	each := func() float64 {
+		g.eachAt = 0
+		return g.eachAnswers()
+	}
+	well := each()
+	for _, id := range []ServerID{"a", "b", "c"} {
+		g.servers[id].slow, g.servers[id].slowAt = 8, g.now
+	}
+	g.flow = 14 // what one that is well and three that crawl answer
+	if crawl := each(); crawl < 0.7*well {
+		t.Fatalf("a warm server is taken to answer %.1f a second, %.1f while three of four crawl", well, crawl)
+	}
+}
