Pass values beyond 64 KiB on as they come, and let time-outs be for want of progress

Seen in a log of each attempt: 507 of 2,600 ended as resets, all answers beyond 64 KiB, and were refused after their repeats; three slow commands were cut off at 2.15 s by the look for connections that say nothing. The module is told of the answer at its first bytes. Tests: any cutting, stops of 2 s, lengths that lie, readers and nodes that leave.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -81,6 +81,7 @@
 type Answer struct {
 	Kind       Kind
 	Value      []byte
+	Stream     *nodes.Stream // of a Served one whose value is passed on as it comes, in place of Value; the front reads or closes it
 	RetryAfter time.Duration // of a refusal; 0: no advice
 	Grant      Grant         // of Granted
 	State      lease.State   // of Over
@@ -114,6 +115,7 @@
 	Size     int // bytes that it holds
 	attempts []*nodes.Attempt
 	came     time.Duration
+	passing  *nodes.Attempt // brings a value that is passed on to the client
 	out      int
 	final    bool
 }
@@ -560,6 +562,10 @@
 	}
 	r := a.Ref.(*Request)
 	g.sum.ended(o)
+	if r.passing == a {
+		g.passed(r, o)
+		return
+	}
 	if o == logic.Done && !r.final {
 		g.sum.served(g.now-r.came, g.classes[r.Class].Aim)
 		g.final(r, Answer{Kind: Served, Value: rep.Value})
@@ -569,6 +575,31 @@
 		Finished: r.final, Load: rep.Load})
 }
 
+// attemptBegan hands a value on that has begun to come. For the module that is the answer: it is served, its time counts from the
+// first bytes, and what else is out for it is called off.
+func (g *Core) attemptBegan(a *nodes.Attempt, s *nodes.Stream) {
+	r := a.Ref.(*Request)
+	if r.final {
+		s.Close()
+		return
+	}
+	r.passing, r.final = a, true
+	g.sum.served(g.now-r.came, g.classes[r.Class].Aim)
+	r.Place.Answer(Answer{Kind: Served, Stream: s})
+	g.ended(r, logic.AttemptEnded{ID: r.ID, Attempt: a.N, Server: a.Node(), Outcome: logic.Done, Took: g.now - a.Began, Finished: true})
+}
+
+// passed counts the end of a value that was passed on.
+func (g *Core) passed(r *Request, o logic.Outcome) {
+	end := figures.Errored
+	if o == logic.Done {
+		end = figures.Answered
+	}
+	g.fig.Ended(r.Class, end)
+	r.out--
+	g.forget(r)
+}
+
 // ended tells the module of an attempt's end.
 func (g *Core) ended(r *Request, ev logic.AttemptEnded) {
 	if g.halls != nil {
@@ -600,6 +631,9 @@
 	o.g.attemptEnded(a, out, r)
 }
 
+// AttemptBegan is for the pool.
+func (o owner) AttemptBegan(a *nodes.Attempt, s *nodes.Stream) { o.g.attemptBegan(a, s) }
+
 // --- the list and the counter ---
 
 // held is the list as it stands.
--- a/internal/front/resp/client.go
+++ b/internal/front/resp/client.go
@@ -17,19 +17,24 @@
 	"github.com/tidwall/redcon"
 
 	"hitchspring/internal/core"
+	"hitchspring/internal/nodes"
 	"hitchspring/internal/resp"
 	"hitchspring/logic"
 )
 
 const (
 	mostPipelined = 64                      // commands of one connection whose answers are not written yet
-	firstCommand  = 2400 * time.Millisecond // from connecting to the end of the first command, and for the rest of a later one
+	firstCommand  = 2400 * time.Millisecond // from connecting to the end of the first command, and for some more of one that has begun
+	wholeCommand  = 10 * time.Second        // from the first byte of a command to its last
+	leastProgress = 256                     // bytes, for some more
+	fullRetry     = 250 * time.Millisecond  // when to come back with a body for which there was no memory
 	idleTime      = 2100 * time.Millisecond // a connection without an open request is closed then
 	tidyEvery     = 250 * time.Millisecond
 	leaveTidy     = 50 * time.Millisecond  // the same of a front that leaves
 	leaveOpen     = 600 * time.Millisecond // of leaving: new connections still come; then those without an open request are closed
 	leaveRead     = 700 * time.Millisecond // of leaving: a connection that never pauses is read no further
-	writeStall    = 3 * time.Second        // for a client to read an answer
+	writeStall    = 10 * time.Second       // for a client to take some of what it is owed
+	relaySize     = 8 << 10                // piece of a value that is passed on
 	mostKey       = 256
 	slotPause     = 5 * time.Millisecond // before a further connection is closed for want of a place
 	newcomer      = 50 * time.Millisecond
@@ -100,19 +105,21 @@
 	mu      sync.Mutex
 	waiting []*slot // commands whose answers are not in out yet
 	out     []byte
-	ready   int       // answers in out
-	unsent  int       // bytes of answers that are not written
-	used    time.Time // when it was opened, the last command came or the last answer left
-	spoken  bool      // a whole command has come
-	closing bool      // it will end when nothing waits for an answer
-	ended   bool      // it has: nothing is taken any more
-	gone    bool      // it is over: no answer is kept any more
+	ready   int         // answers in out
+	unsent  int         // bytes of answers that are not written
+	used    time.Time   // when it was opened, the last command came or the last answer left
+	spoken  bool        // a whole command has come
+	partial atomic.Bool // a command has begun and not ended
+	closing bool        // it will end when nothing waits for an answer
+	ended   bool        // it has: nothing is taken any more
+	gone    bool        // it is over: no answer is kept any more
 }
 
 // slot keeps the place of one command's answer.
 type slot struct {
 	c     *client
-	reply []byte // nil until answered
+	reply []byte        // nil until answered; of a value that is passed on: its head
+	value *nodes.Stream // that value; nil: reply is all
 	req   *core.Request
 }
 
@@ -223,7 +230,8 @@
 	var spoken bool
 	for c := range f.clients {
 		c.mu.Lock()
-		free := !c.closing && len(c.waiting) == 0 && (c.spoken || now.Sub(c.used) > newcomer)
+		free := !c.closing && len(c.waiting) == 0 && (c.spoken || now.Sub(c.used) > newcomer) &&
+			!(c.partial.Load() && now.Sub(c.used) < firstCommand)
 		if free && (idlest == nil || spoken && !c.spoken || spoken == c.spoken && c.used.Before(since)) {
 			idlest, since, spoken = c, c.used, c.spoken
 		}
@@ -255,7 +263,8 @@
 			for c := range f.clients {
 				c.mu.Lock()
 				idle := now.Sub(c.used)
-				over := len(c.waiting) == 0 && (c.spoken && idle > idleTime || !c.spoken && idle > firstCommand-tidyEvery)
+				// A command that has begun has a time limit of its own, by its reader.
+				over := len(c.waiting) == 0 && !c.partial.Load() && (c.spoken && idle > idleTime || !c.spoken && idle > firstCommand-tidyEvery)
 				over = over || left > leaveOpen && (c.spoken || idle > leaveOpen) || left > leaveRead
 				c.mu.Unlock()
 				if over {
@@ -336,6 +345,7 @@
 	}
 	c.nc.Close()
 	close(done)
+	c.unpass()
 	<-c.written
 	c.mu.Lock()
 	var left []*core.Request
@@ -347,6 +357,7 @@
 	c.gone = true
 	c.f.unsent.Add(-int64(c.unsent))
 	c.mu.Unlock()
+	c.unpass() // that came meanwhile
 	if len(left) > 0 {
 		c.f.core.Abandon(left)
 	}
@@ -356,6 +367,17 @@
 	<-c.f.slots
 }
 
+// unpass ends the attempts whose values are passed on: the client has gone.
+func (c *client) unpass() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.waiting {
+		if s != nil && s.value != nil {
+			s.value.Close()
+		}
+	}
+}
+
 // close asks for the end of the connection at the next moment between requests.
 func (c *client) close() {
 	c.mu.Lock()
@@ -373,9 +395,11 @@
 
 // read takes commands until the connection ends; it says whether that was for nonsense.
 func (c *client) read() (lost bool) {
-	in := resp.Inbox{Budget: c.f.frames}
+	in := resp.Inbox{Budget: c.f.frames, Most: resp.MaxLarge}
 	defer in.Close()
-	limited, paused := false, int32(0)
+	paused := int32(0)
+	var began, looked time.Time // of a command that has not ended: its beginning, and the last look at its progress
+	cameBy := 0                 // by that look
 	for {
 		if c.f.left(time.Now()) > leaveRead { // what has not been read yet comes again on another connection
 			return true
@@ -383,6 +407,7 @@
 		f, err := in.Next()
 		switch {
 		case f != nil:
+			began, cameBy = time.Time{}, 0
 			c.take(f, time.Now())
 			if n := c.faults.Load(); n >= mostFaults {
 				return true
@@ -391,23 +416,37 @@
 			}
 			continue
 		case err == nil:
-			// Only the rest of a command has a time limit, from its beginning on; setting one for each read would
-			// cost CPU.
-			if in.Partial() && !limited {
-				c.nc.SetReadDeadline(time.Now().Add(firstCommand))
-				limited = true
-			} else if limited && !in.Partial() && !c.hasEnded() {
+			// Only the rest of a command has a time limit; setting one for each read would cost CPU.
+			if partial := in.Partial(); !partial && !looked.IsZero() && !c.hasEnded() {
 				c.nc.SetReadDeadline(time.Time{})
-				limited = false
+				looked = time.Time{}
+				c.partial.Store(false)
+			} else if now := time.Now(); partial && (began.IsZero() || in.Came()-cameBy >= leastProgress) {
+				if began.IsZero() {
+					began = now
+				}
+				looked, cameBy = now, in.Came()
+				c.partial.Store(true)
+				c.nc.SetReadDeadline(earlier(now.Add(firstCommand), began.Add(wholeCommand)))
 			}
 			err = in.Fill(c.nc.Read)
 		}
+		if errors.Is(err, resp.ErrMemory) { // no room for a large body now: it is read past, if its end is known
+			var skipped bool
+			c.nc.SetReadDeadline(time.Now().Add(wholeCommand))
+			if skipped, err = in.Skip(c.nc.Read); skipped {
+				c.reply(refusal(core.Answer{RetryAfter: fullRetry}))
+				continue
+			} else if err == nil {
+				err = resp.ErrMemory
+			}
+		}
 		switch {
 		case err == nil:
 		case errors.Is(err, resp.ErrFraming) || errors.Is(err, resp.ErrTooLong) || errors.Is(err, resp.ErrMemory):
 			c.fault(err.Error())
 			return true
-		case errors.Is(err, os.ErrDeadlineExceeded) && limited:
+		case errors.Is(err, os.ErrDeadlineExceeded) && !looked.IsZero():
 			c.fault("the command does not end")
 			return true
 		default:
@@ -416,6 +455,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // fault answers nonsense, after a pause: a client that repeats it as soon as it has been turned away takes no CPU from
 // the others.
 func (c *client) fault(text string) {
@@ -499,13 +545,13 @@
 func (s *slot) Answer(a core.Answer) {
 	switch a.Kind {
 	case core.Served:
+		if v := a.Stream; v != nil {
+			s.pass(v)
+			return
+		}
 		s.answer(redcon.AppendBulk(make([]byte, 0, len(a.Value)+16), a.Value))
 	case core.Refused:
-		b := []byte("-BUSY\r\n")
-		if a.RetryAfter > 0 {
-			b = strconv.AppendInt(append(b[:5], ' '), max(1, a.RetryAfter.Milliseconds()), 10)
-			b = append(b, '\r', '\n')
-		}
+		b := refusal(a)
 		s.answer(b)
 	case core.Repeated:
 		s.c.faults.Add(1)
@@ -527,18 +573,95 @@
 	s.reply = b
 	c.unsent += len(b)
 	c.f.unsent.Add(int64(len(b)))
-	for len(c.waiting) > 0 && c.waiting[0].reply != nil {
+	c.collect()
+	c.used = time.Now()
+	c.mu.Unlock()
+	if c.f.unsent.Load() > c.f.mostUnsent {
+		c.f.closeFullest()
+	}
+	c.signal()
+}
+
+// refusal words a refusal, with when to come back.
+func refusal(a core.Answer) []byte {
+	if a.RetryAfter <= 0 {
+		return []byte("-BUSY\r\n")
+	}
+	return append(strconv.AppendInt([]byte("-BUSY "), max(1, a.RetryAfter.Milliseconds()), 10), '\r', '\n')
+}
+
+// pass fills the slot with a value that is passed on as it comes. The goroutine that writes reads it when its turn has come.
+func (s *slot) pass(v *nodes.Stream) {
+	c := s.c
+	c.mu.Lock()
+	if c.gone {
+		c.mu.Unlock()
+		v.Close()
+		return
+	}
+	s.value = v
+	s.reply = append(strconv.AppendInt([]byte{'$'}, int64(v.Size), 10), '\r', '\n')
+	c.used = time.Now()
+	c.mu.Unlock()
+	c.signal()
+}
+
+// collect moves the answers that are due to out, up to one that is passed on; c.mu is held.
+func (c *client) collect() {
+	for len(c.waiting) > 0 && c.waiting[0].reply != nil && c.waiting[0].value == nil {
 		c.out = append(c.out, c.waiting[0].reply...)
 		c.ready++
 		c.waiting[0] = nil
 		c.waiting = c.waiting[1:]
 	}
+}
+
+// relay writes a value as it comes, in the place of its slot, which is the first that waits. A value that breaks off ends the
+// connection, so that the client sees that it is cut.
+func (c *client) relay(s *slot) error {
+	defer s.value.Close()
+	if err := c.send(s.reply); err != nil {
+		return err
+	}
+	buf := make([]byte, relaySize)
+	for {
+		n, err := s.value.Read(buf)
+		if n > 0 {
+			if err := c.send(buf[:n]); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if err := c.send([]byte("\r\n")); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	c.waiting[0] = nil
+	c.waiting = c.waiting[1:]
+	c.collect()
 	c.used = time.Now()
 	c.mu.Unlock()
-	if c.f.unsent.Load() > c.f.mostUnsent {
-		c.f.closeFullest()
+	<-c.room
+	return nil
+}
+
+// send writes all of b. The client's time-out is for want of progress: one that reads slowly gets it all.
+func (c *client) send(b []byte) error {
+	for len(b) > 0 {
+		c.nc.SetWriteDeadline(time.Now().Add(writeStall))
+		n, err := c.nc.Write(b)
+		b = b[n:]
+		if err != nil && !(n > 0 && errors.Is(err, os.ErrDeadlineExceeded)) {
+			return err
+		}
 	}
-	c.signal()
+	return nil
 }
 
 // write sends answers as they come due, and ends the connection between requests once it is closing.
@@ -554,12 +677,15 @@
 		buf, c.out = c.out, buf[:0]
 		ready := c.ready
 		c.ready = 0
+		var passes *slot
+		if len(c.waiting) > 0 && c.waiting[0].value != nil {
+			passes = c.waiting[0]
+		}
 		c.ended = (c.closing || ready > 0 && c.f.Leaving()) && len(c.waiting) == 0
 		last := c.ended
 		c.mu.Unlock()
 		if len(buf) > 0 {
-			c.nc.SetWriteDeadline(time.Now().Add(writeStall))
-			_, err := c.nc.Write(buf)
+			err := c.send(buf)
 			c.mu.Lock()
 			c.unsent -= len(buf)
 			c.mu.Unlock()
@@ -572,6 +698,13 @@
 				<-c.room
 			}
 		}
+		if passes != nil {
+			if c.relay(passes) != nil {
+				c.nc.Close()
+				return
+			}
+			c.signal() // for what came due behind it
+		}
 		if cap(buf) > resp.SmallBuffer {
 			buf = nil
 		}
--- /dev/null
+++ b/internal/ingress/large_test.go
@@ -0,0 +1,282 @@
+package ingress
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"hitchspring/internal/resp"
+	"hitchspring/internal/standin/scripted"
+)
+
+// pattern is a value that shows when a piece is missing, doubled or of another request.
+func pattern(seed, size int) []byte {
+	b := make([]byte, size)
+	r := rand.New(rand.NewPCG(uint64(seed), 1))
+	for i := 0; i+8 <= size; i += 8 {
+		v := r.Uint64()
+		for k := range 8 {
+			b[i+k] = byte('a' + v>>(8*k)&15)
+		}
+	}
+	return b
+}
+
+// idOf is the number that ask has put into a command.
+func idOf(args []string) int {
+	n, _ := strconv.ParseInt(args[2], 16, 32)
+	return int(n)
+}
+
+func answerOf(value []byte) string {
+	return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(value), value)
+}
+
+// readValue reads one answer, piece by piece, with pauses where the test wants them.
+func readValue(in *bufio.Reader) ([]byte, error) {
+	head, err := in.ReadString('\n')
+	if err != nil {
+		return nil, err
+	}
+	n, err := strconv.Atoi(strings.TrimSpace(strings.TrimPrefix(head, "$")))
+	if err != nil {
+		return nil, fmt.Errorf("answer %q", head)
+	}
+	b := make([]byte, n+2)
+	if _, err := io.ReadFull(in, b); err != nil {
+		return nil, err
+	}
+	return b[:n], nil
+}
+
+// Values of all sizes come whole and in their order on one connection, cut anywhere on the way, also with a stop of 2 s in the
+// middle.
+func TestLargeValuesInPieces(t *testing.T) {
+	sizes := []int{1, resp.MaxValue, resp.MaxValue + 1, 5, 1 << 20, 100, resp.MaxLarge, 3}
+	be := scripted.NewNode(t, func(n int, args []string, nc net.Conn) string {
+		id := idOf(args)
+		b := []byte(answerOf(pattern(id, sizes[id])))
+		r := rand.New(rand.NewPCG(uint64(id), 2))
+		for len(b) > 0 {
+			k := min(len(b), 1+r.IntN(1+len(b)/3))
+			if len(b) > 100 && r.IntN(4) == 0 {
+				k = 1
+			}
+			nc.Write(b[:k])
+			b = b[k:]
+			if sizes[id] == resp.MaxValue+1 && len(b) < 30000 && len(b) > 100 {
+				time.Sleep(2 * time.Second)
+				nc.Write(b)
+				b = nil
+			}
+			time.Sleep(time.Millisecond)
+		}
+		return ""
+	})
+	list := fleetOf(be.Addr)
+	addr, _ := startGateway(t, testConfig(scripted.Registry(t, list, nil), list))
+	nc, in := dial(t, addr)
+	var all string
+	for id := range sizes {
+		all += ask(id, readFields)
+	}
+	io.WriteString(nc, all)
+	for id, size := range sizes {
+		v, err := readValue(in)
+		if err != nil || !bytes.Equal(v, pattern(id, size)) {
+			t.Fatalf("value %d of %d bytes: %d bytes came, %v; not what the node sent", id, size, len(v), err)
+		}
+	}
+}
+
+// A value that breaks off is visibly cut, a length beyond the bound is no value, and a client that goes ends the attempt.
+func TestLargeValueThatBreaksOff(t *testing.T) {
+	ended := make(chan struct{}, 9)
+	be := scripted.NewNode(t, func(n int, args []string, nc net.Conn) string {
+		switch idOf(args) {
+		case 1:
+			io.WriteString(nc, answerOf(pattern(1, 1<<20))[:500000])
+			nc.Close()
+		case 2:
+			return fmt.Sprintf("*3\r\n$%d\r\nxxx", resp.MaxLarge+1)
+		case 3:
+			return "*3\r\n$-77777\r\nxxx"
+		case 4:
+			go func() {
+				for {
+					if _, err := nc.Write(pattern(4, 64<<10)); err != nil {
+						ended <- struct{}{}
+						return
+					}
+				}
+			}()
+			return fmt.Sprintf("*3\r\n$%d\r\n", resp.MaxLarge)
+		}
+		return served
+	})
+	list := fleetOf(be.Addr)
+	cfg := doorConfig(scripted.Registry(t, list, nil), list)
+	g, _ := runIngress(t, cfg)
+	nc, in := dial(t, g.Addr().String())
+	io.WriteString(nc, ask(1, readFields))
+	if v, err := readValue(in); err == nil {
+		t.Fatalf("a value that broke off came as %d bytes", len(v))
+	}
+	nc, in = dial(t, g.Addr().String())
+	for id := 2; id <= 3; id++ {
+		io.WriteString(nc, ask(id, readFields))
+		if l := line(t, in); l[0] != '-' {
+			t.Fatalf("a length that lies was answered %q", l)
+		}
+	}
+	io.WriteString(nc, ask(4, readFields))
+	io.ReadFull(in, make([]byte, 1<<20))
+	nc.Close()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the attempt goes on though its client has left")
+	}
+	eventually(t, 5*time.Second, "nothing is open", func() bool { return figure(t, g, "current") == 0 })
+	if a, e := figure(t, g, "transactions.read.answered"), figure(t, g, "transactions.read.errored"); a != 0 || e == 0 {
+		t.Errorf("answered %d, errored %d: no value was whole", a, e)
+	}
+}
+
+// Many slow readers of large values cost little memory each, and nobody else waits for them.
+func TestSlowReadersOfLargeValues(t *testing.T) {
+	const readers, size = 100, 1 << 20
+	value := answerOf(pattern(0, size))
+	be := scripted.NewNode(t, func(_ int, args []string, nc net.Conn) string {
+		if idOf(args) >= 1000 {
+			return served
+		}
+		go io.WriteString(nc, value)
+		return ""
+	})
+	list := fleetOf(be.Addr, be.Addr, be.Addr)
+	cfg := testConfig(scripted.Registry(t, list, nil), list)
+	cfg.Sockets, cfg.Memory = 1024, 32<<20
+	addr, _ := startGateway(t, cfg)
+	heap := func() int {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return int(m.HeapInuse + m.StackInuse)
+	}
+	before := heap()
+	var wg sync.WaitGroup
+	var begun sync.WaitGroup
+	stop := make(chan struct{})
+	for id := range readers {
+		nc, in := dial(t, addr)
+		begun.Add(1)
+		wg.Go(func() {
+			nc.(*net.TCPConn).SetReadBuffer(4 << 10)
+			io.WriteString(nc, ask(id, readFields))
+			one := make([]byte, 64)
+			io.ReadFull(in, one)
+			begun.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(60 * time.Millisecond):
+					if _, err := io.ReadFull(in, one); err != nil {
+						t.Errorf("a slow reader was cut off: %v", err)
+						return
+					}
+				}
+			}
+		})
+	}
+	begun.Wait()
+	time.Sleep(time.Second)
+	used := heap() - before
+	t.Logf("%d values of %d bytes on their way: %d KiB a reader", readers, size, used/readers>>10)
+	if used > readers*size/4 {
+		t.Errorf("%d values of %d bytes hold %d bytes", readers, size, used)
+	}
+	nc, in := dial(t, addr)
+	began := time.Now()
+	io.WriteString(nc, ask(1000, readFields))
+	wantValue(t, in)
+	if d := time.Since(began); d > time.Second {
+		t.Errorf("another request took %v", d)
+	}
+	close(stop)
+	wg.Wait()
+}
+
+// A body of up to 4 MiB goes on as it came; one for which there is no memory now is refused with when to come back, and the
+// connection goes on; a longer one is an error that says so.
+func TestLargeBodies(t *testing.T) {
+	got := make(chan []string, 4)
+	be := scripted.NewNode(t, func(_ int, args []string, _ net.Conn) string {
+		got <- args
+		return served
+	})
+	list := fleetOf(be.Addr)
+	cfg := testConfig(scripted.Registry(t, list, nil), list)
+	cfg.Memory = 32 << 20 // 4 MiB for commands that come in
+	addr, _ := startGateway(t, cfg)
+	write := func(id, size int) string {
+		return command("Q.DO", "00000000b4d65521", fmt.Sprintf("%016x", id), "c=write,t=p,d=50000,units=1,spread=1,first=0", string(pattern(id, size)))
+	}
+	nc, in := dial(t, addr)
+	text := write(1, 1<<20)
+	for from := 0; from < len(text); {
+		n := min(len(text)-from, 100000)
+		io.WriteString(nc, text[from:from+n])
+		from += n
+	}
+	wantValue(t, in)
+	if args := <-got; len(args) != 5 || args[4] != string(pattern(1, 1<<20)) {
+		t.Fatalf("the node got %d arguments, not the body as it came", len(args))
+	}
+	go io.WriteString(nc, write(2, resp.MaxLarge)+ask(3, readFields))
+	if l := line(t, in); l != "-BUSY 250" {
+		t.Fatalf("a body without room: %q", l)
+	}
+	wantValue(t, in)
+	go io.WriteString(nc, write(4, resp.MaxLarge+1))
+	if l := line(t, in); l != "-ERR value too long" {
+		t.Fatalf("a body that is too long: %q", l)
+	}
+}
+
+// A client may take two seconds for a head, and longer for a body that comes on.
+func TestSlowCommand(t *testing.T) {
+	be := scripted.NewNode(t, func(int, []string, net.Conn) string { return served })
+	list := fleetOf(be.Addr)
+	addr, _ := startGateway(t, testConfig(scripted.Registry(t, list, nil), list))
+	for name, c := range map[string]struct {
+		text  string
+		piece int
+		pause time.Duration
+	}{
+		"head": {ask(1, readFields), 12, 200 * time.Millisecond},
+		"body": {command("Q.DO", "00000000b4d65521", fmt.Sprintf("%016x", 2), "c=write,t=p,d=50000,units=1,spread=1,first=0",
+			strings.Repeat("x", 60000)), 2000, 110 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			nc, in := dial(t, addr)
+			time.Sleep(300 * time.Millisecond)
+			for from := 0; from < len(c.text); from += c.piece {
+				io.WriteString(nc, c.text[from:min(len(c.text), from+c.piece)])
+				time.Sleep(c.pause)
+			}
+			wantValue(t, in)
+		})
+	}
+}
--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -48,6 +48,7 @@
 	conn    *conn         // carries it; nil while it waits for one
 	handed  time.Duration // when it was given to conn
 	why     logic.Outcome // given up by the owner: TimedOut or Cancelled; else still
+	stream  *Stream       // of a large value that has begun to come
 	ended   bool
 }
 
@@ -91,6 +92,9 @@
 	Spawn(run func(context.Context))
 	// AttemptEnded tells how an attempt ended, once for each.
 	AttemptEnded(a *Attempt, o logic.Outcome, r Reply)
+	// AttemptBegan tells of an attempt whose value has begun to come and is passed on; its end is told later. From now on the
+	// time does not end it any more: want of progress does, or Close of the stream.
+	AttemptBegan(a *Attempt, s *Stream)
 }
 
 // Config is the bounds of a pool.
@@ -148,6 +152,7 @@
 	dead    chan struct{}
 	writing sync.Mutex              // held from before a command's first byte until whole tells of it
 	whole   atomic.Pointer[Attempt] // the last one that was written to its last byte: it may have run
+	passing atomic.Pointer[Stream]  // the last value that it began to pass on
 	cur     *Attempt
 	since   time.Duration // idle since
 	down    bool
@@ -196,7 +201,12 @@
 	if t, ok := nc.(*net.TCPConn); ok {
 		c.raw, _ = t.SyscallConn()
 	}
-	stop := context.AfterFunc(ctx, func() { nc.Close() })
+	stop := context.AfterFunc(ctx, func() {
+		nc.Close()
+		if s := c.passing.Load(); s != nil {
+			s.Close()
+		}
+	})
 	defer stop()
 	written := make(chan struct{})
 	go func() {
@@ -204,7 +214,7 @@
 		c.write()
 	}()
 	post(connUp{c})
-	c.read(post)
+	c.read(ctx, post)
 	nc.Close()
 	close(c.dead)
 	<-written
@@ -213,12 +223,30 @@
 
 // read posts answers until the connection ends or is of no further use: bytes behind an answer may n a second copy of
 // it, which must never n taken for the answer to the next command.
-func (c *conn) read(post func(Event)) {
+func (c *conn) read(ctx context.Context, post func(Event)) {
 	in := resp.Inbox{Budget: c.frames}
 	defer in.Close()
 	limited := false
 	for {
-		f, err := in.Next()
+		head, size, err := resp.Large(in.Begun())
+		if size > 0 {
+			in.Drop(head)
+			rep, err := c.pass(ctx, &in, size, post)
+			if err != nil {
+				return
+			}
+			rep.keep = !in.Partial()
+			post(replied{c, c.whole.Load(), rep})
+			if !rep.keep {
+				return
+			}
+			limited = false
+			continue
+		}
+		var f []byte
+		if err == nil {
+			f, err = in.Next()
+		}
 		switch {
 		case err != nil:
 			return
@@ -421,6 +449,8 @@
 		p.connDown(ev)
 	case replied:
 		p.replied(ev)
+	case begun:
+		p.begun(ev)
 	}
 }
 
@@ -430,7 +460,7 @@
 		return
 	}
 	a.ended = true
-	if o == logic.Done && a.Command != nil && rep.Value == nil { // PONG to a request
+	if o == logic.Done && a.Command != nil && rep.Value == nil && a.stream == nil { // PONG to a request
 		o = logic.Failed
 	}
 	p.owner.AttemptEnded(a, o, rep)
@@ -571,7 +601,7 @@
 // once. Of one in between only the connection knows: it is closed, and its last event tells.
 func (p *Pool) GiveUp(a *Attempt, why logic.Outcome) {
 	switch {
-	case a.ended || a.why != still:
+	case a.ended || a.why != still || a.stream != nil:
 	case a.conn == nil:
 		p.unwait(a)
 		p.end(a, logic.Moot, Reply{})
@@ -598,6 +628,19 @@
 	p.free(ev.c)
 }
 
+// begun hands a value that has begun to the owner; one that nobody waits for ends its connection.
+func (p *Pool) begun(ev begun) {
+	c, a := ev.c, ev.c.cur
+	c.node.heard = p.owner.Now()
+	if a == nil || ev.to != a || a.Command == nil || a.why != still {
+		ev.s.Close()
+		c.nc.Close()
+		return
+	}
+	a.stream = ev.s
+	p.owner.AttemptBegan(a, ev.s)
+}
+
 func (p *Pool) replied(ev replied) {
 	c, a := ev.c, ev.c.cur
 	c.node.heard = p.owner.Now()
--- a/internal/nodes/nodes_test.go
+++ b/internal/nodes/nodes_test.go
@@ -29,6 +29,7 @@
 	wg     sync.WaitGroup
 	alarms []testAlarm
 	ends   []end
+	began  []*Stream
 }
 
 type testAlarm struct {
@@ -61,6 +62,8 @@
 	g.ends = append(g.ends, end{a, o, r})
 }
 
+func (g *testOwner) AttemptBegan(a *Attempt, s *Stream) { g.began = append(g.began, s) }
+
 // ring does what is due.
 func (g *testOwner) ring() {
 	due := g.alarms
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -12,7 +12,9 @@
 // they also bound the buffer of a connection.
 const (
 	MaxValue    = 64 << 10
-	MaxFrame    = MaxValue + 4<<10
+	MaxLarge    = 4 << 20 // of a value that is passed on as it comes, or of a request's body
+	MaxFrame    = MaxValue + frameRest
+	frameRest   = 4 << 10
 	maxLine     = 1 << 10
 	maxElements = 16
 	maxDepth    = 3
@@ -28,51 +30,94 @@
 // Frame returns the length of the RESP value that b begins with, or 0 while its end has not come. It
 // guards the library's parser, which trusts lengths: a huge or negative one makes it panic.
 func Frame(b []byte, depth int) (int, error) {
+	size, _, err := frame(b, depth, MaxValue)
+	return size, err
+}
+
+// need is what is known of a value that has not come whole.
+type need struct {
+	bytes int  // it has so many at least
+	whole bool // and no more
+}
+
+// frame is Frame for values of so many bytes at most.
+func frame(b []byte, depth, most int) (int, need, error) {
+	fail := func(err error) (int, need, error) { return 0, need{}, err }
 	if len(b) == 0 {
-		return 0, nil
+		return 0, need{}, nil
 	}
 	end := bytes.IndexByte(b[:min(len(b), maxLine)], '\n')
 	switch {
 	case end < 0 && len(b) >= maxLine:
-		return 0, ErrTooLong
+		return fail(ErrTooLong)
 	case bytes.IndexByte([]byte("+-:$*"), b[0]) < 0 || depth > maxDepth:
-		return 0, ErrFraming
+		return fail(ErrFraming)
 	case end < 0:
-		return 0, nil
+		return 0, need{}, nil
 	case end < 2 || b[end-1] != '\r':
-		return 0, ErrFraming
+		return fail(ErrFraming)
 	}
 	size := end + 1
 	if b[0] != '$' && b[0] != '*' {
-		return size, nil
+		return size, need{}, nil
 	}
 	n, err := strconv.Atoi(string(b[1 : end-1]))
 	switch {
 	case err != nil || n < -1:
-		return 0, ErrFraming
-	case b[0] == '$' && n > MaxValue || b[0] == '*' && n > maxElements:
-		return 0, ErrTooLong
+		return fail(ErrFraming)
+	case b[0] == '$' && n > most || b[0] == '*' && n > maxElements:
+		return fail(ErrTooLong)
 	case n < 0:
-		return size, nil
+		return size, need{}, nil
 	case b[0] == '$':
 		if size += n + 2; len(b) < size {
-			return 0, nil
+			return 0, need{size, true}, nil
 		}
 		if b[size-2] != '\r' || b[size-1] != '\n' {
-			return 0, ErrFraming
+			return fail(ErrFraming)
 		}
-		return size, nil
+		return size, need{}, nil
 	}
-	for range n {
-		k, err := Frame(b[size:], depth+1)
-		if k == 0 || err != nil {
-			return 0, err
+	for i := range n {
+		k, more, err := frame(b[size:], depth+1, most)
+		if err != nil {
+			return fail(err)
+		}
+		if k == 0 && more.bytes > 0 {
+			more.bytes += size
+			more.whole = more.whole && i == n-1
+		}
+		if max(size+k, more.bytes) > most+frameRest {
+			return fail(ErrTooLong)
 		}
-		if size += k; size > MaxFrame {
-			return 0, ErrTooLong
+		if k == 0 {
+			return 0, more, nil
 		}
+		size += k
+	}
+	return size, need{}, nil
+}
+
+// Large says whether b begins with an array of three whose first element is a value beyond MaxValue, which is passed on
+// as it comes: how long its head is, and the value. A value beyond MaxLarge is ErrTooLong.
+func Large(b []byte) (head, value int, err error) {
+	const start = "*3\r\n$"
+	if len(b) <= len(start) || string(b[:len(start)]) != start {
+		return 0, 0, nil
+	}
+	rest := b[len(start):]
+	end := bytes.IndexByte(rest[:min(len(rest), maxLine)], '\n')
+	if end < 2 || rest[end-1] != '\r' {
+		return 0, 0, nil
+	}
+	n, err := strconv.Atoi(string(rest[:end-1]))
+	switch {
+	case err != nil || n <= MaxValue:
+		return 0, 0, nil // Frame has the word
+	case n > MaxLarge:
+		return 0, 0, ErrTooLong
 	}
-	return size, nil
+	return len(start) + end + 1, n, nil
 }
 
 // Budget is memory that many connections share; nil is without end.
@@ -109,7 +154,9 @@
 	buf         []byte
 	start, have int
 	Budget      *Budget // where what it needs beyond a small buffer comes from; nil is without end
+	Most        int     // bytes of a value; 0: MaxValue
 	taken       int
+	need        need // of the frame that has begun
 }
 
 // Close gives back what was taken from the budget.
@@ -118,9 +165,17 @@
 	in.taken = 0
 }
 
+func (in *Inbox) most() int {
+	if in.Most > 0 {
+		return in.Most
+	}
+	return MaxValue
+}
+
 // Next returns the next whole frame, or nil when more must be read; it is valid until Fill.
 func (in *Inbox) Next() ([]byte, error) {
-	n, err := Frame(in.buf[in.start:in.have], 0)
+	n, more, err := frame(in.buf[in.start:in.have], 0, in.most())
+	in.need = more
 	if n == 0 || err != nil {
 		return nil, err
 	}
@@ -132,6 +187,15 @@
 // Partial says whether a frame has begun and not ended.
 func (in *Inbox) Partial() bool { return in.have > in.start }
 
+// Came is how much of the frame that has begun is there.
+func (in *Inbox) Came() int { return in.have - in.start }
+
+// Begun is what has come of the frame that has begun; it is valid until Fill.
+func (in *Inbox) Begun() []byte { return in.buf[in.start:in.have] }
+
+// Drop takes so many bytes off what has come.
+func (in *Inbox) Drop(n int) { in.start += n }
+
 // Fill reads once more; the buffer grows to one frame at most.
 func (in *Inbox) Fill(read func([]byte) (int, error)) error {
 	if in.start > 0 {
@@ -143,10 +207,14 @@
 		in.buf = make([]byte, SmallBuffer)
 		in.Close()
 	case in.have == len(in.buf):
-		if in.have >= MaxFrame+maxLine {
+		most := in.most() + frameRest + maxLine
+		if in.have >= most {
 			return ErrTooLong
 		}
-		more := min(len(in.buf), MaxFrame+maxLine-in.have)
+		more := min(len(in.buf), most-in.have)
+		if in.need.whole && in.need.bytes > in.have { // no further than its end, and what may stand behind it
+			more = min(more, in.need.bytes-in.have+SmallBuffer)
+		}
 		if !in.Budget.Take(more) {
 			return ErrMemory
 		}
@@ -161,5 +229,23 @@
 	return err
 }
 
+// Skip reads and throws away the rest of the frame that has begun, where it is known how long that is; the next frame can
+// be read after it.
+func (in *Inbox) Skip(read func([]byte) (int, error)) (skipped bool, err error) {
+	if !in.need.whole {
+		return false, nil
+	}
+	left := in.need.bytes - in.Came()
+	in.buf, in.start, in.have = make([]byte, SmallBuffer), 0, 0
+	in.Close()
+	for left > 0 {
+		n, err := read(in.buf[:min(left, len(in.buf))])
+		if left -= n; n == 0 && err != nil {
+			return false, err
+		}
+	}
+	return true, nil
+}
+
 // SmallBuffer is what a connection keeps between frames, in bytes.
 const SmallBuffer = 2 << 10
