--- a/cmd/hitchspring/main.go
+++ b/cmd/hitchspring/main.go
@@ -104,8 +104,8 @@
 			return ingress.Config{}, nil, fmt.Errorf("ROUTER_SOCKET_FD %q: the number of an open descriptor is wanted", fd)
 		}
 	}
-	if cfg.SocketFD > 0 { // limits hold for two processes together
-		cfg.Sockets, cfg.Memory = cfg.Sockets/processes, cfg.Memory/processes
+	if cfg.SocketFD > 0 { // the limit holds for two processes together
+		cfg.Memory /= processes
 	}
 	if cfg.Admin != "" || cfg.SocketFD > 0 { // who else would have something to keep
 		cfg.StateDir = os.Getenv("TMPDIR")
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -29,6 +29,8 @@
 
 const (
 	eventQueue   = 256
+	nodesPart    = 3 // of the descriptors are for connections to nodes
+	parts        = 8
 	memoryShare  = 8         // of the memory: commands held, commands coming in, answers unread, answers coming in
 	usualMemory  = 256 << 20 // where no limit is told
 	mostBatch    = 256
@@ -52,6 +54,7 @@
 	Leases      *Leases       // of attempts that who asks sends itself; nil: none are granted
 	Halls       *halls.Config // what an operator says of halls; nil: another hall costs a fixed factor
 	Summary     time.Duration // between two lines of the log that sum up what happened; 0: none
+	Company     int           // other processes of this ingress that there may be at the start: limits hold for all together
 	Operated    bool          // somebody asks for the figures of the cluster
 	Words       WordStore     // of what operators say of nodes; nil: it ends with the process
 }
@@ -102,6 +105,7 @@
 	Addr(id logic.ServerID) (addr string, serves bool)
 	CloseIdle(id logic.ServerID)
 	RetireIdle()
+	SetMost(conns int)
 	Dials() int
 }
 
@@ -200,15 +204,19 @@
 	if cfg.Memory <= 0 {
 		cfg.Memory = usualMemory
 	}
+	sockets := cfg.Sockets
+	if cfg.Company > 0 {
+		sockets /= 2
+	}
 	start := time.Now()
 	g := &Core{cfg: cfg, net: cfg.Connections, log: log, classes: map[string]logic.Class{}, plans: map[string]bool{},
 		events: make(chan event, eventQueue), stopped: make(chan struct{}), start: start,
 		epoch: time.Duration(start.UnixNano()), mod: mod, requests: map[logic.RequestID]*Request{},
-		keys: map[uint64]bool{}, mostConns: cfg.Sockets * 3 / 8,
+		keys: map[uint64]bool{}, mostConns: cfg.Sockets * nodesPart / parts,
 		fig:      newFigures(cfg.Settings.Classes),
 		ops:      operators{book: suspend.New(), store: cfg.Words, spoke: make(chan struct{}, 1)},
 		mostHeld: cfg.Memory / memoryShare, mostUnits: cmp.Or(cfg.Settings.MaxUnits, math.MaxFloat64)}
-	g.nodes = nodes.New(owner{g}, nodes.Config{Sent: g.fig.Sent, ConnectTimeout: cfg.Connections.ConnectTimeout, Idle: cfg.Connections.Idle, MostConns: g.mostConns,
+	g.nodes = nodes.New(owner{g}, nodes.Config{Sent: g.fig.Sent, ConnectTimeout: cfg.Connections.ConnectTimeout, Idle: cfg.Connections.Idle, MostConns: sockets * nodesPart / parts,
 		Frames: resp.NewBudget(cfg.Memory / memoryShare)})
 	if cfg.Leases != nil {
 		g.handing = newHanding(*cfg.Leases)
@@ -403,8 +411,8 @@
 		g.giveOver(ev)
 	case takeOver:
 		g.takeOver(ev.State)
-	case alone:
-		g.mod.Release()
+	case company:
+		g.company(int(ev))
 	case endAll:
 		for _, r := range g.requests {
 			g.cutOff(r)
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -16,7 +16,7 @@
 type (
 	giveOver struct{ tell chan<- handover.State }
 	takeOver struct{ handover.State }
-	alone    struct{}
+	company  int
 )
 
 // GiveOver parts what the module knows with the next process of this ingress, and returns that one's part. It is called once,
@@ -41,8 +41,18 @@
 // TakeOver goes on from what the process before has left. It is called before clients are taken.
 func (g *Core) TakeOver(s handover.State) { g.post(takeOver{s}) }
 
-// Alone tells that no other process of this ingress is there any more.
-func (g *Core) Alone() { g.post(alone{}) }
+// SetCompany tells how many other processes of this ingress there are. While there is one, this one uses half of the
+// descriptors for nodes; when there is none any more, what was out there counts no longer.
+func (g *Core) SetCompany(others int) { g.post(company(others)) }
+
+func (g *Core) company(others int) {
+	if others > 0 {
+		g.nodes.SetMost(g.mostConns / 2)
+		return
+	}
+	g.nodes.SetMost(g.mostConns)
+	g.mod.Release()
+}
 
 func (g *Core) giveOver(ev giveOver) {
 	kept, given := handover.Split(g.mod.Learned())
--- a/internal/front/resp/client.go
+++ b/internal/front/resp/client.go
@@ -88,7 +88,9 @@
 	clients    map[*client]bool
 	draining   bool           // the listener is closed for good
 	leaving    atomic.Int64   // since when, in nanoseconds of Unix time; 0: it serves
-	turned     chan struct{}  // room for one: leaving has changed
+	turned     chan struct{}  // room for one: leaving or unused has changed
+	unused     atomic.Int64   // places that are to be left to another process
+	ballast    int            // those of them that nobody can take any more; the goroutine that tidies has them
 	wg         sync.WaitGroup // of clients
 	stop       context.CancelFunc
 	own        sync.WaitGroup // of the goroutines that accept and tidy
@@ -153,6 +155,56 @@
 	f.turn()
 }
 
+// SetMost changes how many connections there may be, up to what New was told; where there are more, the idlest are closed.
+func (f *Front) SetMost(n int) {
+	f.unused.Store(int64(max(0, cap(f.slots)-n)))
+	f.turn()
+}
+
+// Most is how many connections there may be at the most, as New was told.
+func (f *Front) Most() int { return cap(f.slots) }
+
+// Open is how many connections there are.
+func (f *Front) Open() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.clients)
+}
+
+// balance takes and gives back the places that are to stay free.
+func (f *Front) balance(now time.Time) {
+	for want := int(f.unused.Load()); f.ballast != want; {
+		if f.ballast > want {
+			<-f.slots
+			f.ballast--
+			continue
+		}
+		select {
+		case f.slots <- struct{}{}:
+			f.ballast++
+		default: // a later look finds the places of those that are closed now
+			for range want - f.ballast - f.closing() {
+				f.closeIdlest(now)
+			}
+			return
+		}
+	}
+}
+
+// closing is how many connections are about to end.
+func (f *Front) closing() (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.clients {
+		c.mu.Lock()
+		if c.closing {
+			n++
+		}
+		c.mu.Unlock()
+	}
+	return n
+}
+
 // Leaving reports whether Leave holds.
 func (f *Front) Leaving() bool { return f.leaving.Load() != 0 }
 
@@ -252,13 +304,15 @@
 		case <-ctx.Done():
 			return
 		case <-f.turned:
-			if f.Leaving() {
+			f.balance(time.Now())
+			if f.Leaving() || f.unused.Load() > 0 {
 				tick.Reset(leaveTidy)
 			} else {
 				tick.Reset(tidyEvery)
 			}
 		case now := <-tick.C:
 			left := f.left(now)
+			f.balance(now)
 			f.mu.Lock()
 			for c := range f.clients {
 				c.mu.Lock()
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -33,9 +33,9 @@
 	go func() {
 		defer close(done)
 		g.dir.Watch(ctx, func(others int) {
-			if others == 0 {
-				g.core.Alone()
-			}
+			g.others.Store(int64(others))
+			g.core.SetCompany(others)
+			g.room()
 		}, g.core.Heard)
 	}()
 	return func() {
@@ -45,6 +45,18 @@
 	}
 }
 
+// room leaves half of the clients' places to another process while there is one.
+func (g *Gateway) room() {
+	f := g.front.Load()
+	switch {
+	case f == nil:
+	case g.others.Load() > 0:
+		f.SetMost(f.Most() / 2)
+	default:
+		f.SetMost(f.Most())
+	}
+}
+
 // listen opens the clients' socket. Where the platform holds it, this process is ready to serve from here on, and takes clients
 // when the one before takes none any more; nil, nil where ctx ends first.
 func (g *Gateway) listen(ctx context.Context) (net.Listener, error) {
--- a/internal/ingress/handover_test.go
+++ b/internal/ingress/handover_test.go
@@ -217,3 +217,43 @@
 		return false
 	})
 }
+
+// While another process is there this one makes room for it, idle connections first, and has all places again when the other
+// has gone.
+func TestRoomForAnotherProcess(t *testing.T) {
+	be := scripted.NewNode(t, func(int, []string, net.Conn) string { return served })
+	list := fleetOf(be.Addr)
+	registry := scripted.Registry(t, list, nil)
+	ln, inherit := held(t)
+	dir := t.TempDir()
+	start := func() (*Gateway, func() error) {
+		cfg := doorConfig(registry, list)
+		cfg.Listen, cfg.Listener, cfg.StateDir, cfg.SocketFD = ln.Addr().String(), inherit(), dir, 3
+		return startBeside(t, cfg)
+	}
+	first, _ := start()
+	eventually(t, 5*time.Second, "the first process serves", func() bool { return first.front.Load() != nil })
+	most := first.front.Load().Most()
+	id := 0
+	open := func(n int) {
+		for range n {
+			id++
+			nc, in := dial(t, ln.Addr().String())
+			io.WriteString(nc, ask(id, readFields))
+			wantValue(t, in)
+		}
+	}
+	more := func() bool { // than a half of the places can be taken
+		open(most * 3 / 4)
+		return first.front.Load().Open() > most/2
+	}
+	eventually(t, 2*time.Second, "all places at the start", more)
+	_, stopSecond := start()
+	eventually(t, time.Second, "half of the places are left", func() bool { return first.front.Load().Open() <= most/2 })
+	open(most) // each takes the place of one that is idle
+	if n := first.front.Load().Open(); n > most/2+1 {
+		t.Fatalf("%d of %d places are taken while another process is there", n, most)
+	}
+	stopSecond()
+	eventually(t, 2*time.Second, "all places are back", more)
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -77,6 +77,7 @@
 	over     atomic.Bool                 // shutting down
 	dir      *handover.Dir               // nil: nothing is kept for another process
 	words    *words
+	others   atomic.Int64 // other processes of this ingress that are there
 	reg      *prometheus.Registry
 }
 
@@ -91,6 +92,9 @@
 		return nil, fmt.Errorf("admin_addr %q: %w", cfg.Admin, err)
 	}
 	cfg.Operated = cfg.Admin != ""
+	if cfg.SocketFD > 0 {
+		cfg.Company = 1
+	}
 	if cfg.Store == nil {
 		if cfg.Settings.Counter && cfg.Counter == "" {
 			return nil, errors.New("the settings name a shared counter, the configuration has no address of it")
@@ -111,6 +115,7 @@
 	if cfg.Auth != nil {
 		g.auth = forwardauth.New(cfg.Auth.Config, cfg.Auth.Table, c, log, g.reg)
 	}
+	g.others.Store(int64(cfg.Company))
 	return g, nil
 }
 
@@ -201,9 +206,10 @@
 	}
 	defer endMetrics()
 	f := resp.New(ln, g.core, conns-spare, memory)
+	g.front.Store(f)
+	g.room()
 	f.Start()
 	g.addr = ln.Addr()
-	g.front.Store(f)
 	g.prepared.Store(true)
 	close(g.ready)
 	g.log.Info("serving", "listen", g.cfg.Listen)
--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -397,6 +397,16 @@
 	}
 }
 
+// SetMost changes the bound on connections to all nodes together. Where there are more, idle ones close now, and busy ones are not
+// followed by others.
+func (p *Pool) SetMost(n int) {
+	p.cfg.MostConns = n
+	for over := p.conns - n; over > 0 && p.closeOldestIdle(); over-- {
+	}
+	p.starved = true
+	p.feed()
+}
+
 // Servers are the nodes that are not gone.
 func (p *Pool) Servers() (out []logic.Server) {
 	for _, n := range p.nodes {
