Send a server that has been seen to crawl one attempt at a time

Seen by each attempt's end: while cold servers are full, what is over goes to one that answers in 500 ms, ten at a time, and holds a third of the window; guide-read waits 300 ms at the most. At fault: choose() puts no bound on a slow server, only a factor, and takes it when the others have no room. Change: above four times the usual latency, as learned, one attempt at a time (few gateways only).

--- a/logic/halls.go
+++ b/logic/halls.go
@@ -93,8 +93,7 @@
 	}
 }
 
-// spread draws a part of a retry-after while capacity is missing, so that those who were refused together do
-// not come back together.
+// spread draws a part of a retry-after while capacity is missing: who was refused together comes back apart.
 func (g *Gateway) spread(after time.Duration) time.Duration {
 	if g.reach >= spreadShort || after <= 0 {
 		return after
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,5 +1,4 @@
-// Package logic decides for one gateway of a metered service. Its interface (settings, events, actions) is
-// in api.go; everything that decides is here.
+// Package logic decides for one gateway of a metered service; api.go has its settings, events and actions.
 //
 // A request spends units of its customer's leased block (lease), or of one leased as it comes (ask). It joins
 // the queue of its priority, class worth x plan price, and leaves when the AIMD window of attempts has room,
@@ -41,6 +40,7 @@
 	sureDevs     = 2.0                    // the same, within which nearly all answers come
 	slowGain     = 0.15                   // weight of one answer in a server's relative latency
 	failPenalty  = 8.0                    // what a failed attempt counts for, in mean latencies
+	crawling     = 4.0                    // relative latency of a server that is sent one attempt at a time
 	lastResort   = 100.0                  // factor on a server that is taken only where there is no other
 	failsToBan   = 3                      // failures in a row that eject a server
 	unused       = 2 * time.Second        // then a cold server has its turn like a warm one
@@ -144,8 +144,8 @@
 	}
 	g := &Gateway{set: set, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), sweep: time.Second,
 		classes: map[string]*class{}, plans: map[string]*Plan{}, customers: map[string]*customer{},
-		requests: map[RequestID]*request{}, servers: map[ServerID]*server{},
-		halls: map[string]*hall{}, dark: map[string]dark{}, reach: 1, askShare: 1, thin: set.Gateways > fewGateways}
+		requests: map[RequestID]*request{}, servers: map[ServerID]*server{}, reach: 1, askShare: 1,
+		halls: map[string]*hall{}, dark: map[string]dark{}, thin: set.Gateways > fewGateways}
 	g.cold = g.rng.Float64()
 	for _, c := range set.Classes {
 		if c.Aim <= 0 || c.Deadline < c.Aim {
@@ -773,11 +773,12 @@
 	for _, s := range g.fleet {
 		bound := anchor != nil && r.class.Effect != Safe && !sameGroup(r.class.Group, anchor.s, s)
 		h := g.halls[s.Zone]
-		if bound || s.unproven || !g.coldRoom(s) || !h.hasRoom(g.now) {
+		crawls := !g.thin && len(s.out) > 0 && 1+(s.slow-1)*g.memory(s) > crawling // more would crawl with it
+		if bound || crawls || s.unproven || !g.coldRoom(s) || !h.hasRoom(g.now) {
 			continue
 		}
 		score := g.slowness(s)
-		if !g.thin && g.now-max(s.lastSent, s.Started) < unused { // many: too little may go to cold ones at all
+		if !g.thin && g.now-max(s.lastSent, s.Started) < unused { // of many: cold ones get too little
 			score = max(score, 1/g.warmth(s)) // its answers show the same
 		}
 		score *= (1 + float64(len(s.out))) * (1 + 0.1*g.rng.Float64())
@@ -800,8 +801,8 @@
 	return best
 }
 
-func sameGroup(group Group, a, b *server) bool {
-	return group == GroupAll || group == GroupZone && a.Zone == b.Zone || group == GroupCell && a.Cell == b.Cell
+func sameGroup(of Group, a, b *server) bool {
+	return of == GroupAll || of == GroupZone && a.Zone == b.Zone || of == GroupCell && a.Cell == b.Cell
 }
 
 func (r *request) tried(s *server) bool {
--- a/logic/state_test.go
+++ b/logic/state_test.go
@@ -103,3 +103,22 @@
 		t.Fatalf("a warm server is taken to answer %.1f a second, %.1f while three of four crawl", well, crawl)
 	}
 }
+
+// A server that has been seen to crawl gets one attempt at a time, also where the others have no room: more would crawl with it.
+func TestOneAtATimeToACrawlingServer(t *testing.T) {
+	out := func(slow float64) int {
+		r := newRig(t, settings(), Server{ID: "a", State: Running}, Server{ID: "b", State: Running})
+		for _, id := range []ServerID{"a", "b"} {
+			r.g.servers[id].slow, r.g.servers[id].slowAt = slow, r.now
+		}
+		r.g.window = 10
+		n := 0
+		for id := range RequestID(8) {
+			n += len(only[Send](r.arrive(id, "read", "free")))
+		}
+		return n
+	}
+	if well, crawling := out(1), out(8); well != 8 || crawling != 2 {
+		t.Fatalf("%d sends to two servers that are well, %d to two that crawl; want 8 and 2", well, crawling)
+	}
+}
