Lend nothing twice of what a store fills with while two processes work

Need: over three replacements a channel that asks for five times its quota took it to -7.9 of a burst of 20, where a single process takes it to -6.0. At fault: Keep left the old process its picture of the store, which goes on filling at the rate, beside the new one's. Change: what fills is lent at the new one alone. Tests besides: a node taken out during repeats and second copies, all nodes out, SIGTERM while drained.

--- a/internal/ingress/door_test.go
+++ b/internal/ingress/door_test.go
@@ -390,3 +390,58 @@
 		t.Error("a class without a request is not there with 0")
 	}
 }
+
+// A node is taken out while a request is out there: its repeat and its second copy go elsewhere, what is out may end. With all
+// nodes out nothing is sent, every request has its one answer in time, and one call brings the work back.
+func TestSuspendDuringRepeats(t *testing.T) {
+	var mu sync.Mutex
+	after := map[int]int{}
+	var out atomic.Int64 // nodes that are out, as bits, from the yes on
+	var nodes [3]string
+	for i := range nodes {
+		nodes[i] = scripted.NewNode(t, func(n int, args []string, nc net.Conn) string {
+			if out.Load()&(1<<i) != 0 && strings.HasPrefix(args[0], "Q.") {
+				mu.Lock()
+				after[i]++
+				mu.Unlock()
+			}
+			switch n % 5 {
+			case 2:
+				nc.Close() // repeated elsewhere
+				return ""
+			case 4:
+				time.Sleep(150 * time.Millisecond) // a second copy
+			}
+			return served
+		}).Addr
+	}
+	list := fleetOf(nodes[:]...)
+	cfg := doorConfig(scripted.Registry(t, list, nil), list)
+	cfg.Settings.MaxAttempts, cfg.Settings.SecondCopies, cfg.Settings.MaxRetryAfter = 4, true, 100*time.Millisecond
+	for i := range cfg.Settings.Classes {
+		cfg.Settings.Classes[i].Aim, cfg.Settings.Classes[i].Deadline = time.Second, 2*time.Second
+		cfg.Settings.Classes[i].Group, cfg.Settings.Classes[i].RepeatWindow = logic.GroupAll, 5*time.Second
+	}
+	g, _ := runIngress(t, cfg)
+	c := crowd{pause: time.Millisecond, fields: "c=read,t=p,d=1000,units=1,spread=1,first=0"}
+	c.run(g.Addr().String(), 8)
+	time.Sleep(300 * time.Millisecond)
+	for i := range nodes {
+		wantCall(t, g, "PUT", fmt.Sprintf("/v1/backends/s%d/suspend", i), 200)
+		time.Sleep(300 * time.Millisecond) // far inside the grace
+		out.Store(out.Load() | 1<<i)
+	}
+	had := c.answered.Load() + c.odd.Load()
+	time.Sleep(1200 * time.Millisecond)
+	if c.answered.Load()+c.odd.Load() == had {
+		t.Error("with all nodes out nobody is answered")
+	}
+	out.Store(0)
+	had = c.answered.Load()
+	wantCall(t, g, "PUT", "/v1/backends/s1/resume", 200)
+	eventually(t, 5*time.Second, "work comes back", func() bool { return c.answered.Load() > had+20 })
+	c.end()
+	if len(after) > 0 || c.turned.Load() > 0 {
+		t.Errorf("sends to nodes that were out: %v; %d requests without an answer", after, c.turned.Load())
+	}
+}
--- a/internal/ingress/handover_test.go
+++ b/internal/ingress/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"io"
 	"net"
 	"strings"
@@ -12,6 +13,8 @@
 
 	"hitchspring/internal/discovery"
 	"hitchspring/internal/standin/scripted"
+	standtally "hitchspring/internal/standin/tally"
+	"hitchspring/logic"
 )
 
 // held is a listening socket that the platform holds, of which each process gets a copy.
@@ -42,6 +45,7 @@
 	wg                    sync.WaitGroup
 	stop                  chan struct{}
 	pause                 time.Duration
+	fields                string // of each request; empty: readFields
 }
 
 func (c *crowd) run(addr string, n int) {
@@ -81,7 +85,7 @@
 			return
 		}
 		nc.SetReadDeadline(time.Now().Add(10 * time.Second))
-		if _, err := io.WriteString(nc, ask(int(id.Add(1)), readFields)); err != nil {
+		if _, err := io.WriteString(nc, ask(int(id.Add(1)), cmp.Or(c.fields, readFields))); err != nil {
 			c.turned.Add(1)
 			return
 		}
@@ -257,3 +261,101 @@
 	stopSecond()
 	eventually(t, 2*time.Second, "all places are back", more)
 }
+
+// A channel asks for five times its quota while one process follows another: neither its ceiling nor its quota is spent twice,
+// as the node sees it, and what is repeated goes on being refused with when to come back.
+func TestCeilingHoldsOverReplacement(t *testing.T) {
+	const rate, burst, slack = 30.0, 30.0, 4.0 // the ceiling's
+	const quotaRate, quotaBurst = 20.0, 20.0
+	counter, err := standtally.Start("127.0.0.1:0", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(counter.Stop)
+	var mu sync.Mutex
+	var sends []time.Time
+	be := scripted.NewNode(t, func(_ int, args []string, _ net.Conn) string {
+		if strings.HasPrefix(args[0], "Q.") {
+			mu.Lock()
+			sends = append(sends, time.Now())
+			mu.Unlock()
+		}
+		return served
+	})
+	list := fleetOf(be.Addr)
+	registry := scripted.Registry(t, list, nil)
+	ln, inherit := held(t)
+	dir := t.TempDir()
+	start := func() (*Gateway, func() error) {
+		cfg := doorConfig(registry, list)
+		cfg.Listen, cfg.Listener, cfg.StateDir = ln.Addr().String(), inherit(), dir
+		cfg.Counter, cfg.Settings.Counter, cfg.Settings.CounterTimeout = counter.Addr(), true, 50*time.Millisecond
+		cfg.Settings.MaxUnits, cfg.Settings.MaxRetryAfter = 1, 200*time.Millisecond
+		cfg.Settings.Plans = []logic.Plan{{Name: "p", Price: 1, Rate: quotaRate, Burst: quotaBurst, ExcessCost: 0.5,
+			CeilingRate: rate, CeilingBurst: burst, CeilingSlack: slack}}
+		return startBeside(t, cfg)
+	}
+	old, stop := start()
+	eventually(t, 5*time.Second, "the first process serves", func() bool { s, _ := call(t, old, "GET", "/v1/readyz"); return s == 200 })
+	c := crowd{pause: 40 * time.Millisecond, fields: "c=read,t=p,d=2000,units=1,spread=1,first=0"}
+	c.run(ln.Addr().String(), 6)
+	time.Sleep(3 * time.Second)
+	for range 3 {
+		next, stopNext := start()
+		eventually(t, 5*time.Second, "the next process says yes", func() bool { s, _ := call(t, next, "GET", "/v1/readyz"); return s == 200 })
+		if err := stop(); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(500 * time.Millisecond)
+		stop = stopNext
+	}
+	c.end()
+	mu.Lock()
+	defer mu.Unlock()
+	lowest := func(rate, burst float64) float64 { // of a store that each send takes one unit from
+		level, least := burst, burst
+		for i, at := range sends {
+			if i > 0 {
+				level = min(burst, level+rate*at.Sub(sends[i-1]).Seconds())
+			}
+			level--
+			least = min(least, level)
+		}
+		return least
+	}
+	ceiling, quota := lowest(rate, burst), lowest(quotaRate, quotaBurst)
+	if ceiling < -slack-0.15*rate {
+		t.Errorf("%d sends: the ceiling's store went to %.1f", len(sends), ceiling)
+	}
+	if quota < -0.45*quotaBurst { // -6 without a replacement, -14 where each process takes a fresh block
+		t.Errorf("%d sends: the quota's store went to %.1f", len(sends), quota)
+	}
+	if n := c.answered.Load() + c.odd.Load(); float64(len(sends)) > 0.5*float64(n) || len(sends) < 50 {
+		t.Errorf("%d of %d requests were sent on: the channel does not ask for far more than it has", len(sends), n)
+	}
+	t.Logf("%d sends of %d requests; the ceiling's store went to %.1f, the quota's to %.1f", len(sends), c.answered.Load()+c.odd.Load(), ceiling, quota)
+}
+
+// A drained ingress that is told to end ends as it would otherwise, and a repeated drain changes nothing.
+func TestTermWhileDrained(t *testing.T) {
+	be := scripted.NewNode(t, func(int, []string, net.Conn) string {
+		time.Sleep(700 * time.Millisecond)
+		return served
+	})
+	list := fleetOf(be.Addr)
+	g, stop := runIngress(t, doorConfig(scripted.Registry(t, list, nil), list))
+	nc, in := dial(t, g.Addr().String())
+	io.WriteString(nc, ask(1, readFields))
+	eventually(t, time.Second, "the request is out", func() bool { return len(be.Seen()) == 1 })
+	wantCall(t, g, "PUT", "/v1/ingress/drain", 200)
+	wantCall(t, g, "PUT", "/v1/ingress/drain", 200)
+	ended := make(chan error, 1)
+	go func() { ended <- stop() }()
+	wantValue(t, in)
+	if rest, err := io.ReadAll(in); len(rest) > 0 || err != nil {
+		t.Fatalf("after the answer: %q, %v; want a clean end", rest, err)
+	}
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -119,11 +119,12 @@
 }
 
 // Keep lays down what is left here of the units of each customer, in the order of Learned, after the rest was given to another
-// process of this gateway. From then on ceilings do not fill here any more: they do there.
+// process of this gateway. From then on stores and ceilings do not fill here any more: they do there.
 func (g *Gateway) Keep(kept []LearnedCustomer) {
 	for _, k := range kept {
 		if c := g.customers[k.ID]; c != nil {
 			c.block, c.owed, c.ceiling = k.Block, k.Owed, k.Ceiling
+			c.level = min(0, c.level) - c.plan.Burst/2 // what the store fills with is lent there
 		}
 	}
 	for _, p := range g.plans {
