--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -24,6 +24,12 @@
 
 var endNames = [ends]string{"answered", "deferred", "errored"}
 
+// Ends are all ends, in their order.
+func Ends() []End { return []End{Answered, Deferred, Errored} }
+
+// String is the end's name.
+func (e End) String() string { return endNames[min(e, ends-1)] }
+
 // Set is the figures of one process; each counts from 0.
 type Set struct {
 	classes   []string
@@ -67,6 +73,12 @@
 	s.unhealthy.Store(int64(unhealthy))
 }
 
+// Classes are the classes, in the settings' order.
+func (s *Set) Classes() []string { return s.classes }
+
+// Nodes is how many nodes are listed, and how many of them are avoided.
+func (s *Set) Nodes() (size, unhealthy int64) { return s.size.Load(), s.unhealthy.Load() }
+
 // Current is the number of requests taken and not ended.
 func (s *Set) Current() int64 { return s.current.Load() }
 
--- a/internal/ingress/door_test.go
+++ b/internal/ingress/door_test.go
@@ -363,6 +363,7 @@
 	list := fleetOf(be.Addr)
 	cfg := doorConfig(scripted.Registry(t, list, nil), list)
 	cfg.Settings.MaxAttempts = 3
+	cfg.Metrics = freeAddr(t)
 	g, _ := runIngress(t, cfg)
 	nc, in := dial(t, g.Addr().String())
 	got := map[string]int{}
@@ -386,6 +387,18 @@
 	if len(got) < 2 || figure(t, g, "sends") != int(seen.Load()) || figure(t, g, "current") != 0 {
 		t.Errorf("answers %v; sends %d, the node saw %d; current %d", got, figure(t, g, "sends"), seen.Load(), figure(t, g, "current"))
 	}
+	resp, err := http.Get("http://" + cfg.Metrics + "/metrics") // the same counters in the other form
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	for _, want := range []string{fmt.Sprintf(`hitchspring_requests_total{class="read",end="answered"} %d`, got["answered"]),
+		fmt.Sprintf("hitchspring_attempts_written_total %d", seen.Load())} {
+		if !strings.Contains(string(text), want+"\n") {
+			t.Errorf("no line %q at [metrics]", want)
+		}
+	}
 	if figure(t, g, "transactions.write.answered") != 0 {
 		t.Error("a class without a request is not there with 0")
 	}
@@ -445,3 +458,12 @@
 		t.Errorf("sends to nodes that were out: %v; %d requests without an answer", after, c.turned.Load())
 	}
 }
+
+func freeAddr(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
--- /dev/null
+++ b/internal/ingress/figures.go
@@ -0,0 +1,45 @@
+package ingress
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"hitchspring/internal/figures"
+)
+
+// requestFigures exports to [metrics] what the operators' door shows: the same counters, read when they are asked for.
+type requestFigures struct {
+	set                                 *figures.Set
+	ended, sends, open, size, unhealthy *prometheus.Desc
+}
+
+func newRequestFigures(set *figures.Set) *requestFigures {
+	d := func(name, help string, labels ...string) *prometheus.Desc {
+		return prometheus.NewDesc("hitchspring_"+name, help, labels, nil)
+	}
+	return &requestFigures{set: set,
+		ended:     d("requests_total", "Requests by class and by how they ended: answered, deferred (refused), errored (failed).", "class", "end"),
+		sends:     d("attempts_written_total", "Attempts that were written to a node to their last byte."),
+		open:      d("requests_open", "Requests taken and not ended."),
+		size:      d("nodes_listed", "Nodes in discovery's list."),
+		unhealthy: d("nodes_avoided", "Listed nodes that are taken out by hand or left out by choice.")}
+}
+
+// Describe is for prometheus.
+func (f *requestFigures) Describe(ch chan<- *prometheus.Desc) { prometheus.DescribeByCollect(f, ch) }
+
+// Collect is for prometheus.
+func (f *requestFigures) Collect(ch chan<- prometheus.Metric) {
+	put := func(d *prometheus.Desc, kind prometheus.ValueType, v int64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, kind, float64(v), labels...)
+	}
+	for _, class := range f.set.Classes() {
+		for _, end := range figures.Ends() {
+			put(f.ended, prometheus.CounterValue, f.set.Count(class, end), class, end.String())
+		}
+	}
+	size, unhealthy := f.set.Nodes()
+	put(f.sends, prometheus.CounterValue, f.set.Sends())
+	put(f.open, prometheus.GaugeValue, f.set.Current())
+	put(f.size, prometheus.GaugeValue, size)
+	put(f.unhealthy, prometheus.GaugeValue, unhealthy)
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -91,7 +91,7 @@
 	if _, _, err := net.SplitHostPort(cfg.Admin); cfg.Admin != "" && err != nil {
 		return nil, fmt.Errorf("admin_addr %q: %w", cfg.Admin, err)
 	}
-	cfg.Operated = cfg.Admin != ""
+	cfg.Operated = cfg.Admin != "" || cfg.Metrics != ""
 	if cfg.SocketFD > 0 {
 		cfg.Company = 1
 	}
@@ -251,6 +251,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listening for metrics: %w", err)
 	}
+	g.reg.MustRegister(newRequestFigures(g.core.Figures()))
 	if g.cfg.Halls != nil {
 		g.reg.MustRegister(newHallFigures(g.core.HallStatus))
 	}
