--- a/internal/front/resp/client.go
+++ b/internal/front/resp/client.go
@@ -90,7 +90,8 @@
 	leaving    atomic.Int64   // since when, in nanoseconds of Unix time; 0: it serves
 	turned     chan struct{}  // room for one: leaving or unused has changed
 	unused     atomic.Int64   // places that are to be left to another process
-	ballast    int            // those of them that nobody can take any more; the goroutine that tidies has them
+	balancing  sync.Mutex     // of ballast
+	ballast    int            // those of them that nobody can take any more
 	wg         sync.WaitGroup // of clients
 	stop       context.CancelFunc
 	own        sync.WaitGroup // of the goroutines that accept and tidy
@@ -171,8 +172,10 @@
 	return len(f.clients)
 }
 
-// balance takes and gives back the places that are to stay free.
-func (f *Front) balance(now time.Time) {
+// balance takes and gives back the places that are to stay free, and says whether that is done; nobody is accepted before.
+func (f *Front) balance(now time.Time) bool {
+	f.balancing.Lock()
+	defer f.balancing.Unlock()
 	for want := int(f.unused.Load()); f.ballast != want; {
 		if f.ballast > want {
 			<-f.slots
@@ -186,9 +189,10 @@
 			for range want - f.ballast - f.closing() {
 				f.closeIdlest(now)
 			}
-			return
+			return false
 		}
 	}
+	return true
 }
 
 // closing is how many connections are about to end.
@@ -258,6 +262,10 @@
 // all, so where all places are taken one of these is closed.
 func (f *Front) takeSlot() {
 	for {
+		if !f.balance(time.Now()) {
+			time.Sleep(slotPause)
+			continue
+		}
 		select {
 		case f.slots <- struct{}{}:
 			return
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"hitchspring/internal/admin"
 	"hitchspring/internal/handover"
 	"hitchspring/internal/suspend"
 )
@@ -51,7 +52,7 @@
 	switch {
 	case f == nil:
 	case g.others.Load() > 0:
-		f.SetMost(f.Most() / 2)
+		f.SetMost(max(leastConns, (f.Most()-spare-admin.MostConns)/2)) // what is not for clients each has for itself
 	default:
 		f.SetMost(f.Most())
 	}
@@ -73,11 +74,12 @@
 	}
 	began := time.Now()
 	if err := g.dir.Take(ctx); err != nil {
-		g.cfg.Listener.Close()
 		if ctx.Err() != nil {
+			g.cfg.Listener.Close()
 			return nil, nil
 		}
-		return nil, err
+		g.log.Warn("takes the clients beside any other process", "err", err)
+		return g.cfg.Listener, nil
 	}
 	if s, ok := g.dir.Left(time.Duration(time.Now().UnixNano())); ok {
 		g.core.TakeOver(s)
