Take a large value that nobody waits for as cancelled, not as its node's failure

Need: read once more: of two attempts whose large values begin, the later was closed and told to the module as a reset, which counts against its node. Change: the owner says whether the value is wanted. A test fails without.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -585,16 +585,16 @@
 
 // attemptBegan hands a value on that has begun to come. For the module that is the answer: it is served, its time counts from the
 // first bytes, and what else is out for it is called off.
-func (g *Core) attemptBegan(a *nodes.Attempt, s *nodes.Stream) {
+func (g *Core) attemptBegan(a *nodes.Attempt, s *nodes.Stream) (wanted bool) {
 	r := a.Ref.(*Request)
-	if r.final {
-		s.Close()
-		return
+	if r.final { // another attempt was first, or the client has gone: no fault of this node's
+		return false
 	}
 	r.passing, r.final = a, true
 	g.sum.served(g.now-r.came, g.classes[r.Class].Aim)
 	r.Place.Answer(Answer{Kind: Served, Stream: s})
 	g.ended(r, logic.AttemptEnded{ID: r.ID, Attempt: a.N, Server: a.Node(), Outcome: logic.Done, Took: g.now - a.Began, Finished: true})
+	return true
 }
 
 // passed counts the end of a value that was passed on.
@@ -640,7 +640,7 @@
 }
 
 // AttemptBegan is for the pool.
-func (o owner) AttemptBegan(a *nodes.Attempt, s *nodes.Stream) { o.g.attemptBegan(a, s) }
+func (o owner) AttemptBegan(a *nodes.Attempt, s *nodes.Stream) bool { return o.g.attemptBegan(a, s) }
 
 // --- the list and the counter ---
 
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -258,7 +258,7 @@
 // What happened to an attempt decides what an unsafe request's client is told: harmless to try again only
 // where the command never ran.
 func TestUnsafeOutcomes(t *testing.T) {
-	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	dead, err := net.Listen("tcp", "127.93.81.7:0") // an address where nobody else takes the port that is free again
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -93,8 +93,9 @@
 	// AttemptEnded tells how an attempt ended, once for each.
 	AttemptEnded(a *Attempt, o logic.Outcome, r Reply)
 	// AttemptBegan tells of an attempt whose value has begun to come and is passed on; its end is told later. From now on the
-	// time does not end it any more: want of progress does, or Close of the stream.
-	AttemptBegan(a *Attempt, s *Stream)
+	// time does not end it any more: want of progress does, or Close of the stream. False: the value is not wanted, the attempt ends
+	// as Cancelled.
+	AttemptBegan(a *Attempt, s *Stream) (wanted bool)
 }
 
 // Config is the bounds of a pool.
@@ -648,7 +649,11 @@
 		return
 	}
 	a.stream = ev.s
-	p.owner.AttemptBegan(a, ev.s)
+	if !p.owner.AttemptBegan(a, ev.s) {
+		a.why = logic.Cancelled
+		ev.s.Close()
+		c.nc.Close()
+	}
 }
 
 func (p *Pool) replied(ev replied) {
--- a/internal/nodes/nodes_test.go
+++ b/internal/nodes/nodes_test.go
@@ -30,6 +30,8 @@
 	alarms []testAlarm
 	ends   []end
 	began  []*Stream
+	// unwanted says that no value is waited for.
+	unwanted bool
 }
 
 type testAlarm struct {
@@ -62,7 +64,10 @@
 	g.ends = append(g.ends, end{a, o, r})
 }
 
-func (g *testOwner) AttemptBegan(a *Attempt, s *Stream) { g.began = append(g.began, s) }
+func (g *testOwner) AttemptBegan(a *Attempt, s *Stream) bool {
+	g.began = append(g.began, s)
+	return !g.unwanted
+}
 
 // ring does what is due.
 func (g *testOwner) ring() {
@@ -307,3 +312,46 @@
 		t.Fatalf("%d connections, nodes %v", g.p.conns, g.p.nodes)
 	}
 }
+
+// A large value that nobody waits for any more is no fault of its node's: the attempt is cancelled, not reset. One that is wanted and
+// breaks off is a reset, whatever had come.
+func TestLargeValueUnwantedOrBroken(t *testing.T) {
+	for name, c := range map[string]struct {
+		unwanted bool
+		want     logic.Outcome
+	}{"unwanted": {true, logic.Cancelled}, "broken": {false, logic.Reset}} {
+		t.Run(name, func(t *testing.T) {
+			be := scripted.NewNode(t, func(_ int, _ []string, nc net.Conn) string {
+				io.WriteString(nc, "*3\r\n$1000000\r\nsome")
+				if !c.unwanted {
+					nc.Close()
+				}
+				return ""
+			})
+			g := newOwner(t, be.Addr)
+			g.unwanted = c.unwanted
+			a := waitingAttempt(g, "s0")
+			g.p.place(a)
+			read := make(chan error, 1)
+			for len(g.ends) == 0 {
+				g.p.Handle(<-g.events)
+				if len(g.began) == 1 && !c.unwanted {
+					s := g.began[0]
+					g.began = append(g.began, nil)
+					go func() {
+						_, err := io.Copy(io.Discard, s)
+						read <- err
+					}()
+				}
+			}
+			if g.ends[0].o != c.want || len(g.ends) != 1 {
+				t.Fatalf("ended as %v, want %v", g.ends, c.want)
+			}
+			if !c.unwanted {
+				if err := <-read; err == nil {
+					t.Fatal("a value that broke off was read to an end")
+				}
+			}
+		})
+	}
+}
