Keep the counter silent too in the test of a replacement in trouble

Need: a process must say yes and serve on when discovery and the counter both say nothing; only discovery was silent in the test. Change: one test.

--- a/internal/ingress/handover_test.go
+++ b/internal/ingress/handover_test.go
@@ -188,6 +188,8 @@
 	start := func(known discovery.List) (*Gateway, func() error) {
 		cfg := doorConfig(mute, known)
 		cfg.Listen, cfg.Listener, cfg.StateDir = ln.Addr().String(), inherit(), dir
+		cfg.Counter, cfg.Settings.Counter, cfg.Settings.CounterTimeout = mute, true, 50*time.Millisecond
+		cfg.Settings.Plans = []logic.Plan{{Name: "p", Price: 1, Rate: 100, Burst: 100, ExcessCost: 0.5}}
 		return startBeside(t, cfg)
 	}
 	yes := func(g *Gateway) {
