Keep each thing of the operators' parts once: error, folder, reader's state, room for nodes

Need: read once more. The error for an unknown node, the time to come back and how an attempt's end counts stood twice; the shared folder was held in two fields, the inherited descriptor beside its listener, a begun command's time beside its flag, the half for nodes in two formulas; and each read of a client asked the clock. Tests started processes on the held socket in four copies. Change: one of each; the clock is asked where something is late. No behaviour, bound or assertion changes.

--- a/cmd/hitchspring/main.go
+++ b/cmd/hitchspring/main.go
@@ -55,6 +55,8 @@
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
 	Settings json.RawMessage `json:"settings"`
+
+	socketFD int // of the clients' listening socket, where the platform holds it; 0: it does not
 }
 
 // load reads the configuration file and checks it whole, with the options.
@@ -100,14 +102,14 @@
 		cfg.Admin = f.AdminAddr
 	}
 	if fd := os.Getenv("ROUTER_SOCKET_FD"); fd != "" {
-		if cfg.SocketFD, err = strconv.Atoi(fd); err != nil || cfg.SocketFD < 3 {
+		if f.socketFD, err = strconv.Atoi(fd); err != nil || f.socketFD < 3 {
 			return ingress.Config{}, nil, fmt.Errorf("ROUTER_SOCKET_FD %q: the number of an open descriptor is wanted", fd)
 		}
 	}
-	if cfg.SocketFD > 0 { // the limit holds for two processes together
+	if f.socketFD > 0 { // the limit holds for two processes together
 		cfg.Memory /= processes
 	}
-	if cfg.Admin != "" || cfg.SocketFD > 0 { // who else would have something to keep
+	if cfg.Admin != "" || f.socketFD > 0 { // who else would have something to keep
 		cfg.StateDir = os.Getenv("TMPDIR")
 	}
 	if o.Metrics != nil {
@@ -189,8 +191,8 @@
 	if f.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(cfg.Memory) / 4 * 3)
 	}
-	if cfg.SocketFD > 0 {
-		if cfg.Listener, err = handover.Inherited(cfg.SocketFD); err != nil {
+	if f.socketFD > 0 {
+		if cfg.Listener, err = handover.Inherited(f.socketFD); err != nil {
 			return fmt.Errorf("ROUTER_SOCKET_FD: %w", err)
 		}
 	}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -13,6 +13,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"hitchspring/internal/suspend"
 )
 
 const (
@@ -25,16 +27,13 @@
 	mostID     = 128
 )
 
-// ErrUnknown is what a service says of a node that was never listed.
-var ErrUnknown = errors.New("no such node was ever listed")
-
 // Service is what the door opens on. None of its methods may wait for the event loop; each is called by many goroutines.
 type Service interface {
 	// Serving says whether this process is ready to serve.
 	Serving() bool
 	// Figures are lines NAME=NUMBER.
 	Figures() []byte
-	// Suspend takes a node out, and is in force when it returns; ErrUnknown where it was never listed.
+	// Suspend takes a node out, and is in force when it returns; suspend.ErrUnknown where it was never listed.
 	Suspend(id string) error
 	// Resume puts a node back.
 	Resume(id string) error
@@ -94,7 +93,7 @@
 				return
 			}
 			switch err := do(id); {
-			case errors.Is(err, ErrUnknown):
+			case errors.Is(err, suspend.ErrUnknown):
 				http.Error(w, fmt.Sprintf("backend %s: %v", id, err), http.StatusNotFound)
 			case err != nil:
 				log.Error("an operator's call failed", "call", verb, "node", id, "err", err)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -29,8 +29,6 @@
 
 const (
 	eventQueue   = 256
-	nodesPart    = 3 // of the descriptors are for connections to nodes
-	parts        = 8
 	memoryShare  = 8         // of the memory: commands held, commands coming in, answers unread, answers coming in
 	usualMemory  = 256 << 20 // where no limit is told
 	mostBatch    = 256
@@ -38,9 +36,11 @@
 	overdue      = 8 * time.Millisecond  // into the margin: the module should have answered by now
 	idleCheck    = time.Second
 	probeTimeout = 250 * time.Millisecond // of a probe, which has no request whose time could end it
-	fullRetry    = 250 * time.Millisecond // when to come back to an ingress whose memory is full
 )
 
+// FullRetry is when to come back to an ingress whose memory is full.
+const FullRetry = 250 * time.Millisecond
+
 // Config is all that the core is told.
 type Config struct {
 	Discovery   string
@@ -204,19 +204,15 @@
 	if cfg.Memory <= 0 {
 		cfg.Memory = usualMemory
 	}
-	sockets := cfg.Sockets
-	if cfg.Company > 0 {
-		sockets /= 2
-	}
 	start := time.Now()
 	g := &Core{cfg: cfg, net: cfg.Connections, log: log, classes: map[string]logic.Class{}, plans: map[string]bool{},
 		events: make(chan event, eventQueue), stopped: make(chan struct{}), start: start,
 		epoch: time.Duration(start.UnixNano()), mod: mod, requests: map[logic.RequestID]*Request{},
-		keys: map[uint64]bool{}, mostConns: cfg.Sockets * nodesPart / parts,
+		keys: map[uint64]bool{}, mostConns: cfg.Sockets * 3 / 8,
 		fig:      newFigures(cfg.Settings.Classes),
 		ops:      operators{book: suspend.New(), store: cfg.Words, spoke: make(chan struct{}, 1)},
 		mostHeld: cfg.Memory / memoryShare, mostUnits: cmp.Or(cfg.Settings.MaxUnits, math.MaxFloat64)}
-	g.nodes = nodes.New(owner{g}, nodes.Config{Sent: g.fig.Sent, ConnectTimeout: cfg.Connections.ConnectTimeout, Idle: cfg.Connections.Idle, MostConns: sockets * nodesPart / parts,
+	g.nodes = nodes.New(owner{g}, nodes.Config{Sent: g.fig.Sent, ConnectTimeout: cfg.Connections.ConnectTimeout, Idle: cfg.Connections.Idle, MostConns: g.nodeConns(cfg.Company),
 		Frames: resp.NewBudget(cfg.Memory / memoryShare)})
 	if cfg.Leases != nil {
 		g.handing = newHanding(*cfg.Leases)
@@ -473,7 +469,7 @@
 	g.fig.Took()
 	// Many clients with large bodies must not fill the memory: beyond the bounds nothing is taken.
 	if len(g.requests) >= g.net.MaxOpen || g.heldBytes+r.Size > g.mostHeld {
-		g.final(r, Answer{Kind: Refused, RetryAfter: fullRetry})
+		g.final(r, Answer{Kind: Refused, RetryAfter: FullRetry})
 		return
 	}
 	if g.keys[r.Key] { // the one who asked first has its answer, and nobody else
@@ -599,11 +595,7 @@
 
 // passed counts the end of a value that was passed on.
 func (g *Core) passed(r *Request, o logic.Outcome) {
-	end := figures.Errored
-	if o == logic.Done {
-		end = figures.Answered
-	}
-	g.fig.Ended(r.Class, end)
+	g.fig.Ended(r.Class, endOf(o))
 	r.out--
 	g.forget(r)
 }
--- a/internal/core/grant.go
+++ b/internal/core/grant.go
@@ -5,7 +5,6 @@
 	"encoding/hex"
 	"time"
 
-	"hitchspring/internal/figures"
 	"hitchspring/internal/lease"
 	"hitchspring/internal/nodes"
 	"hitchspring/logic"
@@ -109,18 +108,18 @@
 		} else if x := h.open[ev.id]; x != nil && len(x.waiting) >= mostWaiting && entry.Lease != nil {
 			ev.place.Answer(Answer{Kind: Failed}) // an attempt was granted: a refusal would say that trying again is harmless
 		} else if x == nil || len(x.waiting) >= mostWaiting {
-			ev.place.Answer(Answer{Kind: Refused, RetryAfter: fullRetry})
+			ev.place.Answer(Answer{Kind: Refused, RetryAfter: FullRetry})
 		} else {
 			x.waiting = append(x.waiting, ev.place)
 		}
 		return
 	}
 	if ev.r.GiveUpAt <= g.now {
-		ev.place.Answer(Answer{Kind: Refused, RetryAfter: fullRetry})
+		ev.place.Answer(Answer{Kind: Refused, RetryAfter: FullRetry})
 		return
 	}
 	if entry, err = h.book.Open(ev.id, ev.print, ev.r.GiveUpAt); err != nil {
-		ev.place.Answer(Answer{Kind: Refused, RetryAfter: fullRetry})
+		ev.place.Answer(Answer{Kind: Refused, RetryAfter: FullRetry})
 		return
 	}
 	x := &handed{g: g, r: ev.r, entry: entry, waiting: []Place{ev.place}}
@@ -248,11 +247,7 @@
 	x.r.out--
 	if over {
 		x.r.final = true
-		end := figures.Errored
-		if o == logic.Done {
-			end = figures.Answered
-		}
-		g.fig.Ended(x.r.Class, end)
+		g.fig.Ended(x.r.Class, endOf(o))
 		x.close()
 		x.tell(Answer{Kind: Over, State: x.entry.State})
 	}
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -46,12 +46,18 @@
 func (g *Core) SetCompany(others int) { g.post(company(others)) }
 
 func (g *Core) company(others int) {
+	g.nodes.SetMost(g.nodeConns(others))
+	if others == 0 {
+		g.mod.Release()
+	}
+}
+
+// nodeConns is how many connections to nodes there may be beside other processes.
+func (g *Core) nodeConns(others int) int {
 	if others > 0 {
-		g.nodes.SetMost(g.mostConns / 2)
-		return
+		return g.mostConns / 2
 	}
-	g.nodes.SetMost(g.mostConns)
-	g.mod.Release()
+	return g.mostConns
 }
 
 func (g *Core) giveOver(ev giveOver) {
--- a/internal/core/operate.go
+++ b/internal/core/operate.go
@@ -163,6 +163,14 @@
 	return figures.New(names)
 }
 
+// endOf is how a request counts that ended with an attempt.
+func endOf(o logic.Outcome) figures.End {
+	if o == logic.Done {
+		return figures.Answered
+	}
+	return figures.Errored
+}
+
 // final hands out the one final answer of a request, and counts it.
 func (g *Core) final(r *Request, a Answer) {
 	r.final = true
--- a/internal/front/resp/client.go
+++ b/internal/front/resp/client.go
@@ -27,7 +27,6 @@
 	firstCommand  = 2400 * time.Millisecond // from connecting to the end of the first command, and for some more of one that has begun
 	wholeCommand  = 10 * time.Second        // from the first byte of a command to its last
 	leastProgress = 256                     // bytes, for some more
-	fullRetry     = 250 * time.Millisecond  // when to come back with a body for which there was no memory
 	idleTime      = 2100 * time.Millisecond // a connection without an open request is closed then
 	tidyEvery     = 250 * time.Millisecond
 	leaveTidy     = 50 * time.Millisecond  // the same of a front that leaves
@@ -213,9 +212,9 @@
 func (f *Front) Leaving() bool { return f.leaving.Load() != 0 }
 
 // left is for how long the front has been leaving; below 0 where it is not.
-func (f *Front) left(now time.Time) time.Duration {
+func (f *Front) left() time.Duration {
 	if since := f.leaving.Load(); since != 0 {
-		return time.Duration(now.UnixNano() - since)
+		return time.Duration(time.Now().UnixNano() - since)
 	}
 	return -1
 }
@@ -319,7 +318,7 @@
 				tick.Reset(tidyEvery)
 			}
 		case now := <-tick.C:
-			left := f.left(now)
+			left := f.left()
 			f.balance(now)
 			f.mu.Lock()
 			for c := range f.clients {
@@ -460,10 +459,10 @@
 	in := resp.Inbox{Budget: c.f.frames, Most: resp.MaxLarge}
 	defer in.Close()
 	paused := int32(0)
-	var began, looked time.Time // of a command that has not ended: its beginning, and the last look at its progress
-	cameBy := 0                 // by that look
+	var began time.Time // of a command that has not ended; since then c.partial holds
+	cameBy := 0         // how much of it, by the last look at its progress
 	for {
-		if c.f.left(time.Now()) > leaveRead { // what has not been read yet comes again on another connection
+		if c.f.left() > leaveRead { // what has not been read yet comes again on another connection
 			return true
 		}
 		f, err := in.Next()
@@ -479,15 +478,15 @@
 			continue
 		case err == nil:
 			// Only the rest of a command has a time limit; setting one for each read would cost CPU.
-			if partial := in.Partial(); !partial && !looked.IsZero() && !c.hasEnded() {
+			if partial := in.Partial(); !partial && c.partial.Load() && !c.hasEnded() {
 				c.nc.SetReadDeadline(time.Time{})
-				looked = time.Time{}
 				c.partial.Store(false)
-			} else if now := time.Now(); partial && (began.IsZero() || in.Came()-cameBy >= leastProgress) {
+			} else if partial && (began.IsZero() || in.Came()-cameBy >= leastProgress) {
+				now := time.Now()
 				if began.IsZero() {
 					began = now
 				}
-				looked, cameBy = now, in.Came()
+				cameBy = in.Came()
 				c.partial.Store(true)
 				c.nc.SetReadDeadline(earlier(now.Add(firstCommand), began.Add(wholeCommand)))
 			}
@@ -497,7 +496,7 @@
 			var skipped bool
 			c.nc.SetReadDeadline(time.Now().Add(wholeCommand))
 			if skipped, err = in.Skip(c.nc.Read); skipped {
-				c.reply(refusal(core.Answer{RetryAfter: fullRetry}))
+				c.reply(refusal(core.Answer{RetryAfter: core.FullRetry}))
 				continue
 			} else if err == nil {
 				err = resp.ErrMemory
@@ -508,7 +507,7 @@
 		case errors.Is(err, resp.ErrFraming) || errors.Is(err, resp.ErrTooLong) || errors.Is(err, resp.ErrMemory):
 			c.fault(err.Error())
 			return true
-		case errors.Is(err, os.ErrDeadlineExceeded) && !looked.IsZero():
+		case errors.Is(err, os.ErrDeadlineExceeded) && c.partial.Load():
 			c.fault("the command does not end")
 			return true
 		default:
--- a/internal/ingress/door.go
+++ b/internal/ingress/door.go
@@ -4,9 +4,7 @@
 	"errors"
 	"net"
 
-	"hitchspring/internal/admin"
 	"hitchspring/internal/front/resp"
-	"hitchspring/internal/suspend"
 	"hitchspring/logic"
 )
 
@@ -21,9 +19,9 @@
 
 func (d door) Figures() []byte { return d.g.core.Figures().Text() }
 
-func (d door) Suspend(id string) error { return word(d.g.core.Suspend(logic.ServerID(id))) }
+func (d door) Suspend(id string) error { return d.g.core.Suspend(logic.ServerID(id)) }
 
-func (d door) Resume(id string) error { return word(d.g.core.Resume(logic.ServerID(id))) }
+func (d door) Resume(id string) error { return d.g.core.Resume(logic.ServerID(id)) }
 
 func (d door) Leave() error { return d.whileServing((*resp.Front).Leave) }
 
@@ -39,13 +37,6 @@
 	return nil
 }
 
-func word(err error) error {
-	if errors.Is(err, suspend.ErrUnknown) {
-		return admin.ErrUnknown
-	}
-	return err
-}
-
 // AdminAddr is where operators call; nil while the door is not open.
 func (g *Gateway) AdminAddr() net.Addr {
 	if a := g.admin.Load(); a != nil {
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -26,14 +26,13 @@
 		g.log.Warn("nothing is kept for the next process", "err", err)
 		return func() {}
 	}
-	g.dir = dir
 	g.words.dir.Store(dir)
 	g.core.Heard(dir.Words())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		g.dir.Watch(ctx, func(others int) {
+		dir.Watch(ctx, func(others int) {
 			g.others.Store(int64(others))
 			g.core.SetCompany(others)
 			g.room()
@@ -42,7 +41,7 @@
 	return func() {
 		cancel()
 		<-done
-		g.dir.Close()
+		dir.Close()
 	}
 }
 
@@ -69,11 +68,12 @@
 		return ln, nil
 	}
 	g.prepared.Store(true)
-	if g.dir == nil {
+	dir := g.words.dir.Load()
+	if dir == nil {
 		return g.cfg.Listener, nil
 	}
 	began := time.Now()
-	if err := g.dir.Take(ctx); err != nil {
+	if err := dir.Take(ctx); err != nil {
 		if ctx.Err() != nil {
 			g.cfg.Listener.Close()
 			return nil, nil
@@ -81,7 +81,7 @@
 		g.log.Warn("takes the clients beside any other process", "err", err)
 		return g.cfg.Listener, nil
 	}
-	if s, ok := g.dir.Left(time.Duration(time.Now().UnixNano())); ok {
+	if s, ok := dir.Left(time.Duration(time.Now().UnixNano())); ok {
 		g.core.TakeOver(s)
 	}
 	g.log.Info("takes the clients", "waited", time.Since(began).Round(time.Millisecond))
@@ -90,18 +90,19 @@
 
 // handOn leaves what is known to the next process, if there is one, and lets it take the clients.
 func (g *Gateway) handOn() {
-	if g.dir == nil {
+	dir := g.words.dir.Load()
+	if dir == nil {
 		return
 	}
-	defer g.dir.Release()
-	if g.dir.Others() == 0 {
+	defer dir.Release()
+	if dir.Others() == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), giveTime)
 	defer cancel()
 	s, err := g.core.GiveOver(ctx)
 	if err == nil {
-		err = g.dir.Leave(s)
+		err = dir.Leave(s)
 	}
 	if err != nil {
 		g.log.Warn("the next process starts without what is known here", "err", err)
--- a/internal/ingress/handover_test.go
+++ b/internal/ingress/handover_test.go
@@ -18,26 +18,43 @@
 	"hitchspring/logic"
 )
 
-// held is a listening socket that the platform holds, of which each process gets a copy.
-func held(t testing.TB) (ln *net.TCPListener, inherit func() net.Listener) {
+// held is a listening socket that the platform holds, and the folder that the processes on it have in common.
+type held struct {
+	*net.TCPListener
+	dir string
+}
+
+func hold(t testing.TB) held {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	return l.(*net.TCPListener), func() net.Listener {
-		f, err := l.(*net.TCPListener).File()
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer f.Close()
-		copied, err := net.FileListener(f)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return copied
+	return held{l.(*net.TCPListener), t.TempDir()}
+}
+
+// start runs a process on its own copy of the socket and waits for its door alone: its clients may still be another's.
+func (h held) start(t *testing.T, cfg Config) (*Gateway, func() error) {
+	t.Helper()
+	f, err := h.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if cfg.Listener, err = net.FileListener(f); err != nil {
+		t.Fatal(err)
 	}
+	cfg.Listen, cfg.StateDir = h.Addr().String(), h.dir
+	g, stop := runAside(t, cfg)
+	eventually(t, 5*time.Second, "the door opens", func() bool { return g.AdminAddr() != nil })
+	return g, stop
+}
+
+// wantYes waits for a process to say that it is ready.
+func wantYes(t *testing.T, g *Gateway) {
+	t.Helper()
+	eventually(t, 6*time.Second, "yes", func() bool { s, _ := call(t, g, "GET", "/v1/readyz"); return s == 200 })
 }
 
 // crowd is clients that ask one request after another, each on a kept connection, and go over to a new one when theirs is closed.
@@ -126,16 +143,14 @@
 	}
 	list := fleetOf(nodes...)
 	registry := scripted.Registry(t, list, nil)
-	ln, inherit := held(t)
-	dir := t.TempDir()
+	ln := hold(t)
 	start := func() (*Gateway, func() error) {
 		cfg := doorConfig(registry, list)
-		cfg.Listen, cfg.Listener, cfg.StateDir = ln.Addr().String(), inherit(), dir
 		cfg.Settings.MaxAttempts = 3 // an attempt that waits to be written when its node is taken out is not
-		return startBeside(t, cfg)
+		return ln.start(t, cfg)
 	}
 	old, stop := start()
-	eventually(t, 5*time.Second, "the first process serves", func() bool { s, _ := call(t, old, "GET", "/v1/readyz"); return s == 200 })
+	wantYes(t, old)
 	c := crowd{pause: 2 * time.Millisecond}
 	c.run(ln.Addr().String(), 20)
 	time.Sleep(300 * time.Millisecond)
@@ -144,7 +159,7 @@
 	before := [3]int64{2: sent[2].Load()}
 	for round := range 2 {
 		next, stopNext := start()
-		eventually(t, 5*time.Second, "the next process says yes", func() bool { s, _ := call(t, next, "GET", "/v1/readyz"); return s == 200 })
+		wantYes(t, next)
 		if round == 1 { // told to one while both are there
 			wantCall(t, old, "PUT", "/v1/backends/s1/suspend", 200)
 			time.Sleep(500 * time.Millisecond)
@@ -169,35 +184,21 @@
 	t.Logf("%d answered, %d turned back", c.answered.Load(), c.turned.Load())
 }
 
-// startBeside runs a process and waits for its door alone: its clients may still be another's.
-func startBeside(t *testing.T, cfg Config) (*Gateway, func() error) {
-	t.Helper()
-	g, stop := runAside(t, cfg)
-	eventually(t, 5*time.Second, "the door opens", func() bool { return g.AdminAddr() != nil })
-	return g, stop
-}
-
 // A process that is told of a suspension and dies at once leaves it to the next; one that dies before its yes leaves the
 // first in place; discovery and the counter that say nothing keep no process from its yes.
 func TestReplacementInTrouble(t *testing.T) {
 	be := scripted.NewNode(t, func(int, []string, net.Conn) string { return served })
 	list := fleetOf(be.Addr)
 	mute := scripted.Listen(t, func(nc net.Conn) { io.Copy(io.Discard, nc) })
-	ln, inherit := held(t)
-	dir := t.TempDir()
+	ln := hold(t)
 	start := func(known discovery.List) (*Gateway, func() error) {
 		cfg := doorConfig(mute, known)
-		cfg.Listen, cfg.Listener, cfg.StateDir = ln.Addr().String(), inherit(), dir
 		cfg.Counter, cfg.Settings.Counter, cfg.Settings.CounterTimeout = mute, true, 50*time.Millisecond
 		cfg.Settings.Plans = []logic.Plan{{Name: "p", Price: 1, Rate: 100, Burst: 100, ExcessCost: 0.5}}
-		return startBeside(t, cfg)
-	}
-	yes := func(g *Gateway) {
-		t.Helper()
-		eventually(t, 6*time.Second, "yes", func() bool { s, _ := call(t, g, "GET", "/v1/readyz"); return s == 200 })
+		return ln.start(t, cfg)
 	}
 	first, stopFirst := start(list)
-	yes(first)
+	wantYes(t, first)
 	_, stopEarly := start(list)
 	stopEarly() // before its yes, or after: it never had the baton
 	nc, in := dial(t, ln.Addr().String())
@@ -207,7 +208,7 @@
 
 	// The next one's own list is older than the first one's: what goes over has the node.
 	second, _ := start(discovery.List{All: true})
-	yes(second)
+	wantYes(t, second)
 	stopFirst()
 	eventually(t, 5*time.Second, "the list goes over", func() bool { return figure(t, second, "cluster_size") == 1 })
 	if n := figure(t, second, "cluster_unhealthy"); n != 1 {
@@ -232,12 +233,10 @@
 	be := scripted.NewNode(t, func(int, []string, net.Conn) string { return served })
 	list := fleetOf(be.Addr)
 	registry := scripted.Registry(t, list, nil)
-	ln, inherit := held(t)
-	dir := t.TempDir()
+	ln := hold(t)
 	start := func() (*Gateway, func() error) {
 		cfg := doorConfig(registry, list)
-		cfg.Listen, cfg.Listener, cfg.StateDir, cfg.SocketFD = ln.Addr().String(), inherit(), dir, 3
-		return startBeside(t, cfg)
+		return ln.start(t, cfg)
 	}
 	first, _ := start()
 	eventually(t, 5*time.Second, "the first process serves", func() bool { return first.front.Load() != nil })
@@ -289,25 +288,23 @@
 	})
 	list := fleetOf(be.Addr)
 	registry := scripted.Registry(t, list, nil)
-	ln, inherit := held(t)
-	dir := t.TempDir()
+	ln := hold(t)
 	start := func() (*Gateway, func() error) {
 		cfg := doorConfig(registry, list)
-		cfg.Listen, cfg.Listener, cfg.StateDir = ln.Addr().String(), inherit(), dir
 		cfg.Counter, cfg.Settings.Counter, cfg.Settings.CounterTimeout = counter.Addr(), true, 50*time.Millisecond
 		cfg.Settings.MaxUnits, cfg.Settings.MaxRetryAfter = 1, 200*time.Millisecond
 		cfg.Settings.Plans = []logic.Plan{{Name: "p", Price: 1, Rate: quotaRate, Burst: quotaBurst, ExcessCost: 0.5,
 			CeilingRate: rate, CeilingBurst: burst, CeilingSlack: slack}}
-		return startBeside(t, cfg)
+		return ln.start(t, cfg)
 	}
 	old, stop := start()
-	eventually(t, 5*time.Second, "the first process serves", func() bool { s, _ := call(t, old, "GET", "/v1/readyz"); return s == 200 })
+	wantYes(t, old)
 	c := crowd{pause: 40 * time.Millisecond, fields: "c=read,t=p,d=2000,units=1,spread=1,first=0"}
 	c.run(ln.Addr().String(), 6)
 	time.Sleep(3 * time.Second)
 	for range 3 {
 		next, stopNext := start()
-		eventually(t, 5*time.Second, "the next process says yes", func() bool { s, _ := call(t, next, "GET", "/v1/readyz"); return s == 200 })
+		wantYes(t, next)
 		if err := stop(); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -20,7 +20,6 @@
 	"hitchspring/internal/drill"
 	"hitchspring/internal/front/forwardauth"
 	"hitchspring/internal/front/resp"
-	"hitchspring/internal/handover"
 	"hitchspring/internal/store"
 	"hitchspring/internal/store/tally"
 )
@@ -47,7 +46,6 @@
 	// Listener is the clients' listening socket where the platform holds it and every process inherits it; nil: Listen is
 	// opened.
 	Listener net.Listener
-	SocketFD int // the descriptor of that socket; 0: there is none
 	// StateDir is the folder that all processes of this ingress have in common, where the operators' words and what one process
 	// leaves to the next are kept; empty: nothing is kept.
 	StateDir string
@@ -75,9 +73,8 @@
 	front    atomic.Pointer[resp.Front]  // nil until clients are taken
 	prepared atomic.Bool                 // prepared to serve, also where another process still does
 	over     atomic.Bool                 // shutting down
-	dir      *handover.Dir               // nil: nothing is kept for another process
-	words    *words
-	others   atomic.Int64 // other processes of this ingress that are there
+	words    *words                      // the folder that this ingress's processes share, where there is one that can be used
+	others   atomic.Int64                // other processes of this ingress that are there
 	reg      *prometheus.Registry
 }
 
@@ -92,7 +89,7 @@
 		return nil, fmt.Errorf("admin_addr %q: %w", cfg.Admin, err)
 	}
 	cfg.Operated = cfg.Admin != "" || cfg.Metrics != ""
-	if cfg.SocketFD > 0 {
+	if cfg.Listener != nil { // until the locks have told
 		cfg.Company = 1
 	}
 	if cfg.Store == nil {
--- a/internal/suspend/suspend.go
+++ b/internal/suspend/suspend.go
@@ -1,8 +1,7 @@
 // Package suspend keeps the operators' word on nodes, which lies over discovery's list: a node that was taken out is draining
-// until it is put back, whatever the list says of it, and one that was put back counts as started then, unless discovery
-// has told of a restart since it was taken out. In: ids as they are
-// listed, calls with the time of the call. Out: entries of the list as the decision module shall have them. It does no I/O and is not
-// safe for many goroutines.
+// until it is put back, whatever the list says of it, and one that was put back counts as started then, unless discovery has told of a
+// restart since it was taken out. In: ids as they are listed, calls with the time of the call. Out: entries of the list as the decision
+// module shall have them. It does no I/O and is not safe for many goroutines.
 package suspend
 
 import (
