--- a/logic/api.go
+++ b/logic/api.go
@@ -1,6 +1,11 @@
 package logic
 
-import "time"
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
 
 // RequestID names one try of a client; it is never reused.
 type RequestID uint32
@@ -96,6 +101,28 @@
 	DrainGrace     time.Duration
 }
 
+// check says what of the settings cannot be decided with.
+func (s Settings) check() error {
+	if s.Gateways < 1 || s.Me < 0 || s.Me >= s.Gateways {
+		return fmt.Errorf("logic: gateway %d of %d", s.Me, s.Gateways)
+	}
+	if len(s.Classes) == 0 {
+		return fmt.Errorf("logic: no classes")
+	}
+	for _, c := range s.Classes {
+		if c.Aim <= 0 || c.Deadline < c.Aim {
+			return fmt.Errorf("logic: class %q: aim %v, deadline %v", c.Name, c.Aim, c.Deadline)
+		}
+	}
+	for _, p := range s.Plans {
+		figures := []float64{p.Price, p.Rate, p.Burst, float64(p.Open), p.CeilingRate, p.CeilingBurst}
+		if !(slices.Min(figures) >= 0) || math.IsInf(slices.Max(figures), 1) {
+			return fmt.Errorf("logic: plan %q: unusable figures %v", p.Name, figures)
+		}
+	}
+	return nil
+}
+
 // Request is one try of a client.
 type Request struct {
 	ID       RequestID
--- a/logic/thin.go
+++ b/logic/thin.go
@@ -25,9 +25,6 @@
 	darkFor     = 2 * time.Second  // until one there is tried again, at first
 )
 
-// known says whether a total has lately shown what a sparse customer uses.
-func (g *Gateway) known(c *customer) bool { return c.looked > 0 && g.now-c.looked < lookKept }
-
 // grant is what the window of a sparse customer's name may hold.
 func (c *customer) grant() float64 {
 	if c.plan.CeilingRate > 0 { // the ends of two windows may meet in one moment
