A starter knows what the others do before its first client comes; a late machine's run is played again

It asked for facts only at its next round, up to 150 ms after it met somebody, and weighed them up to 50 ms later; clients came before.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -449,6 +449,10 @@
 		g.heardWork(ev)
 	case fellows:
 		g.fellows(ev)
+	case weighNow:
+		if g.judged != nil {
+			g.lookAtNodes()
+		}
 	case budgetsAsked:
 		g.budgets(ev)
 	case endAll:
--- a/internal/core/judge.go
+++ b/internal/core/judge.go
@@ -102,9 +102,19 @@
 	j.version = 0 // what others tell may be of a start that was not listed until now
 }
 
+// weighNow has others' word taken in before what comes after it.
+type weighNow struct{}
+
+// Weigh takes in what others have told so far, before any request that is submitted later.
+func (g *Core) Weigh() { g.post(weighNow{}) }
+
 // judge looks at nodes, and does so again and again.
 func (g *Core) judge() {
 	g.after(judgeEvery, g.judge)
+	g.lookAtNodes()
+}
+
+func (g *Core) lookAtNodes() {
 	j := g.judged
 	j.sight.Tick(g.now)
 	if v := j.peers.Version(); v != j.version {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -189,6 +189,7 @@
 	case <-ctx.Done():
 		return nil
 	}
+	g.learnFirst(ctx)
 	ln, err := g.listen(ctx)
 	if err != nil || ln == nil {
 		return err
--- a/internal/ingress/peers.go
+++ b/internal/ingress/peers.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -74,6 +75,27 @@
 	return p.Close, nil
 }
 
+// firstWord is how long a starter whose list has come waits for what another instance knows; without an answer it serves all the same.
+const firstWord = 30 * time.Millisecond
+
+// learnFirst has the core know what the others do before the first client comes: else the starter's first requests go to nodes that all others
+// have left.
+func (g *Gateway) learnFirst(ctx context.Context) {
+	if g.company == nil {
+		return
+	}
+	p := g.company.p.Load()
+	if p == nil {
+		return
+	}
+	select {
+	case <-p.Told():
+	case <-time.After(firstWord):
+	case <-ctx.Done():
+	}
+	g.core.Weigh()
+}
+
 // changed tells the core who is there, and whose life has ended or begun.
 func (g *Gateway) changed(changes []swim.Change) {
 	p := g.company.p.Load()
--- a/internal/lab/judge_test.go
+++ b/internal/lab/judge_test.go
@@ -34,8 +34,10 @@
 
 // watch looks at what all instances believe, from a time of the load on.
 func (x *told) watch(from time.Duration) func(context.Context, *World) {
-	x.most, x.left = map[string]float64{}, map[string]int{}
 	return func(ctx context.Context, w *World) {
+		x.mu.Lock()
+		x.most, x.left = map[string]float64{}, map[string]int{} // of this play
+		x.mu.Unlock()
 		for at := from; w.At(ctx, at); at += 200 * ms {
 			for i := range w.Instances() {
 				s, err := w.NodesBelieved(ctx, i)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -56,13 +56,22 @@
 	return Config{Ingress: path, Day: "calm", Seed: 7, For: 5 * time.Second, Rate: 0.6, Hot: 8.4, Tolerance: time.Second}
 }
 
+// mostPlays is how often a run is played in which the machine itself stood still for longer than times are judged by: that says nothing.
+const mostPlays = 3
+
 func play(t *testing.T, cfg Config) *Report {
 	t.Helper()
-	r, err := Run(t.Context(), cfg)
-	if err != nil {
-		t.Fatal(err)
+	for n := 1; ; n++ {
+		r, err := Run(t.Context(), cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		late := time.Duration(r.LateMS * float64(ms))
+		if cfg.Tolerance == 0 || late <= cfg.Tolerance || n == mostPlays {
+			return r
+		}
+		t.Logf("seed %d: the machine stood still for %v, the run is played again", cfg.Seed, late)
 	}
-	return r
 }
 
 // holds fails the test where one of the five rules broke. The lab's own limit on use beyond quotas is not for days on
--- a/internal/peers/engine.go
+++ b/internal/peers/engine.go
@@ -110,6 +110,7 @@
 	newsAt  time.Duration // when something new was last told or heard
 	more    int
 	started bool
+	told    bool // a first question was answered in full
 	counts  Counts
 	out     []Packet
 	now     time.Duration
@@ -177,19 +178,13 @@
 	e.swim(e.member.Tick(now))
 	e.store.SetLife(e.member.Self().Life)
 	if now >= e.next && e.member.Over() == "" {
-		n := 1
-		if !e.started && e.member.Alive() > 0 { // the first time that somebody is there
-			e.started, n = true, starterAsks
-		}
 		every := askEvery
 		if now-e.newsAt > newsLasts {
 			every = askCalm
 		}
 		e.next = now + every/2 + time.Duration(e.rng.Int64N(int64(every)))
 		e.more = 0
-		for _, m := range e.member.Some(n) {
-			e.ask(now, m.Addr)
-		}
+		e.askSome(now, 1)
 	}
 	if e.rounds > 0 && now >= e.nudge {
 		e.rounds--
@@ -218,6 +213,19 @@
 	return e.out
 }
 
+// askSome asks so many members, drawn by chance; more of them the first time that somebody is there.
+func (e *Engine) askSome(now time.Duration, n int) {
+	if !e.started && e.member.Alive() > 0 {
+		e.started, n = true, starterAsks
+	}
+	for _, m := range e.member.Some(n) {
+		e.ask(now, m.Addr)
+	}
+}
+
+// Told says whether a first question was answered in full: this instance knows what another one does.
+func (e *Engine) Told() bool { return e.told }
+
 // nudges is in how many rounds news is told of: enough that hardly anybody is missed by chance.
 func (e *Engine) nudges() int { return 1 + bits.Len(uint(e.member.Alive()))/2 }
 
@@ -301,6 +309,9 @@
 		return nil, nil
 	}
 	e.swim(e.member.Receive(now, p.Swim))
+	if !e.started { // whoever has just come asks the first that it meets, at once
+		e.askSome(now, 0)
+	}
 	x, known := e.member.Member(p.Swim.Self.Name)
 	if !known || x.Life != p.Swim.Self.Life || x.State == swim.Left || e.member.Over() != "" {
 		return e.out, nil // of an ended life, or of one who has gone
@@ -343,5 +354,7 @@
 	if a.More && len(a.Shares) > 0 && e.more < mostMore {
 		e.more++
 		e.ask(now, from)
+		return
 	}
+	e.told = true
 }
--- a/internal/peers/engine_test.go
+++ b/internal/peers/engine_test.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -75,26 +77,64 @@
 	}
 }
 
-// run plays until a time, a millisecond at a time.
+// turn is what one instance does in a millisecond.
+type turn struct {
+	inbox [][]byte
+	out   []Packet
+	errs  int
+}
+
+// run plays until a time, a millisecond at a time. What the instances do in one is played side by side, and carried in their order: the same seed
+// gives the same run.
 func (n *network) run(until time.Duration) {
+	turns := make([]turn, len(n.addrs))
+	index := map[string]int{}
+	for i, a := range n.addrs {
+		index[a] = i
+	}
+	var wg sync.WaitGroup
+	workers := min(runtime.GOMAXPROCS(0), 1+len(n.addrs)/50)
 	for ; n.now < until; n.now += time.Millisecond {
 		at := n.now.Milliseconds()
 		for _, f := range n.queue[at] {
-			if e := n.engines[f.to]; e != nil {
-				n.packets++
-				out, err := e.Receive(n.now, f.data)
-				if err != nil {
-					n.errs++
-				}
-				n.carry(f.to, out)
+			if i, known := index[f.to]; known && n.engines[f.to] != nil {
+				turns[i].inbox = append(turns[i].inbox, f.data)
 			}
 		}
 		delete(n.queue, at)
-		for _, a := range n.addrs {
-			if e := n.engines[a]; e != nil && e.Due() <= n.now {
-				n.carry(a, e.Tick(n.now))
+		play := func(from, to int) {
+			for i := from; i < to; i++ {
+				e, x := n.engines[n.addrs[i]], &turns[i]
+				x.out, x.errs = x.out[:0], 0
+				if e == nil {
+					continue
+				}
+				for _, data := range x.inbox {
+					out, err := e.Receive(n.now, data)
+					if x.out = append(x.out, out...); err != nil {
+						x.errs++
+					}
+				}
+				if e.Due() <= n.now {
+					x.out = append(x.out, e.Tick(n.now)...)
+				}
 			}
 		}
+		if workers == 1 {
+			play(0, len(turns))
+		} else {
+			for w := range workers {
+				wg.Go(func() { play(w*len(turns)/workers, (w+1)*len(turns)/workers) })
+			}
+			wg.Wait()
+		}
+		for i, a := range n.addrs {
+			x := &turns[i]
+			n.packets += len(x.inbox)
+			n.errs += x.errs
+			n.carry(a, x.out)
+			x.inbox = x.inbox[:0]
+		}
 	}
 }
 
@@ -141,8 +181,8 @@
 		t.Errorf("news needs %v", took)
 	}
 	late := n.start("i0006", 200)
-	if took, ok := n.until(2*time.Second, func() bool { return late.Store().Len() == 1 }); !ok || took > 300*time.Millisecond {
-		t.Errorf("a starter needs %v", took)
+	if took, ok := n.until(2*time.Second, func() bool { return late.Store().Len() == 1 && late.Told() }); !ok || took > 30*time.Millisecond {
+		t.Errorf("a starter needs %v: clients come to it sooner", took)
 	}
 	west := func(a string) bool { return a < "at-i0003" }
 	n.cut = func(from, to string) bool { return west(from) != west(to) }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -59,6 +59,7 @@
 	wake   chan struct{} // room for one: Due may have come closer
 	works  chan work     // to be sent; what finds no room is lost, as on the way
 	lines  limiter
+	told   chan struct{} // closed when another has told all that it knows
 
 	mu         sync.Mutex // of all below; never held over I/O
 	engine     *Engine
@@ -136,7 +137,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("peers.key_file: %w", err)
 	}
-	p := &Peers{cfg: cfg, log: log, sealer: sealer, wake: make(chan struct{}, 1), works: make(chan work, mostWorks), dials: map[string]netip.AddrPort{}, advertised: map[netip.AddrPort]string{}}
+	p := &Peers{cfg: cfg, log: log, sealer: sealer, wake: make(chan struct{}, 1), works: make(chan work, mostWorks), told: make(chan struct{}), dials: map[string]netip.AddrPort{}, advertised: map[netip.AddrPort]string{}}
 	if cfg.SeedsFile != "" {
 		if p.cfg.Seeds, err = ReadSeeds(cfg.SeedsFile); err != nil {
 			return nil, fmt.Errorf("peers.seeds_file: %w", err)
@@ -259,6 +260,7 @@
 // read takes datagrams in until the socket ends.
 func (p *Peers) read() {
 	b := make([]byte, readBytes)
+	informed := false
 	for {
 		n, from, err := p.conn.ReadFromUDPAddrPort(b)
 		if errors.Is(err, net.ErrClosed) {
@@ -275,8 +277,12 @@
 			p.asideN++
 			p.aside, p.asideA = err, from.String()
 		}
-		changes, parcels := p.engine.member.Changes(), p.engine.Parcels()
+		changes, parcels, told := p.engine.member.Changes(), p.engine.Parcels(), p.engine.Told()
 		p.mu.Unlock()
+		if told && !informed {
+			informed = true
+			close(p.told)
+		}
 		p.send(out)
 		p.tellOf(changes)
 		p.tellAside(now)
@@ -449,6 +455,9 @@
 	return facts, halls
 }
 
+// Told closes when another instance has told all that it knows.
+func (p *Peers) Told() <-chan struct{} { return p.told }
+
 // Version changes when the facts have.
 func (p *Peers) Version() uint64 {
 	p.mu.Lock()
--- a/internal/swim/swim.go
+++ b/internal/swim/swim.go
@@ -205,7 +205,7 @@
 	out      []Out
 	notes    []Change
 	alive    int
-	suspects int
+	suspects []string      // names, sorted
 	forgot   time.Duration // when who has gone was last looked for
 }
 
@@ -288,12 +288,8 @@
 			due = min(due, m.probe.help)
 		}
 	}
-	if m.suspects > 0 {
-		for _, n := range m.names {
-			if x := m.members[n]; x.State == Suspect {
-				due = min(due, x.until)
-			}
-		}
+	for _, n := range m.suspects {
+		due = min(due, m.members[n].until)
 	}
 	return due
 }
@@ -309,16 +305,17 @@
 	m.stall()
 	m.lastTick = m.now
 	m.endProbe()
-	if m.suspects > 0 {
-		for _, n := range m.names {
-			if x := m.members[n]; x.State == Suspect && m.now >= x.until {
-				dead, told := x.Update, len(x.refused) >= refusedMembers
-				dead.State, dead.By, dead.Refused = Dead, m.self.Name, false
-				m.apply(dead)
-				if told { // the others have suspected it for a moment only
-					m.spreadWord(dead)
-				}
-			}
+	for i := 0; i < len(m.suspects); {
+		x := m.members[m.suspects[i]]
+		if m.now < x.until {
+			i++
+			continue
+		}
+		dead, told := x.Update, len(x.refused) >= refusedMembers
+		dead.State, dead.By, dead.Refused = Dead, m.self.Name, false
+		m.apply(dead) // it is no suspect any more
+		if told {     // the others have suspected it for a moment only
+			m.spreadWord(dead)
 		}
 	}
 	if m.now >= m.next && !m.probe.began {
@@ -341,10 +338,8 @@
 	m.worse()
 	m.probe = probe{}
 	m.next = m.now + m.spread(m.cfg.Period)
-	for _, n := range m.names {
-		if x := m.members[n]; x.State == Suspect {
-			x.until += late
-		}
+	for _, n := range m.suspects {
+		m.members[n].until += late
 	}
 }
 
@@ -733,7 +728,8 @@
 			m.alive--
 		}
 		if was.State == Suspect {
-			m.suspects--
+			i, _ := slices.BinarySearch(m.suspects, was.Name)
+			m.suspects = slices.Delete(m.suspects, i, i+1)
 		}
 	}
 	if x.refused != nil && u.State == Alive && u.Life == was.Life { // it was there all the time
@@ -755,7 +751,8 @@
 		m.notes = append(m.notes, Change{Update: u, Was: was.State, New: fresh || u.Life != lived})
 	}
 	if x.by = nil; u.State == Suspect {
-		m.suspects++
+		i, _ := slices.BinarySearch(m.suspects, u.Name)
+		m.suspects = slices.Insert(m.suspects, i, u.Name)
 		x.by = []string{u.By}
 		x.began = m.now
 		x.until = m.now + m.patience(0)
