A node that all have left is tried again, by all together once in a while

Cause: blames of unreachable nodes count up to 8 mean latencies and fade by half in 12 s; all have left, so nobody is served there and can speak for it (internal/judge/verdict.go). Ruled out: the module's own ban (off has the same).

Change: judge.Trials opens a blamed node for one attempt, so that all instances together try it every 0.4 s at first (1.2 s where it is slow), more seldom with the trouble's age; the module puts its own memory of it aside for that (Hear with Try). Whoever is served there says so again once its word has its whole weight.

--- a/internal/core/judge.go
+++ b/internal/core/judge.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,7 @@
 	sight   *judge.Sight
 	teller  *judge.Teller
 	fader   *judge.Fader
+	trials  *judge.Trials
 	starts  map[logic.ServerID]time.Duration
 	version uint64
 	weighed time.Duration
@@ -84,7 +86,8 @@
 		longest = max(longest, c.Aim)
 	}
 	return &judgements{peers: cfg.Peers, cfg: judge.Config{Hall: cfg.Settings.Zone, Memory: longAims * longest}, sight: judge.NewSight(), teller: judge.NewTeller(),
-		fader: judge.NewFader(rand.New(rand.NewPCG(cfg.Seed, 41))), starts: map[logic.ServerID]time.Duration{}, blamed: map[logic.ServerID]bool{}}
+		fader: judge.NewFader(rand.New(rand.NewPCG(cfg.Seed, 41))), trials: judge.NewTrials(rand.New(rand.NewPCG(cfg.Seed, 43)), cfg.Settings.Gateways),
+		starts: map[logic.ServerID]time.Duration{}, blamed: map[logic.ServerID]bool{}}
 }
 
 // listJudged hands on which starts of nodes there are.
@@ -181,7 +184,11 @@
 	before := len(j.force)
 	j.force = j.fader.Hold(g.now, verdicts)
 	if before > 0 || len(j.force) > 0 {
-		g.mod.Hear(j.force)
+		heard := maps.Clone(j.force)
+		for _, id := range j.trials.Open(g.now, j.force, verdicts, j.sight.LastSent) {
+			heard[id] = logic.Try
+		}
+		g.mod.Hear(heard)
 	}
 	for _, v := range verdicts {
 		if blamed := j.force[v.Node] >= blameLogged; blamed != j.blamed[v.Node] {
--- a/internal/judge/sight.go
+++ b/internal/judge/sight.go
@@ -77,6 +77,7 @@
 	out   []*open
 	pace  float64       // of its last end: times its class's mean
 	paced time.Duration // when that was; 0: never
+	sent  time.Duration // the last attempt; 0: never
 }
 
 type open struct {
@@ -124,11 +125,20 @@
 // Sent tells of an attempt that goes out.
 func (s *Sight) Sent(now time.Duration, node logic.ServerID, try Try, of string) {
 	if x := s.nodes[node]; x != nil {
+		x.sent = now
 		x.out = append(x.out, &open{try: try, class: of, sent: now})
 		s.tries[try] = x
 	}
 }
 
+// LastSent is when an attempt last went out to a node; 0: never.
+func (s *Sight) LastSent(node logic.ServerID) time.Duration {
+	if x := s.nodes[node]; x != nil {
+		return x.sent
+	}
+	return 0
+}
+
 // Ended tells how an attempt ended.
 func (s *Sight) Ended(now time.Duration, try Try, o logic.Outcome) {
 	x := s.tries[try]
--- a/internal/judge/verdict.go
+++ b/internal/judge/verdict.go
@@ -46,6 +46,7 @@
 	Voices   int           // that speak against it, whether or not they count
 	Why      string        // what it came to
 	Age      time.Duration // of the youngest accusation but one
+	Since    time.Duration // when the first accuser's trouble began; 0: nobody is blamed
 }
 
 // Judge pools the evidence on one node. mine is this instance's own opinion, heard those of others on the same start of it.
@@ -151,7 +152,7 @@
 	v.Age = ages[min(1, len(ages)-1)]
 	left := math.Exp2(-v.Age.Seconds() / max(cfg.Memory.Seconds(), 0.1))
 	v.Slow = 1 + (mostSlow-1)*bad/(bad+good+0.5)*share*left
-	v.Why = "blamed"
+	v.Why, v.Since = "blamed", oldest
 	return v
 }
 
@@ -239,6 +240,7 @@
 type telling struct {
 	at, born time.Duration
 	accuses  bool
+	whole    bool // it had its whole weight
 }
 
 // NewTeller returns one that has told nothing.
@@ -254,13 +256,13 @@
 	for _, o := range own {
 		there[o.Node] = true
 		last, has := t.told[o.Node]
-		next := telling{now, o.Born(), o.Accuses()}
+		next := telling{now, o.Born(), o.Accuses(), max(o.Good, o.Bad) >= fullWeight}
 		since, under := accused[o.Node]
-		news := next.accuses != last.accuses
+		news := next.accuses != last.accuses || under && o.LastGood > since && next.whole && !last.whole
 		switch {
 		case next.born <= last.born && !news:
 			continue
-		case !next.accuses && !last.accuses && (!under || o.LastGood <= since || last.born > since):
+		case !next.accuses && !last.accuses && !news && (!under || o.LastGood <= since || last.born > since):
 			continue
 		case has && !news && now-last.at < tellAfter:
 			continue
--- a/internal/lab/judge_test.go
+++ b/internal/lab/judge_test.go
@@ -149,6 +149,18 @@
 	}
 }
 
+// A node that nobody reached for a moment, and all have left, is back in use soon, as it would be if nobody told anybody of it.
+func TestNodeComesBack(t *testing.T) {
+	t.Parallel()
+	cfg := peersConfig(t, 4, "link/0,1,2,3>node-04:cut 1500ms at 1s")
+	cfg.For, cfg.Rate = 9*time.Second, 1
+	r := play(t, cfg)
+	holds(t, r)
+	for _, b := range r.LeftForAWord("node-04", -1) {
+		t.Errorf("seed %d: %s", r.Seed, b.What)
+	}
+}
+
 // garbage sends all instances what no peer would say.
 func garbage(ctx context.Context, w *World) {
 	for k := 0; w.At(ctx, time.Second+time.Duration(k)*20*ms); k++ {
--- a/logic/state.go
+++ b/logic/state.go
@@ -133,13 +133,19 @@
 }
 
 // Hear takes over how slow servers are to be reckoned with by what other gateways say, in mean latencies; those that are not
-// named are left to what this one sees itself. Nothing here is told on as this gateway's own.
+// named are left to what this one sees itself. One at Try is to be tried: what is remembered of it here is put aside as well.
+// Nothing here is told on as this gateway's own.
 func (g *Gateway) Hear(slow map[ServerID]float64) {
 	for id, s := range g.servers {
-		s.heard = slow[id]
+		if s.heard = slow[id]; s.heard == Try {
+			s.slow, s.slowAt, s.fails, s.banned = Try, g.now, 0, 0
+		}
 	}
 }
 
+// Try is the slowness, for Hear, of a server that is to be tried: it is sooner chosen than one that is as fast as all.
+const Try = 0.5
+
 // Standing is how a customer's quota stands at a gateway beside what Learned tells.
 type Standing struct {
 	Queued float64 // units taken from the block by requests that have not gone out
