--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -63,6 +63,7 @@
 	Peers     bool                          // the instances take part among each other: [peers] is in their options; Linked too
 	SameKey   bool                          // a client's further tries of a keyed wish have the key of the first
 	Takeover  bool                          // work in hand survives its instance: [takeover] is in their options; Peers too
+	Strangers []int                         // instances with another key than their peers have
 	Options   map[int]string                // further lines of an instance's options
 	Watch     func(context.Context, *World) // runs beside the load, and is waited for; nil: nothing does
 	Live      io.Writer                     // a table each second; nil: none
