An owner, a keeper or a taker that dies at each step of a piece of work, with real processes

Need: kills at each step of an attempt were played by the walks of the decider alone.

Change: TestKilledAtEachStep plants a SIGKILL of its own into one instance of six, at thirteen steps: accepted, intent sent, acknowledged and not sent, half of a command written, written and not answered, answer read and not told, told and not recorded, recorded and not told; the keeper before it writes, before it replies, before it acknowledges an end; the taker before it begins and after it has sent. The lab knows instances that may end by themselves.

--- a/internal/lab/company_test.go
+++ b/internal/lab/company_test.go
@@ -90,37 +90,48 @@
 	}
 }
 
-// planted builds the ingress with a text of its source in another's place.
-func planted(t *testing.T, file string, edits ...string) string {
+// edit is a text of a source file, from the module's root, with another in its place.
+type edit struct{ file, find, replace string }
+
+// planted builds the ingress with edits of its source.
+func planted(t *testing.T, edits ...edit) string {
 	t.Helper()
 	root, err := filepath.Abs("../..")
 	if err != nil {
 		t.Fatal(err)
 	}
-	path := filepath.Join(root, filepath.FromSlash(file))
-	b, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
+	dir, texts, replace := t.TempDir(), map[string]string{}, map[string]string{}
+	for _, e := range edits {
+		path := filepath.Join(root, filepath.FromSlash(e.file))
+		text, known := texts[path]
+		if !known {
+			b, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			text = string(b)
+		}
+		if strings.Count(text, e.find) != 1 {
+			t.Fatalf("%s: %q is not there once", e.file, e.find)
+		}
+		texts[path] = strings.Replace(text, e.find, e.replace, 1)
 	}
-	text := string(b)
-	for i := 0; i < len(edits); i += 2 {
-		if strings.Count(text, edits[i]) != 1 {
-			t.Fatalf("%s: %q is not there once", file, edits[i])
+	write := func(name string, b []byte) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, b, 0o600); err != nil {
+			t.Fatal(err)
 		}
-		text = strings.Replace(text, edits[i], edits[i+1], 1)
+		return path
+	}
+	for path, text := range texts {
+		replace[path] = write(fmt.Sprintf("%d.go", len(replace)), []byte(text))
 	}
-	dir := t.TempDir()
-	changed, overlay, program := filepath.Join(dir, "changed.go"), filepath.Join(dir, "overlay.json"), filepath.Join(dir, "hitchspring")
-	o, err := json.Marshal(map[string]any{"Replace": map[string]string{path: changed}})
+	o, err := json.Marshal(map[string]any{"Replace": replace})
 	if err != nil {
 		t.Fatal(err)
 	}
-	for name, b := range map[string][]byte{changed: []byte(text), overlay: o} {
-		if err := os.WriteFile(name, b, 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if err := Build(t.Context(), program, false, overlay); err != nil {
+	program := filepath.Join(dir, "hitchspring")
+	if err := Build(t.Context(), program, false, write("overlay.json", o)); err != nil {
 		t.Fatal(err)
 	}
 	return program
@@ -138,9 +149,11 @@
 		t.Fatal(err)
 	}
 	field := "	Clock   int64         `cbor:\"8,keyasint,omitempty\"` // of the sender, in microseconds\n"
-	next := planted(t, engine, "	Version      = 1\n", "	Version      = 2\n", field, field+"	Fresh   string        `cbor:\"99,keyasint\"`\n", "p.Clock = Version,", "p.Clock, p.Fresh = Version,", "e.now.Microseconds()\n	b, err", "e.now.Microseconds(), \"what is new\"\n	b, err")
-	before := planted(t, engine, field, "	Clock   int64         `cbor:\"-\"`\n")
-	later := planted(t, engine, "	Version      = 1\n", "	Version      = 2\n", "	leastVersion = 1\n", "	leastVersion = 2\n")
+	second := edit{engine, "	Version      = 1\n", "	Version      = 2\n"}
+	next := planted(t, second, edit{engine, field, field + "	Fresh   string        `cbor:\"99,keyasint\"`\n"}, edit{engine, "p.Clock = Version,", "p.Clock, p.Fresh = Version,"},
+		edit{engine, "e.now.Microseconds()\n	b, err", "e.now.Microseconds(), \"what is new\"\n	b, err"})
+	before := planted(t, edit{engine, field, "	Clock   int64         `cbor:\"-\"`\n"})
+	later := planted(t, second, edit{engine, "	leastVersion = 1\n", "	leastVersion = 2\n"})
 	t.Run("they understand one another", func(t *testing.T) {
 		t.Parallel()
 		cfg := peersConfig(t, 3, "node/4:slow 8 5s at 2s")
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -23,8 +24,12 @@
 	mu      sync.Mutex
 	downs   []span // when it was not to be counted on
 	crashed string
+	died    bool // it has ended by itself, as it may
 }
 
+// noticing is within which the end of a process that ends by itself is known.
+const noticing = 100 * ms
+
 type span struct{ from, to time.Duration }
 
 // hold draws an address of the instance's own host, which is held until the run's end.
@@ -46,6 +51,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(g.downs) == 0 || g.downs[len(g.downs)-1].to != 0 {
+		if slices.Contains(g.w.cfg.Mortal, g.n) {
+			g.downs, g.died = append(g.downs, span{from: max(0, g.w.clock()-noticing)}), true
+			return
+		}
 		g.crashed = fmt.Sprintf("%s ended by itself: %v: %s", g.Name, err, last)
 	}
 }
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -143,6 +143,7 @@
 	Unmet           []string // what the day wants exercised and was not
 	LateMS          float64  // the longest time for which the lab itself was not run
 	Crashed         []string
+	Died            []string // instances that have ended by themselves, as they may
 	Marks           []Mark
 	Timeline        []Second
 	Nodes           []NodeTrack
@@ -303,6 +304,9 @@
 		if g.crashed != "" {
 			r.Crashed = append(r.Crashed, g.crashed)
 		}
+		if g.died {
+			r.Died = append(r.Died, g.Name)
+		}
 		g.mu.Unlock()
 	}
 	for _, s := range steps {
--- /dev/null
+++ b/internal/lab/steps_test.go
@@ -0,0 +1,121 @@
+package lab
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// dying is what a program is given that kills itself at a step of a piece of work, the twelfth time that it comes there after it has run for
+// three seconds.
+const dying = `
+var dyingCame atomic.Int32
+var dyingFrom = time.Now().Add(3 * time.Second)
+
+// dies ends this process as SIGKILL does, after what is to be done before and a while in which what was sent is on its way.
+func dies(after time.Duration, before ...func()) {
+	if time.Now().Before(dyingFrom) {
+		return
+	}
+	if dyingCame.Add(1) == 12 {
+		for _, do := range before {
+			do()
+		}
+		time.Sleep(after)
+		syscall.Kill(os.Getpid(), syscall.SIGKILL)
+		select {}
+	}
+}
+`
+
+// An instance that dies at each step of a piece of work, as its owner, as its keeper, or as the one that takes it over: by what nodes and clients
+// saw no key has two effects, none has two answers, and each rule is kept.
+func TestKilledAtEachStep(t *testing.T) {
+	if os.Getenv("HITCHSPRING_TRIALS") == "" { // 78 processes, and as many builds as steps
+		t.Skip("HITCHSPRING_TRIALS is not set")
+	}
+	now, err := program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	const takeover, core, operate, nodes = "internal/core/takeover.go", "internal/core/core.go", "internal/core/operate.go", "internal/nodes/nodes.go"
+	first := func(file string) []edit {
+		imports := "	\"os\"\n	\"syscall\"\n"
+		if file != takeover {
+			imports += "	\"sync/atomic\"\n"
+		}
+		return []edit{{file, "import (\n", "import (\n" + imports}}
+	}
+	keyed := "r.Idem != \"\""
+	for name, c := range map[string]struct {
+		edits []edit
+		loss  bool // another instance is killed, so that there is something to take over
+	}{
+		"the owner, accepted":                  {append(first(takeover), edit{takeover, "custody.Nowhere, r.GiveUpAt)\n	g.drainDesk()\n", "custody.Nowhere, r.GiveUpAt)\n	g.drainDesk()\n	dies(3 * time.Millisecond)\n"}), false},
+		"the owner, intent sent":               {append(first(takeover), edit{takeover, "	g.drainDesk()\n	return true\n}\n\n// askForAnswer", "	g.drainDesk()\n	dies(3 * time.Millisecond)\n	return true\n}\n\n// askForAnswer"}), false},
+		"the owner, acknowledged and not sent": {append(first(takeover), edit{takeover, "		g.taking.desk.Sent(g.now, r.Key)\n", "		dies(0)\n		g.taking.desk.Sent(g.now, r.Key)\n"}), false},
+		"the owner, half of a command written": {[]edit{{nodes, "import (\n", "import (\n	\"bytes\"\n	\"os\"\n"},
+			{nodes, "			n, err := c.nc.Write(j.buf)\n", "			if bytes.Contains(j.buf, []byte(\",k=\")) {\n				dies(3*time.Millisecond, func() { c.nc.Write(j.buf[:len(j.buf)/2]) })\n			}\n			n, err := c.nc.Write(j.buf)\n"}}, false},
+		"the owner, written and not answered":        {append(first(takeover), edit{takeover, "		g.launch(r, w, r.kept.to)\n", "		g.launch(r, w, r.kept.to)\n		dies(3 * time.Millisecond)\n"}), false},
+		"the owner, answer read and not told":        {append(first(core), edit{core, "	if o == logic.Done && !r.final {\n", "	if o == logic.Done && !r.final {\n		if " + keyed + " {\n			dies(0)\n		}\n"}), false},
+		"the owner, told and not recorded":           {append(first(operate), edit{operate, "	g.endCustody(r, a)\n	end := figures.Errored\n", "	if a.Kind == Served && " + keyed + " {\n		dies(3*time.Millisecond, func() { r.Place.Answer(a) })\n	}\n	g.endCustody(r, a)\n	end := figures.Errored\n"}), false},
+		"the owner, recorded and not told":           {append(first(operate), edit{operate, "	g.endCustody(r, a)\n	end := figures.Errored\n", "	g.endCustody(r, a)\n	if a.Kind == Served && " + keyed + " {\n		dies(3 * time.Millisecond)\n	}\n	end := figures.Errored\n"}), false},
+		"the keeper, heard and not written":          {append(first(takeover), edit{takeover, "	g.taking.desk.Receive(g.now, ev.from, ev.life, m)\n", "	if m.Intent != nil {\n		dies(0)\n	}\n	g.taking.desk.Receive(g.now, ev.from, ev.life, m)\n"}), false},
+		"the keeper, written and not replied":        {append(first(takeover), edit{takeover, "	g.taking.desk.Receive(g.now, ev.from, ev.life, m)\n", "	g.taking.desk.Receive(g.now, ev.from, ev.life, m)\n	if m.Intent != nil {\n		dies(0)\n	}\n"}), false},
+		"the keeper, end heard and not acknowledged": {append(first(takeover), edit{takeover, "	g.taking.desk.Receive(g.now, ev.from, ev.life, m)\n", "	g.taking.desk.Receive(g.now, ev.from, ev.life, m)\n	if m.End != nil {\n		dies(0)\n	}\n"}), false},
+		"the taker, before it begins":                {append(first(takeover), edit{takeover, "	g.taking.byTry[t.Try] = r\n	g.requests[r.ID] = r\n	g.heldBytes += r.Size\n", "	g.taking.byTry[t.Try] = r\n	g.requests[r.ID] = r\n	g.heldBytes += r.Size\n	dyingCame.Store(11)\n	dies(0)\n"}), true},
+		"the taker, sent and not answered":           {append(first(core), edit{core, "	g.nodes.Start(a, to)\n}\n\n// attemptEnded", "	g.nodes.Start(a, to)\n	if r.Place == (takenPlace{}) {\n		dyingCame.Store(11)\n		dies(3 * time.Millisecond)\n	}\n}\n\n// attemptEnded"}), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			last := lastLine(t, c.edits[0].file)
+			edits := append(c.edits, edit{c.edits[0].file, last, last + dying})
+			cfg := peersConfig(t, 6, "fleet:slow 5 2s at 3s")
+			if c.loss {
+				cfg.Faults = append(cfg.Faults, "ingress/1:kill at 4s", "ingress/2:kill at 4500ms")
+			}
+			cfg.Ingress, cfg.Mixed, cfg.Mortal = "", []string{planted(t, edits...), now, now, now, now, now}, []int{0}
+			cfg.Takeover, cfg.For, cfg.Rate = true, 9*time.Second, 1
+			r := play(t, cfg)
+			holds(t, r)
+			if len(r.Died) == 0 {
+				t.Fatalf("seed %d: the step was never reached", r.Seed)
+			}
+			doubled, helped, lost := 0, 0, 0
+			for _, w := range r.Keyed {
+				if w.Effects > 1 {
+					doubled++
+					t.Log(w)
+				}
+				if w.Lost {
+					lost++
+					if w.Helped > 0 {
+						helped++
+					}
+				}
+			}
+			t.Logf("%d keyed wishes, %d lost their first try's answer, %d of them were helped", len(r.Keyed), lost, helped)
+			if broken := CheckHistory(r.History); len(broken) > 0 || doubled > 0 {
+				t.Errorf("seed %d: %d with two effects, %v", r.Seed, doubled, broken)
+			}
+		})
+	}
+}
+
+// lastLine is the end of a source file, after which more can be written: its last function.
+func lastLine(t *testing.T, file string) string {
+	t.Helper()
+	b, err := os.ReadFile("../../" + file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := string(b)
+	for n := 40; n < len(text); n += 20 {
+		if tail := text[len(text)-n:]; strings.Count(text, tail) == 1 {
+			return tail
+		}
+	}
+	t.Fatal("no end of " + file)
+	return ""
+}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -64,6 +64,7 @@
 	SameKey   bool                          // a client's further tries of a keyed wish have the key of the first
 	Takeover  bool                          // work in hand survives its instance: [takeover] is in their options; Peers too
 	Strangers []int                         // instances with another key than their peers have
+	Mortal    []int                         // instances that may end by themselves: for tests of programs that do
 	Options   map[int]string                // further lines of an instance's options
 	Watch     func(context.Context, *World) // runs beside the load, and is waited for; nil: nothing does
 	Live      io.Writer                     // a table each second; nil: none
