--- a/internal/lab/history.go
+++ b/internal/lab/history.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
+
+	"hitchspring/internal/audit"
 )
 
 // OnceByKey is the lab's own rule for work that several instances may act on: a key's history is that of one thing which happens at most once, and whose
@@ -49,6 +51,16 @@
 	DescribeOperation: func(in, _ any) string { return fmt.Sprintf("%+v", in) },
 }
 
+// Once judges, by what the nodes saw and the clients were told, whether each key's work happened once and has one answer.
+func (r *Report) Once() (out []audit.Break) {
+	for _, w := range r.Keyed {
+		if w.Effects > 1 || w.Values > 1 {
+			out = append(out, audit.Break{Rule: OnceByKey, At: w.First, Until: w.First + w.GiveUp, What: fmt.Sprintf("key %s has %d effects in %d racks and %d answers", w.Key, w.Effects, w.Racks, w.Values)})
+		}
+	}
+	return out
+}
+
 // CheckHistory looks for an order of each key's steps, within their times, that keyModel allows, and returns what there is none for.
 func CheckHistory(steps []Step) (broken []string) {
 	byKey := map[string][]porcupine.Operation{}
--- a/internal/lab/prove/prove.go
+++ b/internal/lab/prove/prove.go
@@ -40,22 +40,23 @@
 
 // Defect is a break of a rule that is planted on purpose.
 type Defect struct {
-	Name   string   `toml:"-"`
-	About  string   `toml:"about"`
-	Rule   string   `toml:"rule"` // a short name: lost, twice, drains, cold, ceilings or quotas
-	Part   string   `toml:"part"` // what it is planted in: logic, core, a front or a store
-	Day    string   `toml:"day"`
-	Store  string   `toml:"store"`  // instead of the day's
-	Halls  bool     `toml:"halls"`  // the ingresses know of halls
-	Peers  int      `toml:"peers"`  // so many ingresses that know one another; 0: the day's, which don't
-	Left   string   `toml:"left"`   // with rule words: the node that the first ingress alone can't reach, and the others must not leave
-	Short  bool     `toml:"short"`  // it belongs to the short set, which CI plays
-	Faults []string `toml:"faults"` // beside the day's
-	Edits  []Edit   `toml:"edit"`
+	Name     string   `toml:"-"`
+	About    string   `toml:"about"`
+	Rule     string   `toml:"rule"` // a short name: lost, twice, drains, cold, ceilings or quotas
+	Part     string   `toml:"part"` // what it is planted in: logic, core, a front or a store
+	Day      string   `toml:"day"`
+	Store    string   `toml:"store"`    // instead of the day's
+	Halls    bool     `toml:"halls"`    // the ingresses know of halls
+	Peers    int      `toml:"peers"`    // so many ingresses that know one another; 0: the day's, which don't
+	Takeover bool     `toml:"takeover"` // work in hand survives its ingress; Peers too
+	Left     string   `toml:"left"`     // with rule words: the node that the first ingress alone can't reach, and the others must not leave
+	Short    bool     `toml:"short"`    // it belongs to the short set, which CI plays
+	Faults   []string `toml:"faults"`   // beside the day's
+	Edits    []Edit   `toml:"edit"`
 }
 
 // rules are the short names.
-var rules = map[string]string{"lost": audit.NoneLost, "twice": audit.NoneTwice, "drains": audit.Drains, "cold": audit.Cold, "ceilings": audit.Ceilings, "quotas": lab.Quotas, "words": lab.Words}
+var rules = map[string]string{"lost": audit.NoneLost, "twice": audit.NoneTwice, "drains": audit.Drains, "cold": audit.Cold, "ceilings": audit.Ceilings, "quotas": lab.Quotas, "words": lab.Words, "once": lab.OnceByKey}
 
 // Defects are all that come with the program, by name.
 func Defects() ([]Defect, error) {
@@ -85,7 +86,7 @@
 	}
 	switch {
 	case rules[d.Rule] == "":
-		return d, fmt.Errorf("defect %s: rule: %q is none of lost, twice, drains, cold, ceilings, quotas, words", name, d.Rule)
+		return d, fmt.Errorf("defect %s: rule: %q is none of lost, twice, drains, cold, ceilings, quotas, words, once", name, d.Rule)
 	case d.About == "" || d.Part == "" || len(d.Edits) == 0:
 		return d, fmt.Errorf("defect %s: about, part and edit are wanted", name)
 	case !slices.Contains(day.Names(), d.Day):
@@ -202,7 +203,7 @@
 			if key := d.Day + d.Store + strings.Join(d.Faults, ";"); !done[key] {
 				done[key] = true
 				for s := range cfg.Seeds {
-					jobs = append(jobs, job{Defect{Day: d.Day, Store: d.Store, Faults: d.Faults, Peers: d.Peers, Left: d.Left}, program, cfg.Seed + uint64(s)})
+					jobs = append(jobs, job{Defect{Day: d.Day, Store: d.Store, Faults: d.Faults, Peers: d.Peers, Left: d.Left, Takeover: d.Takeover}, program, cfg.Seed + uint64(s)})
 				}
 			}
 		}
@@ -281,7 +282,7 @@
 
 func (j job) run(ctx context.Context) Result {
 	r := Result{Defect: j.d.Name, Rule: j.d.Rule, Part: j.d.Part, Day: j.d.Day, Seed: j.seed}
-	rep, err := lab.Run(ctx, lab.Config{Day: j.d.Day, Store: j.d.Store, Faults: j.d.Faults, Seed: j.seed, Ingress: j.program, Halls: j.d.Halls, Ingresses: j.d.Peers, Peers: j.d.Peers > 0})
+	rep, err := lab.Run(ctx, lab.Config{Day: j.d.Day, Store: j.d.Store, Faults: j.d.Faults, Seed: j.seed, Ingress: j.program, Halls: j.d.Halls, Ingresses: j.d.Peers, Peers: j.d.Peers > 0, Takeover: j.d.Takeover})
 	if err != nil {
 		r.Err = err.Error()
 		return r
@@ -290,6 +291,9 @@
 	if j.d.Left != "" {
 		rep.Breaks = append(rep.Breaks, rep.LeftForAWord(j.d.Left, 0)...)
 	}
+	if j.d.Takeover {
+		rep.Breaks = append(rep.Breaks, rep.Once()...)
+	}
 	for _, b := range rep.Breaks {
 		switch {
 		case b.Doubtful:
