Work that is taken over from nowhere takes no units a second time

Its owner had taken the units from the block that it had leased; the taker asked for them again, of a channel whose store was spent.

Test: TestPaid.

--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -176,7 +176,9 @@
 	}
 	r.kept = &keeping{at: custody.Nowhere}
 	g.taking.byTry[r.Key] = r
-	g.taking.desk.Begin(g.now, g.workOf(r), r.Key, custody.Nowhere, r.GiveUpAt)
+	w := g.workOf(r)
+	w.Paid = g.mod.Holds(r.ID)
+	g.taking.desk.Begin(g.now, w, r.Key, custody.Nowhere, r.GiveUpAt)
 	g.drainDesk()
 }
 
@@ -340,7 +342,7 @@
 func (g *Core) again(r *Request, prior *logic.Prior) {
 	delete(g.requests, r.ID)
 	g.lastID++
-	r.ID, r.attempts, r.Prior = g.lastID, nil, prior
+	r.ID, r.attempts, r.Prior, r.Paid = g.lastID, nil, prior, prior != nil
 	if prior != nil {
 		r.attempts = []*nodes.Attempt{{}} // the other's
 		r.kept.ran, r.kept.out = 1, 0
@@ -412,7 +414,7 @@
 	g.fig.Took()
 	g.lastID++
 	r.ID, r.came = g.lastID, g.now
-	r.kept = &keeping{at: t.At}
+	r.kept, r.Paid = &keeping{at: t.At}, t.Paid || t.At != custody.Nowhere
 	if t.At != custody.Nowhere {
 		r.Prior = &logic.Prior{Zone: t.At.Zone, Cell: t.At.Rack, At: t.Began}
 		r.attempts = []*nodes.Attempt{{}} // its owner's
--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -75,8 +75,9 @@
 	Units    float64       `cbor:"5,keyasint"`
 	Spread   int           `cbor:"6,keyasint,omitempty"`
 	First    int           `cbor:"7,keyasint,omitempty"`
-	Memory   time.Duration `cbor:"8,keyasint"` // of its rack
-	Words    [][]byte      `cbor:"9,keyasint"` // of the command
+	Memory   time.Duration `cbor:"8,keyasint"`            // of its rack
+	Words    [][]byte      `cbor:"9,keyasint"`            // of the command
+	Paid     bool          `cbor:"10,keyasint,omitempty"` // its units were taken where it was accepted: who takes it over takes none
 }
 
 // Place is where a repeat has no further effect.
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -102,6 +102,7 @@
 	GiveUp   time.Duration // after it, when that try's client gives up
 	Instance string        // that it was sent to
 	Lost     bool          // its first try had no answer
+	Answered time.Duration // when its first try was answered; 0: never
 	Tries    int
 	Served   bool
 	Values   int           // different values that its tries were answered
@@ -369,6 +370,8 @@
 			end = fmt.Sprintf("%s after %v", t.Answers[0].Kind, (t.Answers[0].At - t.Sent).Round(ms))
 			if x.Tries > 1 {
 				x.Again++
+			} else {
+				x.Answered = t.Answers[0].At
 			}
 		}
 		r.History = append(r.History, step)
--- a/internal/lab/trial/takeover.go
+++ b/internal/lab/trial/takeover.go
@@ -58,6 +58,7 @@
 	r.verdict(rep)
 	at := time.Duration(rep.BeganS*float64(time.Second)) + lossAt
 	inHand, done, again, answered := 0.0, 0.0, 0.0, 0.0
+	beside, besideDone := 0.0, 0.0 // the same at the others, who were not lost: what could be done in time
 	var took []float64
 	for _, w := range rep.Keyed {
 		if w.Effects > 1 {
@@ -66,8 +67,17 @@
 		if w.Values > 1 {
 			r.Breaks = append(r.Breaks, "two answers for key "+w.Key)
 		}
-		// in hand at the loss: its client waited then, and had no answer from the one that was lost
-		if w.Instance != "n0" && (c.Case != "two killed" || w.Instance != "n1") || !w.Lost || w.First > at || w.First < at-2*time.Second || w.First+w.GiveUp < at+1500*time.Millisecond {
+		// in hand at the loss: its client waited then, and had time left
+		if w.First > at || w.First < at-2*time.Second || w.First+w.GiveUp < at+1500*time.Millisecond || w.Answered > 0 && w.Answered < at {
+			continue
+		}
+		if w.Instance != "n0" && (c.Case != "two killed" || w.Instance != "n1") {
+			if beside++; w.Effects > 0 {
+				besideDone++
+			}
+			continue
+		}
+		if !w.Lost { // one that was cut off or stopped has answered after all
 			continue
 		}
 		inHand++
@@ -89,6 +99,7 @@
 	}
 	slices.Sort(took)
 	r.Figures["keyed"], r.Figures["in_hand"], r.Figures["done"], r.Figures["again"], r.Figures["answered"] = float64(len(rep.Keyed)), inHand, done, again, answered
+	r.Figures["beside"], r.Figures["beside_done"] = beside, besideDone
 	r.Figures["service"] = rep.Service
 	if len(took) > 0 {
 		r.Figures["helped_s"] = took[len(took)-1]
@@ -97,7 +108,7 @@
 }
 
 func tableTakeover(out io.Writer, all []Result) {
-	fmt.Fprintf(out, "\n%-11s %-4s  %-7s  %-7s  %-8s  %-13s  %-16s  %-24s  %-8s\n", "case", "on", "keyed", "doubled", "in hand", "with effect", "asked again", "answered of those", "helped after, s (worst)")
+	fmt.Fprintf(out, "\n%-11s %-4s  %-7s  %-7s  %-8s  %-13s  %-18s  %-16s  %-24s  %-8s\n", "case", "on", "keyed", "doubled", "in hand", "with effect", "beside, with effect", "asked again", "answered of those", "helped after, s (worst)")
 	for _, name := range takeoverCases {
 		for _, on := range []bool{false, true} {
 			sum := func(figure string) float64 {
@@ -108,7 +119,7 @@
 				return n
 			}
 			helped := pick(all, "helped_s", func(r Result) bool { return r.Case == name && r.On == on })
-			fmt.Fprintf(out, "%-11s %-5v %6.0f  %8.0f  %8.0f  %11.0f  %13.0f  %15.0f           %.2f (%.2f)\n", name, on, sum("keyed"), sum("doubled"), sum("in_hand"), sum("done"), sum("again"), sum("answered"),
+			fmt.Fprintf(out, "%-11s %-5v %6.0f  %8.0f  %8.0f  %11.0f  %8.0f, %8.0f  %13.0f  %15.0f           %.2f (%.2f)\n", name, on, sum("keyed"), sum("doubled"), sum("in_hand"), sum("done"), sum("beside"), sum("beside_done"), sum("again"), sum("answered"),
 				mean(helped), quantile(helped, 1))
 		}
 	}
--- a/logic/api.go
+++ b/logic/api.go
@@ -134,7 +134,8 @@
 	Spread   int    // gateways this customer comes through
 	First    int    // number of the first of them
 	Handed   bool   // who asks sends the attempts itself, one at a time
-	Prior    *Prior // an attempt of it that another gateway has begun; nil: none
+	Prior    *Prior // an attempt of it that another gateway has begun, and its units are taken; nil: none
+	Paid     bool   // another gateway has taken its units; with Prior always
 }
 
 // Prior is an attempt that may have run, begun by another gateway. It is the request's attempt 0 here, and has ended.
@@ -341,6 +342,12 @@
 	return g.window, g.busy, len(g.queue), len(g.fleet)
 }
 
+// Holds reports whether a request waits in a queue, let in by its customer's quota.
+func (g *Gateway) Holds(id RequestID) bool {
+	r := g.requests[id]
+	return r != nil && r.held && !r.beyond
+}
+
 // Avoids reports whether a server that serves by the list is left out by choice: after failures in a row, or with its hall.
 func (g *Gateway) Avoids(id ServerID) bool {
 	s := g.servers[id]
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -220,12 +220,14 @@
 	r.cust = g.customer(r)
 	g.requests[q.ID] = r
 	g.live = append(g.live, r)
-	if p := q.Prior; p == nil {
-		g.ask(r)
-	} else { // begun at another gateway: its units are taken, and it is bound as a repeat is
+	if p := q.Prior; p != nil { // begun at another gateway: it is bound as a repeat is
 		at := &server{Server: Server{Zone: p.Zone, Cell: p.Cell}}
 		r.attempts, r.sent = []*attempt{{s: at, sent: p.At, ended: true, mayRun: true}}, true
+	}
+	if q.Paid {
 		g.hold(r)
+	} else {
+		g.ask(r)
 	}
 	if !r.sent && !r.final {
 		g.expire(r) // it may come with less time than a sweep takes
--- a/logic/prior_test.go
+++ b/logic/prior_test.go
@@ -28,7 +28,7 @@
 		for i := range 3 { // the quota is long spent
 			g.Handle(now, Arrival{Request{ID: RequestID(i + 1), Class: "publish", Plan: "p", Customer: "c", GiveUpAt: now + time.Second, Units: 1}}, nil)
 		}
-		out := g.Handle(now, Arrival{Request{ID: 9, Class: "publish", Plan: "p", Customer: "c", GiveUpAt: now + time.Second, Units: 1, Prior: &Prior{Cell: c.cell, At: now - c.ago}}}, nil)
+		out := g.Handle(now, Arrival{Request{ID: 9, Class: "publish", Plan: "p", Customer: "c", GiveUpAt: now + time.Second, Units: 1, Paid: true, Prior: &Prior{Cell: c.cell, At: now - c.ago}}}, nil)
 		for range 20 {
 			now += 20 * time.Millisecond
 			out = g.Handle(now, TimerFired{}, out)
@@ -56,3 +56,37 @@
 		}
 	}
 }
+
+// Work that another gateway has accepted and not sent takes no units here: its customer's quota was charged there. It is sent as new work is,
+// anywhere, and counts under the ceiling.
+func TestPaid(t *testing.T) {
+	for _, paid := range []bool{false, true} {
+		g, err := New(Settings{Gateways: 1, MaxAttempts: 4, Classes: []Class{{Name: "publish", Worth: 1, Aim: time.Second, Deadline: 2 * time.Second, Effect: Keyed,
+			RepeatWindow: 3 * time.Second}}, Plans: []Plan{{Name: "p", Price: 1, Rate: 1, Burst: 1, CeilingRate: 2, CeilingBurst: 2}}}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Hour
+		g.Handle(now, FleetChanged{Whole: true, Servers: []Server{{ID: "one", State: Running}}}, nil)
+		ask := func(id RequestID, paid bool) (sent, held bool) {
+			out := g.Handle(now, Arrival{Request{ID: id, Class: "publish", Plan: "p", Customer: "c", GiveUpAt: now + time.Second, Units: 1, Paid: paid}}, nil)
+			for _, a := range out {
+				s, is := a.(Send)
+				sent = sent || is && s.ID == id
+			}
+			return sent, g.Holds(id)
+		}
+		ask(1, false)
+		now += time.Second // the ceiling's part holds two units, the quota's store none yet
+		ask(2, false)
+		ask(3, false)
+		if sent, _ := ask(9, paid); sent != paid {
+			t.Errorf("paid %v: sent %v, the quota is spent", paid, sent)
+		}
+		if paid {
+			if sent, held := ask(10, true); sent || !held {
+				t.Errorf("the ceiling is spent: sent %v, held %v", sent, held)
+			}
+		}
+	}
+}
--- a/logic/thin.go
+++ b/logic/thin.go
@@ -50,9 +50,6 @@
 // guess says whether a request that the counter is not asked for, or has not answered for, is sent on: of a
 // customer that asks for more than its rate, so many that the gateways together send its rate.
 func (g *Gateway) guess(r *request) bool {
-	if r.plan.Rate <= 0 {
-		return true
-	}
 	x := g.excess(r.cust)
 	r.odds = 1 / max(1, x)
 	return g.rng.Float64() < guessFree/x
