What keepers cost, as a trial; a thousand records take what a keeper reckons with

Need: cost of takeover and memory at 1,000 in hand were not measured.

Change: lab trial custody, with [peers] on in both and [takeover] off and on: latency of keyed work, CPU, bytes between instances, memory. TestMemoryOfAThousand.

--- a/internal/custody/desk_test.go
+++ b/internal/custody/desk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -379,3 +380,29 @@
 		}
 	})
 }
+
+// A thousand records at a keeper take about what the keeper reckons with: its bound on memory is one.
+func TestMemoryOfAThousand(t *testing.T) {
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := heap()
+	k := newKeeper("a", 1)
+	for i := range 1000 {
+		words := [][]byte{[]byte("Q.DO"), []byte(fmt.Sprintf("%016x", i)), []byte(fmt.Sprintf("%016x", i)), make([]byte, 300)}
+		in := &Intent{Work: Work{Key: fmt.Sprintf("customer/%016x", i), Class: "publish", Plan: "p", Customer: "customer", Units: 1, Memory: time.Second, Words: words}, Try: uint64(i), At: Place{Rack: 1},
+			Left: time.Second, Clock: time.Minute, Order: []string{"a", "b", "c"}}
+		if re := k.intent(time.Minute, "b", 1, in); re.Kind != Granted {
+			t.Fatal(re)
+		}
+	}
+	took := float64(heap()-before) / 1000
+	t.Logf("%.0f bytes a record, of which the keeper knows %.0f", took, float64(k.bytes)/1000)
+	if reckoned := float64(k.bytes) / 1000; took > 2*reckoned || took < 0.4*reckoned {
+		t.Errorf("%.0f bytes a record; the keeper reckons with %.0f", took, reckoned)
+	}
+	runtime.KeepAlive(k)
+}
--- /dev/null
+++ b/internal/lab/trial/custody.go
@@ -0,0 +1,78 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"hitchspring/internal/lab"
+)
+
+// custody is what work that survives its instance costs while nothing is lost, beside instances that know one another alone.
+var custody = &kind{
+	about:     "what keepers cost while nothing is lost: latency of keyed work, CPU, bytes between instances, memory; [peers] in both",
+	cases:     custodyCases,
+	instances: []int{3},
+	offToo:    true,
+	play:      playCustody,
+	table:     tableCustody,
+}
+
+var custodyCases = []string{"usual", "heavy"}
+
+func playCustody(ctx context.Context, c Cell, program string) (Result, error) {
+	r := Result{Figures: map[string]float64{}}
+	var mu sync.Mutex
+	cfg := lab.Config{Day: "calm", Seed: c.Seed, For: costFor, Ingresses: c.Instances, Nodes: costNodes[c.Case], Rate: 1.1, Ingress: program, Tolerance: tolerance, Linked: true, SameKey: true,
+		Peers: true, Takeover: c.On}
+	cfg.Watch = func(ctx context.Context, w *lab.World) {
+		if !w.At(ctx, costFor-500*time.Millisecond) {
+			return
+		}
+		for i := range w.Instances() {
+			if s, err := w.Peers(ctx, i); err == nil {
+				mu.Lock()
+				r.Figures["bytes_s"] += float64(s.Counts.BytesOut) / costFor.Seconds() / float64(c.Instances)
+				mu.Unlock()
+			}
+		}
+	}
+	rep, err := lab.Run(ctx, cfg)
+	if err != nil {
+		return r, err
+	}
+	r.verdict(rep)
+	var took []float64
+	for _, w := range rep.Keyed {
+		if w.Tries == 1 && w.Served {
+			took = append(took, float64((w.Answered-w.First).Microseconds())/1000)
+		}
+	}
+	slices.Sort(took)
+	r.Figures["keyed"], r.Figures["tries"] = float64(len(rep.Keyed)), float64(rep.Tries)
+	r.Figures["p50_ms"], r.Figures["p99_ms"] = quantile(took, 0.5), quantile(took, 0.99)
+	r.Figures["cpu_us"], r.Figures["service"] = rep.CPUPerRequestUS, rep.Service
+	for _, p := range rep.Processes {
+		r.Figures["peak_mb"] = max(r.Figures["peak_mb"], p.PeakMB)
+	}
+	return r, nil
+}
+
+func tableCustody(out io.Writer, all []Result) {
+	fmt.Fprintf(out, "\n%-6s  %-22s  %-22s  %-24s  %-6s  %-22s  %-16s  %-14s\n", "load", "keyed p50 ms off, on", "keyed p99 ms off, on", "CPU us a try off, on", "ratio", "bytes/s each off, on", "peak MB off, on", "service off, on")
+	for _, name := range custodyCases {
+		at := func(figure string, on bool) float64 {
+			return quantile(pick(all, figure, func(r Result) bool { return r.Case == name && r.On == on }), 0.5)
+		}
+		ratio := 0.0
+		if off := at("cpu_us", false); off > 0 {
+			ratio = at("cpu_us", true) / off
+		}
+		fmt.Fprintf(out, "%-6s  %6.1f, %6.1f          %6.1f, %6.1f          %6.0f, %6.0f            %.3f   %8.0f, %8.0f      %.1f, %.1f        %.3f, %.3f\n", name, at("p50_ms", false), at("p50_ms", true),
+			at("p99_ms", false), at("p99_ms", true), at("cpu_us", false), at("cpu_us", true), ratio, at("bytes_s", false), at("bytes_s", true), at("peak_mb", false), at("peak_mb", true),
+			at("service", false), at("service", true))
+	}
+}
--- a/internal/lab/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -54,6 +54,7 @@
 	"partitions": partitions,
 	"cost":       cost,
 	"takeover":   takeover,
+	"custody":    custody,
 	"budgets":    budgets,
 }
 
