The module can hold other parts of a channel's figures than even ones, and reckon with what is spent unheard

Change: a channel's part is one in 'ways', even unless told otherwise (Hold, Parts); block, refill while the counter is silent, ceiling and cap go by it; what others spend without the counter's hearing of it (Away) does not fill the store. Needs says what is asked for beside what is held.

--- a/logic/halls.go
+++ b/logic/halls.go
@@ -52,11 +52,8 @@
 
 // hasRoom says whether the hall may be sent another attempt.
 func (h *hall) hasRoom(now time.Duration) bool {
-	switch {
-	case h == nil || h.Rate < 0:
-		return true
-	case h.Rate == 0:
-		return false
+	if h == nil || h.Rate <= 0 {
+		return h == nil || h.Rate < 0
 	}
 	h.credit = min(h.credit+h.Rate*(now-h.at).Seconds(), max(leastCredit, h.Rate*creditFor))
 	h.at = now
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -86,6 +86,7 @@
 	reach float64       // of the halls' capacity
 	pace  time.Duration // least retry-after while a hall returns
 
+	parts        *Parts  // of customers, held by agreement with others; nil: all are even
 	askShare     float64 // share of the sparse customers' requests that the counter is asked for
 	thin         bool    // so many gateways that none sees much of a customer or of a server
 	counterFails int
@@ -236,13 +237,10 @@
 
 // settle lets a request into the queues by what is known of its customer's store.
 func (g *Gateway) settle(r *request, inside bool) {
-	if !inside {
-		if r.plan.ExcessWorth <= r.plan.ExcessCost || g.pressed() {
-			r.why = cmp.Or(r.why, Quota)
-			g.refuse(r, g.untilRoom(r))
-			return
-		}
-		r.beyond = true // earns more than it costs, and nobody inside a quota waits for the place
+	if r.beyond = !inside; r.beyond && (r.plan.ExcessWorth <= r.plan.ExcessCost || g.pressed()) {
+		r.why = cmp.Or(r.why, Quota) // else it earns more than it costs, and nobody inside a quota waits
+		g.refuse(r, g.untilRoom(r))
+		return
 	}
 	g.hold(r)
 	g.release()
--- a/logic/quota.go
+++ b/logic/quota.go
@@ -15,6 +15,7 @@
 	id                        string
 	plan                      *Plan
 	spread, place             int           // gateways that it comes through; our place among them
+	ways, away                float64       // our part is one in so many; part that others spend unheard
 	offset                    time.Duration // spreads the customers' window ends
 	block, owed               float64       // leased units, ours to spend; to add at the next call
 	level                     float64       // the store at the last look, less all leases that we know of
@@ -38,14 +39,13 @@
 	if c == nil {
 		h := fnv.New64a()
 		h.Write([]byte(r.Customer))
-		spread := min(max(r.Spread, 1), g.set.Gateways)
-		c = &customer{id: r.Customer, plan: r.plan, spread: spread, silent: !g.set.Counter, at: g.now,
-			offset:    time.Duration(h.Sum64() % uint64(epochLength)),
+		c = &customer{id: r.Customer, plan: r.plan, spread: min(max(r.Spread, 1), g.set.Gateways),
+			offset: time.Duration(h.Sum64() % uint64(epochLength)), silent: !g.set.Counter, at: g.now,
 			refreshed: g.now, ceilingAt: g.now, seenAt: g.now,
 			place: (g.set.Me - r.First%g.set.Gateways + g.set.Gateways) % g.set.Gateways}
-		part := 2 * float64(spread) * max(1, g.set.MaxUnits)
-		c.sparse = g.set.Counter && c.plan.Rate > 0 && c.plan.Burst < part
-		c.block = c.plan.Burst / float64(spread) // the first block, told to the counter once half is spent
+		c.sparse = !c.silent && c.plan.Rate > 0 && c.plan.Burst < float64(2*c.spread)*max(1, g.set.MaxUnits)
+		c.ways, c.away = g.parts.of(c)
+		c.block = c.plan.Burst / c.ways // the first block, told to the counter once half is spent
 		c.owed = c.block
 		c.level = max(0, g.set.MaxUnits-c.block, 1-c.block) // one request more before the first look
 		if c.sparse {
@@ -65,9 +65,9 @@
 	c.refreshed = g.now
 	c.demand *= math.Exp(-dt)
 	if c.silent { // no totals come: live on the fair share of the rate, and reckon that the others do
-		part, most := c.plan.Rate/float64(c.spread)*dt, max(c.plan.Burst/float64(c.spread), g.set.MaxUnits, 1)
+		part, most := c.plan.Rate/c.ways*dt, max(c.plan.Burst/c.ways, g.set.MaxUnits, 1)
 		c.borrow(min(part, max(0, most-c.block)))
-		c.level, c.unheard = c.level-part*float64(c.spread-1), c.unheard+part*float64(c.spread-1)
+		c.level, c.unheard = c.level-part*(c.ways-1), c.unheard+part*(c.ways-1)
 	}
 }
 
@@ -80,7 +80,12 @@
 
 // room is the level by now.
 func (g *Gateway) room(c *customer) float64 {
-	return min(c.most(), c.level+c.plan.Rate*(g.now-c.at).Seconds())
+	return min(c.most(), c.level+c.filled(g.now))
+}
+
+// filled is what has come to the store since the last look, but for what others spend unheard.
+func (c *customer) filled(now time.Duration) float64 {
+	return c.plan.Rate * (1 - c.away) * (now - c.at).Seconds()
 }
 
 // most is the level of a full store: blocks are not in it, ours and half as much at each other gateway.
@@ -255,7 +260,7 @@
 		fresh -= max(0, min(fresh, c.unheard))
 	}
 	// What was let in beyond the quota took nothing from the true store, so the debt is bounded.
-	c.level = max(-c.plan.Burst/2, min(c.most(), c.level+c.plan.Rate*(g.now-c.at).Seconds()-fresh))
+	c.level = max(-c.plan.Burst/2, min(c.most(), c.level+c.filled(g.now)-fresh))
 	c.at, c.total, c.looked, c.unheard = g.now, ev.Total, g.now, 0
 	c.borrow(max(0, min(c.want, c.level/float64(c.spread))))
 	c.owed -= c.want
@@ -277,7 +282,7 @@
 	}
 	g.counterFails++
 	if !c.silent {
-		c.borrow(max(0, g.room(c)) / float64(c.spread))
+		c.borrow(max(0, g.room(c)) / c.ways)
 		c.silent = true
 	}
 	wait := g.set.CounterTimeout << min(g.counterFails, 4)
@@ -316,6 +321,9 @@
 // more gateways than attempts take turns, if a turn comes round within the shortest aim.
 func (g *Gateway) share(c *customer) int {
 	open, n, turn := c.plan.Open, c.spread, g.sweep*sweepsPerAim/turnsPerAim
+	if g.parts != nil && open >= n {
+		return max(1, int(float64(open)/c.ways+1e-6))
+	}
 	if c.plan.ExcessCost == 0 || open >= n || n > open*turnsPerAim {
 		return max(1, (open+n-1-c.place)/n)
 	}
@@ -329,7 +337,7 @@
 	if p.CeilingRate <= 0 || r.granted {
 		return true
 	}
-	filled := c.ceiling + p.CeilingRate/float64(c.spread)*(g.now-c.ceilingAt).Seconds()
-	c.ceiling, c.ceilingAt = min(p.CeilingBurst/float64(c.spread), filled), g.now
+	filled := c.ceiling + p.CeilingRate/c.ways*(g.now-c.ceilingAt).Seconds()
+	c.ceiling, c.ceilingAt = min(p.CeilingBurst/c.ways, filled), g.now
 	return c.ceiling >= r.Units && !(c.sparse && g.askShare >= counterLost) // while others are granted theirs
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -168,3 +168,79 @@
 	}
 	return out
 }
+
+// Parts are what this gateway holds, by agreement with the others, of what customers may use: of the rate, the burst, the ceiling and the
+// cap. Parts of one customer at all gateways together are one at the most, whatever is lost between them.
+type Parts struct {
+	Home float64         // of the even part, where a customer is not named
+	Of   map[string]Part // by customer
+}
+
+// Part is one customer's.
+type Part struct {
+	Share float64 // held here, of one
+	Away  float64 // held by those who spend without the counter's hearing of it
+}
+
+// of is a customer's part, one in so many, and the part that is spent unheard. Without any agreement each gateway has an even part.
+func (p *Parts) of(c *customer) (ways, away float64) {
+	ways = float64(c.spread)
+	if p == nil {
+		return ways, 0
+	}
+	if x, named := p.Of[c.id]; named {
+		return 1 / min(1, max(leastPart, x.Share)), min(1, max(0, x.Away))
+	}
+	return ways / min(1, max(leastPart, p.Home)), 0
+}
+
+// leastPart is as good as none.
+const leastPart = 1e-9
+
+// Hold takes over what this gateway holds from now on. What was let into its block before stays.
+func (g *Gateway) Hold(now time.Duration, p Parts) {
+	g.now = max(now, g.now)
+	g.parts = &p
+	for _, c := range g.roster {
+		ways, away := p.of(c)
+		if ways == c.ways && away == c.away {
+			continue
+		}
+		g.refresh(c)
+		c.level, c.at = c.level+c.filled(g.now), g.now
+		filled := c.ceiling + c.plan.CeilingRate/c.ways*(g.now-c.ceilingAt).Seconds()
+		c.ceiling, c.ceilingAt = min(filled, c.plan.CeilingBurst/c.ways, c.plan.CeilingBurst/ways), g.now
+		c.ways, c.away = ways, away
+	}
+}
+
+// Need is what a customer asks for here beside what this gateway holds of it.
+type Need struct {
+	Customer      string
+	Spread, First int
+	Part          float64 // held
+	Want          float64 // the part with which what is asked for here would pass
+	Alone         bool    // the counter is not heard
+}
+
+// Needs are those of the customers that come through several gateways and whose part counts for something, in order of first sight.
+func (g *Gateway) Needs(now time.Duration) (out []Need) {
+	for _, c := range g.roster {
+		if c.spread < 2 || c.plan.Rate <= 0 || c.sparse {
+			continue
+		}
+		n := Need{Customer: c.id, Spread: c.spread, First: (g.set.Me - c.place + g.set.Gateways) % g.set.Gateways, Part: 1 / c.ways, Alone: c.silent}
+		demand := c.demand * math.Exp(-(now - c.refreshed).Seconds())
+		if n.Alone {
+			n.Want = demand / c.plan.Rate
+		}
+		if c.plan.CeilingRate > 0 {
+			n.Want = max(n.Want, demand/c.plan.CeilingRate)
+		}
+		if c.plan.Open > 0 {
+			n.Want = max(n.Want, float64(c.open)/float64(c.plan.Open))
+		}
+		out = append(out, n)
+	}
+	return out
+}
--- a/logic/thin.go
+++ b/logic/thin.go
@@ -92,8 +92,7 @@
 // draw is a server's number in this gateway's round of four: these have each server among them equally.
 func (g *Gateway) draw(id ServerID) uint64 {
 	h := fnv.New64a()
-	h.Write([]byte{byte(g.set.Me >> 2), byte(g.set.Me >> 10)})
-	h.Write([]byte(id))
+	h.Write(append([]byte{byte(g.set.Me >> 2), byte(g.set.Me >> 10)}, id...))
 	return h.Sum64() >> 7
 }
 
