Parts of a budget that move between instances by loans that end: the decider

Change: internal/rights, pure. Each way in has an even part, lends what it doesn't need for a second at a time and never all of it; the borrower counts the end from its question less a fifth, the lender from its answer; who starts anew holds its floor until an earlier life's loans have ended. What others spend unheard is reckoned from what they said and from what the counter's totals show. Not wired in yet.

--- /dev/null
+++ b/internal/rights/rights.go
@@ -0,0 +1,555 @@
+// Package rights decides how instances part what a channel may use: how much of its rate, ceiling and cap each of them may spend by itself, and
+// how much others spend of which the shared counter does not hear. In: what is asked for here, messages of other instances, who is there, the
+// time. Out: messages, and this instance's parts. It does no I/O, reads no clock, draws chance from what it is given, and must never know a
+// request, a store or the decision module.
+//
+// Each way in (instance that a channel comes through) has an even part of its own, its home. What it does not need it lends to another way that
+// does, for a second at a time, but never all of it: whoever wakes up has a floor. After Gray and Cheriton (Leases, SOSP 1989) and the escrow
+// method (O'Neil, TODS 1986): the parts of all ways together are one at the most, whatever is lost, late, doubled or out of order, and whoever
+// dies, stops or starts anew, because
+//
+//   - a loan is known by its borrower's life and number, and is lent once for these, however often it is asked for;
+//   - its borrower counts its end from when it asked, less a fifth, its lender from when it answered; so the borrower's comes first as long as no
+//     clock runs more than a tenth wrong;
+//   - what was lent stays lent until that end, also where the borrower has died or the answer was lost;
+//   - whoever starts knows of no loans of an earlier life of its own: it holds no more than what is never lent until all those have ended.
+//
+// No two clocks are compared. A process that was stopped holds nothing that it had borrowed once it looks at its clock.
+package rights
+
+import (
+	"cmp"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Times and bounds.
+const (
+	Lease       = time.Second            // of a loan, by its lender's clock
+	leaseShare  = 0.8                    // of it, by its borrower's
+	keepShare   = 0.25                   // of its home, that a way never lends
+	renewEvery  = 250 * time.Millisecond // between two tries to have a loan go on
+	askEvery    = 200 * time.Millisecond // between two rounds of asking for more
+	givenUp     = 350 * time.Millisecond // a loan that nobody grants is asked for no longer
+	beatEvery   = 200 * time.Millisecond // between two messages to a fellow, at the most; by chance up to half as much more
+	helloEvery  = 2 * time.Second        // the same to a member whose number is not known
+	mostHellos  = 8                      // of these at one time
+	unheard     = time.Second            // a fellow that was not heard for so long may be spending without the counter
+	reserved    = time.Minute            // for which what such a one may spend is left to it
+	spare       = 1.2                    // of what is asked for here, that is kept or asked for
+	leastLoan   = 0.02                   // of a budget, below which nothing is lent
+	leastUse    = 0.02                   // of a budget, above what a fellow told, that it may use at any time
+	mostBudgets = 256
+	mostLoans   = 16 // of one budget, each way
+	mostUses    = 24 // budgets in one message
+	mostName    = 128
+)
+
+// Member is another instance that is there.
+type Member struct {
+	Name string
+	Life uint64
+}
+
+// Need is what is asked for at this instance of one channel's budget, all as parts of it.
+type Need struct {
+	Key           string
+	Spread, First int     // ways in, and the number of the first
+	Want          float64 // with which what is asked for would pass
+	Passed        float64 // of its rate, that this instance passes on
+	Others        float64 // the same that the counter's totals show of all others
+	Places        int     // of the cap: a part smaller than one place is none; 0: there is no cap
+	Alone         bool    // the counter is not heard
+}
+
+// Ask asks for a loan, or for one to go on.
+type Ask struct {
+	Key    string  `cbor:"1,keyasint"`
+	Spread int     `cbor:"2,keyasint"`
+	First  int     `cbor:"3,keyasint,omitempty"`
+	Loan   uint64  `cbor:"4,keyasint"` // the asking life's number for it
+	N      uint64  `cbor:"5,keyasint"` // of the times that it was asked for
+	Part   float64 `cbor:"6,keyasint"`
+	Places int     `cbor:"7,keyasint,omitempty"`
+}
+
+// Grant answers an Ask.
+type Grant struct {
+	Key  string  `cbor:"1,keyasint"`
+	Loan uint64  `cbor:"2,keyasint"`
+	N    uint64  `cbor:"3,keyasint"`
+	Part float64 `cbor:"4,keyasint"`
+}
+
+// Use is what an instance does with a budget.
+type Use struct {
+	Key    string  `cbor:"1,keyasint"`
+	Part   float64 `cbor:"2,keyasint"`
+	Want   float64 `cbor:"3,keyasint"`
+	Passed float64 `cbor:"4,keyasint"`
+	Alone  bool    `cbor:"5,keyasint,omitempty"`
+}
+
+// Message is one message between two instances.
+type Message struct {
+	Me       int     `cbor:"1,keyasint"` // the sender's number
+	Gateways int     `cbor:"2,keyasint"`
+	Asks     []Ask   `cbor:"3,keyasint,omitempty"`
+	Grants   []Grant `cbor:"4,keyasint,omitempty"`
+	Uses     []Use   `cbor:"5,keyasint,omitempty"`
+}
+
+// Send is a message to a member.
+type Send struct {
+	To  string
+	Msg Message
+}
+
+// Part is what this instance holds of a budget, and what others spend of it unheard.
+type Part struct{ Share, Away float64 }
+
+// Counts is what happened so far.
+type Counts struct {
+	Lent, Borrowed, Denied int // loans, and tries in vain
+	Strange                int // messages that no instance of this fleet can mean
+	Conflicts              int // members with the number of another
+}
+
+// loan is one, lent or borrowed.
+type loan struct {
+	id    uint64
+	name  string // of the other
+	life  uint64 // of the borrower
+	part  float64
+	until time.Duration
+	born  time.Duration // borrowed: when it was first asked for
+	asked time.Duration // the same, last
+	n     uint64        // the same
+	held  bool          // borrowed: it was granted
+}
+
+type entry struct {
+	key           string
+	spread, first int
+	places        int
+	need          Need
+	seen          time.Duration // the need
+	lent, loans   []loan
+	next          time.Duration // no asking for more before
+}
+
+// fellow is another way in, by its number.
+type fellow struct {
+	Member
+	heard time.Duration
+	beat  time.Duration // when it is told again
+	uses  map[string]Use
+	gone  bool // it has surely ended, or left
+}
+
+// Book is one instance's. It is used by one goroutine at a time.
+type Book struct {
+	me, gateways int
+	rng          *rand.Rand
+	now, began   time.Duration
+	entries      map[string]*entry
+	fellows      map[int]*fellow
+	numbers      map[string]int // by name
+	hello        map[string]time.Duration
+	last         uint64 // loan
+	counts       Counts
+}
+
+// New returns the book of a life that begins now: of what an earlier one has lent it knows nothing.
+func New(me, gateways int, now time.Duration, rng *rand.Rand) *Book {
+	return &Book{me: me, gateways: max(1, gateways), rng: rng, now: now, began: now, entries: map[string]*entry{}, fellows: map[int]*fellow{}, numbers: map[string]int{}, hello: map[string]time.Duration{}}
+}
+
+// Counts is what happened so far.
+func (b *Book) Counts() Counts { return b.counts }
+
+// holds says whether an instance is among the ways of a set.
+func holds(number, spread, first, gateways int) bool {
+	return (number-first%gateways+gateways)%gateways < min(spread, gateways)
+}
+
+// home is this instance's own part of a budget.
+func (b *Book) home(e *entry) float64 {
+	if !holds(b.me, e.spread, e.first, b.gateways) {
+		return 0
+	}
+	return 1 / float64(min(e.spread, b.gateways))
+}
+
+// floor is what a way never lends of its home: a quarter, and one place of the cap.
+func floor(home float64, places int) float64 {
+	f := keepShare * home
+	if places > 0 {
+		f = max(f, 1/float64(places))
+	}
+	return min(f, home)
+}
+
+// own is what is left of the home.
+func (b *Book) own(e *entry) float64 {
+	p := b.home(e)
+	if b.now < b.began+Lease { // an earlier life may have lent the rest
+		return keepShare * p
+	}
+	for _, l := range e.lent {
+		if l.until > b.now {
+			p -= l.part
+		}
+	}
+	return max(0, p)
+}
+
+// share is what this instance holds of a budget now.
+func (b *Book) share(e *entry) float64 {
+	p := b.own(e)
+	for _, l := range e.loans {
+		if l.held && l.until > b.now {
+			p += l.part
+		}
+	}
+	return min(1, p)
+}
+
+// Home is the part of its even part that this instance holds of a budget that is not known yet.
+func (b *Book) Home(now time.Duration) float64 {
+	if now < b.began+Lease {
+		return keepShare
+	}
+	return 1
+}
+
+// Parts are what this instance holds now, of each budget that it knows.
+func (b *Book) Parts(now time.Duration) map[string]Part {
+	b.now = max(b.now, now)
+	out := make(map[string]Part, len(b.entries))
+	for key, e := range b.entries {
+		out[key] = Part{b.share(e), b.away(e)}
+	}
+	return out
+}
+
+// away is what others spend of a budget without the counter's hearing of it: those who say that they don't hear it, as much as they hold and are
+// asked for; those who are not heard themselves, what they may hold, but for what the counter's totals show that nobody accounts for.
+func (b *Book) away(e *entry) float64 {
+	home, sum, lost, explained := 1/float64(max(1, min(e.spread, b.gateways))), 0.0, 0.0, 0.0
+	for number, f := range b.fellows {
+		if !holds(number, e.spread, e.first, b.gateways) {
+			continue
+		}
+		u, told := f.uses[e.key]
+		switch quiet := b.now - f.heard; {
+		case f.gone, quiet > reserved:
+		case quiet <= unheard && u.Alone:
+			sum += min(u.Part, u.Want+leastUse)
+		case quiet <= unheard:
+			explained += u.Passed
+		case told:
+			lost += min(max(home, u.Part), u.Want+leastUse)
+		default:
+			lost += leastUse
+		}
+	}
+	if lost > 0 {
+		lost = max(0, lost-max(0, e.need.Others-explained))
+	}
+	return min(1, sum+lost)
+}
+
+func (b *Book) entry(key string, spread, first, places int) *entry {
+	e := b.entries[key]
+	if e == nil {
+		if len(b.entries) >= mostBudgets || key == "" || len(key) > mostName || spread < 2 || first < 0 {
+			return nil
+		}
+		e = &entry{key: key, spread: spread, first: first, places: places}
+		b.entries[key] = e
+	}
+	return e
+}
+
+// Tick takes what is asked for here, and who is there, and returns what is to be sent. It is to be called every 50 ms or so. Budgets with the
+// largest needs come first where there are too many.
+func (b *Book) Tick(now time.Duration, needs []Need, members []Member) (out []Send) {
+	b.now = max(b.now, now)
+	b.look(members)
+	for _, n := range needs {
+		if e := b.entry(n.Key, n.Spread, n.First, n.Places); e != nil {
+			if (e.spread != n.Spread || e.first != n.First) && len(e.lent)+len(e.loans) == 0 {
+				e.spread, e.first = n.Spread, n.First
+			}
+			e.need, e.seen, e.places = n, b.now, n.Places
+		}
+	}
+	asks := map[int][]Ask{}
+	for _, key := range slices.Sorted(maps.Keys(b.entries)) {
+		e := b.entries[key]
+		e.lent = slices.DeleteFunc(e.lent, func(l loan) bool { return l.until <= b.now })
+		e.loans = slices.DeleteFunc(e.loans, func(l loan) bool {
+			return l.held && l.until <= b.now || !l.held && b.now-l.born > givenUp
+		})
+		if b.now-e.seen > reserved && len(e.lent)+len(e.loans) == 0 {
+			delete(b.entries, key)
+			continue
+		}
+		if b.now-e.seen <= unheard {
+			b.want(e, asks)
+		}
+	}
+	for _, number := range slices.Sorted(maps.Keys(b.fellows)) {
+		f := b.fellows[number]
+		if f.gone || len(asks[number]) == 0 && b.now < f.beat {
+			continue
+		}
+		uses := b.uses(number)
+		if len(asks[number]) == 0 && len(uses) == 0 && b.now-f.beat < helloEvery {
+			continue
+		}
+		f.beat = b.now + beatEvery + time.Duration(b.rng.Int64N(int64(beatEvery/2)))
+		out = append(out, Send{f.Name, Message{Me: b.me, Gateways: b.gateways, Asks: asks[number], Uses: uses}})
+	}
+	hellos := 0
+	for _, m := range members {
+		if _, known := b.numbers[m.Name]; !known && hellos < mostHellos && b.now >= b.hello[m.Name] {
+			hellos++
+			b.hello[m.Name] = b.now + helloEvery/2 + time.Duration(b.rng.Int64N(int64(helloEvery)))
+			out = append(out, Send{m.Name, Message{Me: b.me, Gateways: b.gateways}})
+		}
+	}
+	return out
+}
+
+// look takes over who is there. A fellow that is not among the members any more has not ended for that: Gone says so.
+func (b *Book) look(members []Member) {
+	there := map[string]bool{}
+	for _, m := range members {
+		there[m.Name] = true
+	}
+	maps.DeleteFunc(b.hello, func(name string, _ time.Duration) bool { return !there[name] })
+}
+
+// Gone tells that a life has surely ended, or has left: nothing is spent there.
+func (b *Book) Gone(name string, life uint64) {
+	if number, known := b.numbers[name]; known {
+		if f := b.fellows[number]; f.Life <= life {
+			f.gone = true
+		}
+	}
+}
+
+// uses are what a fellow is told of the budgets that it is a way of: those that are asked for most.
+func (b *Book) uses(number int) (out []Use) {
+	for _, key := range slices.Sorted(maps.Keys(b.entries)) {
+		e := b.entries[key]
+		if b.now-e.seen <= unheard && holds(number, e.spread, e.first, b.gateways) {
+			out = append(out, Use{key, b.share(e), e.need.Want, e.need.Passed, e.need.Alone})
+		}
+	}
+	if len(out) > mostUses {
+		slices.SortStableFunc(out, func(x, y Use) int { return cmp.Compare(y.Want, x.Want) })
+		out = out[:mostUses]
+	}
+	return out
+}
+
+// want asks for what lacks, and for loans that are used to go on.
+func (b *Book) want(e *entry, asks map[int][]Ask) {
+	need, have, pending := min(1, spare*e.need.Want), b.own(e), 0.0
+	ask := func(l *loan) {
+		number, known := b.numbers[l.name]
+		if f := b.fellows[number]; !known || f.gone || b.now-f.heard > unheard {
+			return
+		}
+		l.n++
+		l.asked = b.now
+		asks[number] = append(asks[number], Ask{e.key, e.spread, e.first, l.id, l.n, l.part, e.places})
+	}
+	for i := range e.loans {
+		l := &e.loans[i]
+		if !l.held {
+			pending += l.part
+			if b.now-l.asked >= renewEvery {
+				ask(l)
+			}
+			continue
+		}
+		if have < need && b.now-l.asked >= renewEvery {
+			ask(l)
+		}
+		have += l.part
+	}
+	lacks := need - have - pending
+	if lacks < leastLoan || b.now < e.next || e.need.Spread != e.spread || e.need.First != e.first {
+		return
+	}
+	e.next = b.now + askEvery + time.Duration(b.rng.Int64N(int64(askEvery)))
+	var from []int
+	for number, f := range b.fellows {
+		if holds(number, e.spread, e.first, b.gateways) && !f.gone && b.now-f.heard <= unheard && !slices.ContainsFunc(e.loans, func(l loan) bool { return !l.held && l.name == f.Name }) {
+			from = append(from, number)
+		}
+	}
+	slices.Sort(from)
+	for _, number := range from {
+		if len(e.loans) >= mostLoans {
+			return
+		}
+		b.last++
+		e.loans = append(e.loans, loan{id: b.last, born: b.now, name: b.fellows[number].Name, part: max(leastLoan, lacks/float64(len(from)))})
+		ask(&e.loans[len(e.loans)-1])
+	}
+}
+
+// Receive takes a message of a member's life in, and returns what is to be answered.
+func (b *Book) Receive(now time.Duration, from Member, m Message) (out []Send) {
+	b.now = max(b.now, now)
+	if m.Gateways != b.gateways || m.Me < 0 || m.Me >= b.gateways || m.Me == b.me || from.Name == "" {
+		b.counts.Strange++
+		return nil
+	}
+	f := b.fellows[m.Me]
+	switch {
+	case f == nil:
+		f = &fellow{Member: from, uses: map[string]Use{}}
+		b.fellows[m.Me] = f
+	case f.Name != from.Name && b.now-f.heard <= unheard && !f.gone: // two with one number: the first is believed while it is heard
+		b.counts.Conflicts++
+		return nil
+	case f.Name == from.Name && from.Life < f.Life:
+		return nil // of an ended life
+	case f.Name != from.Name || from.Life > f.Life:
+		delete(b.numbers, f.Name)
+		*f = fellow{Member: from, uses: map[string]Use{}}
+	}
+	f.heard, f.gone = b.now, false
+	b.numbers[from.Name] = m.Me
+	if len(m.Uses) > 0 || len(f.uses) > 0 {
+		clear(f.uses)
+		for _, u := range m.Uses[:min(len(m.Uses), mostUses)] {
+			if usable(u.Part) && u.Part <= 1 && usable(u.Want) && usable(u.Passed) && len(u.Key) <= mostName {
+				f.uses[u.Key] = u
+			} else {
+				b.counts.Strange++
+			}
+		}
+	}
+	for _, g := range m.Grants[:min(len(m.Grants), mostBudgets)] {
+		b.granted(from, g)
+	}
+	var grants []Grant
+	for _, a := range m.Asks[:min(len(m.Asks), mostBudgets)] {
+		if g, ok := b.asked(from, m.Me, a); ok {
+			grants = append(grants, g)
+		}
+	}
+	if len(grants) > 0 {
+		out = append(out, Send{from.Name, Message{Me: b.me, Gateways: b.gateways, Grants: grants, Uses: b.uses(m.Me)}})
+	}
+	return out
+}
+
+// usable says whether a figure of a message can be reckoned with; a NaN is none.
+func usable(x float64) bool { return x >= 0 && x <= 1e6 }
+
+// granted takes a loan over that was asked for.
+func (b *Book) granted(from Member, g Grant) {
+	e := b.entries[g.Key]
+	if e == nil {
+		return
+	}
+	for i := range e.loans {
+		l := &e.loans[i]
+		if l.id != g.Loan || l.name != from.Name {
+			continue
+		}
+		if l.held && l.until <= b.now { // it has ended; what is lent now is another
+			return
+		}
+		if g.N != l.n || !(g.Part > 0 && g.Part <= l.part+1e-9) { // an answer to an earlier try: when that was is not known any more
+			return
+		}
+		if !l.held {
+			l.held, l.part = true, g.Part
+			b.counts.Borrowed++
+		}
+		l.until = max(l.until, l.asked+time.Duration(leaseShare*float64(Lease)))
+		return
+	}
+}
+
+// asked decides on a loan: it is lent for as long as it is not needed here.
+func (b *Book) asked(from Member, number int, a Ask) (Grant, bool) {
+	if !usable(a.Part) || a.Part <= 0 || a.Part > 1 || a.Spread < 2 || a.First < 0 || !holds(number, a.Spread, a.First, b.gateways) || a.Places < 0 {
+		b.counts.Strange++
+		return Grant{}, false
+	}
+	e := b.entry(a.Key, a.Spread, a.First, a.Places)
+	if e == nil || e.spread != a.Spread || e.first != a.First || b.now < b.began+Lease {
+		return Grant{}, false
+	}
+	kept := floor(b.home(e), max(e.places, a.Places))
+	if b.now-e.seen <= unheard {
+		kept = max(kept, min(b.home(e), spare*e.need.Want))
+	}
+	i := slices.IndexFunc(e.lent, func(l loan) bool { return l.id == a.Loan && l.name == from.Name && l.life == from.Life })
+	if i >= 0 {
+		l := &e.lent[i]
+		if l.until <= b.now { // its end has come: it is no more
+			return Grant{}, false
+		}
+		if b.own(e) < kept-1e-9 { // it is needed here
+			b.counts.Denied++
+			return Grant{}, false
+		}
+		l.until = b.now + Lease
+		return Grant{a.Key, a.Loan, a.N, l.part}, true
+	}
+	part := min(a.Part, b.own(e)-kept)
+	if part < leastLoan || len(e.lent) >= mostLoans {
+		b.counts.Denied++
+		return Grant{}, false
+	}
+	e.lent = append(e.lent, loan{id: a.Loan, name: from.Name, life: from.Life, part: part, until: b.now + Lease})
+	if b.now-e.seen > reserved { // nobody asks for it here: it is kept as long as its loans
+		e.seen = b.now - reserved
+	}
+	b.counts.Lent++
+	return Grant{a.Key, a.Loan, a.N, part}, true
+}
+
+// Status is one budget's, for people.
+type Status struct {
+	Key                  string
+	Home, Share          float64
+	Lent, Borrowed, Away float64
+	To, From             []string
+}
+
+// Status is what is held, of the budgets with loans or with others who spend unheard, by key.
+func (b *Book) Status(now time.Duration) (out []Status) {
+	b.now = max(b.now, now)
+	for _, key := range slices.Sorted(maps.Keys(b.entries)) {
+		e := b.entries[key]
+		s := Status{Key: key, Home: b.home(e), Share: b.share(e), Away: b.away(e)}
+		for _, l := range e.lent {
+			if l.until > b.now {
+				s.Lent += l.part
+				s.To = append(s.To, l.name)
+			}
+		}
+		for _, l := range e.loans {
+			if l.held && l.until > b.now {
+				s.Borrowed += l.part
+				s.From = append(s.From, l.name)
+			}
+		}
+		out = append(out, s)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/rights/rights_test.go
@@ -0,0 +1,369 @@
+package rights
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+// world is instances with clocks of their own, and messages on their way.
+type world struct {
+	now   time.Duration
+	rates []float64 // of their clocks
+	began []time.Duration
+	books []*Book // nil: it is down
+	lives []uint64
+	wants []float64
+	alone []bool
+	air   []flying
+	peak  float64
+}
+
+type flying struct {
+	from Member
+	to   string
+	msg  Message
+}
+
+const instances = 3
+
+func newWorld(rates ...float64) *world {
+	w := &world{now: time.Hour, rates: rates, wants: make([]float64, instances), alone: make([]bool, instances), books: make([]*Book, instances), lives: make([]uint64, instances), began: make([]time.Duration, instances)}
+	for i := range instances {
+		w.start(i)
+	}
+	return w
+}
+
+// clock is an instance's own time: as many hours as others', and running wrong.
+func (w *world) clock(i int) time.Duration {
+	return time.Duration(i)*time.Hour + time.Duration(float64(w.now)*w.rates[i])
+}
+
+func (w *world) start(i int) {
+	w.lives[i]++
+	w.books[i] = New(i, instances, w.clock(i), rand.New(rand.NewPCG(uint64(i), w.lives[i])))
+}
+
+func (w *world) name(i int) string { return string(rune('a' + i)) }
+
+func (w *world) tick(i int) {
+	if w.books[i] == nil {
+		return
+	}
+	var members []Member
+	for j := range instances {
+		if j != i {
+			members = append(members, Member{w.name(j), w.lives[j]})
+		}
+	}
+	needs := []Need{{Key: "k", Spread: instances, Want: w.wants[i], Alone: w.alone[i]}}
+	for _, s := range w.books[i].Tick(w.clock(i), needs, members) {
+		w.air = append(w.air, flying{Member{w.name(i), w.lives[i]}, s.To, s.Msg})
+	}
+}
+
+// deliver brings a message; it stays on its way where it is to come twice.
+func (w *world) deliver(n int, again bool) {
+	f := w.air[n]
+	if !again {
+		w.air = append(w.air[:n:n], w.air[n+1:]...)
+	}
+	i := int(f.to[0] - 'a')
+	if w.books[i] == nil {
+		return
+	}
+	for _, s := range w.books[i].Receive(w.clock(i), f.from, f.msg) {
+		w.air = append(w.air, flying{Member{w.name(i), w.lives[i]}, s.To, s.Msg})
+	}
+}
+
+func (w *world) all() {
+	for n := 0; len(w.air) > 0 && n < 1000; n++ {
+		w.deliver(0, false)
+	}
+}
+
+// sum is what all hold together of the budget.
+func (w *world) sum() (sum float64) {
+	for i, b := range w.books {
+		if b == nil {
+			continue
+		}
+		p, known := b.Parts(w.clock(i))["k"]
+		if !known {
+			p.Share = b.Home(w.clock(i)) / instances
+		}
+		sum += p.Share
+	}
+	w.peak = max(w.peak, sum)
+	return sum
+}
+
+func (w *world) run(d time.Duration) {
+	for end := w.now + d; w.now < end; w.now += 50 * ms {
+		for i := range w.books {
+			w.tick(i)
+		}
+		w.all()
+	}
+}
+
+func (w *world) share(i int) float64 { return w.books[i].Parts(w.clock(i))["k"].Share }
+
+// What is asked for at one way comes there within a second, and goes back when the others need it; a way that wakes up has a floor at once.
+func TestFollowsNeed(t *testing.T) {
+	w := newWorld(1, 1, 1)
+	w.run(1500 * ms)
+	w.wants = []float64{1, 0, 0}
+	w.run(time.Second)
+	if got := w.share(0); got < 0.8 {
+		t.Errorf("the only one that needs it holds %.2f after a second", got)
+	}
+	if got := w.share(1); got < 0.08 || got > 0.1 {
+		t.Errorf("one that sleeps holds %.2f, a quarter of a third is its floor", got)
+	}
+	w.wants = []float64{1, 1, 1}
+	w.run(1200 * ms)
+	for i := range instances {
+		if got := w.share(i); math.Abs(got-1.0/3) > 0.01 {
+			t.Errorf("all need it, and %d holds %.2f", i, got)
+		}
+	}
+	w.wants = []float64{0.2, 0.9, 0.05}
+	w.run(1500 * ms)
+	if got := w.share(1); got < 0.6 {
+		t.Errorf("it moved, and 1 holds %.2f", got)
+	}
+	if w.sum() > 1+1e-9 {
+		t.Error(w.sum())
+	}
+}
+
+// A holder of half of the rights that is killed, stopped for long or started anew: nothing is held twice, and its part is back with its lender
+// within a lease.
+func TestHolderLost(t *testing.T) {
+	for name, lose := range map[string]func(w *world){
+		"killed":             func(w *world) { w.books[0] = nil },
+		"restarted":          func(w *world) { w.start(0) },
+		"restarted twice":    func(w *world) { w.start(0); w.run(400 * ms); w.start(0) },
+		"the lender starts":  func(w *world) { w.start(1) },
+		"both start":         func(w *world) { w.start(0); w.start(1) },
+		"stopped and woken":  func(w *world) { b := w.books[0]; w.books[0] = nil; w.run(5 * time.Second); w.books[0] = b },
+		"the lender stopped": func(w *world) { b := w.books[1]; w.books[1] = nil; w.run(5 * time.Second); w.books[1] = b },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(1, 1, 1)
+			w.run(1500 * ms)
+			w.wants = []float64{1, 0, 0}
+			w.run(time.Second)
+			w.wants = []float64{1, 1, 1}
+			lose(w)
+			for range 60 {
+				if got := w.sum(); got > 1+1e-9 {
+					t.Fatalf("they hold %.3f together", got)
+				}
+				w.run(50 * ms)
+			}
+			for i := range instances {
+				if w.books[i] != nil && w.share(i) < 1.0/3-1e-9 {
+					t.Errorf("%d holds %.2f after three seconds", i, w.share(i))
+				}
+			}
+		})
+	}
+}
+
+// Whatever is lost, late, doubled or out of order, whoever dies, stops or starts anew, with clocks that are hours apart and run up to a tenth
+// wrong: all hold no more than the budget.
+func TestNeverMoreThanTheBudget(t *testing.T) {
+	moved := 0
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0.91, 1.09)
+		w := newWorld(rate.Draw(t, "a"), rate.Draw(t, "b"), rate.Draw(t, "c"))
+		if rapid.Bool().Draw(t, "warm") {
+			w.run(1500 * ms)
+		}
+		for range rapid.IntRange(20, 150).Draw(t, "steps") {
+			i := rapid.IntRange(0, instances-1).Draw(t, "who")
+			switch what := rapid.IntRange(0, 11).Draw(t, "what"); {
+			case what < 3:
+				w.tick(i)
+			case what < 7 && len(w.air) > 0:
+				w.deliver(rapid.IntRange(0, len(w.air)-1).Draw(t, "message"), rapid.IntRange(0, 4).Draw(t, "twice") == 0)
+			case what == 7 && len(w.air) > 0:
+				n := rapid.IntRange(0, len(w.air)-1).Draw(t, "lost")
+				w.air = append(w.air[:n:n], w.air[n+1:]...)
+			case what == 8:
+				w.wants[i] = []float64{0, 0.1, 0.5, 1}[rapid.IntRange(0, 3).Draw(t, "want")]
+			case what == 9 && rapid.IntRange(0, 3).Draw(t, "die") == 0:
+				w.start(i)
+			default:
+				w.now += time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * ms
+			}
+			if got := w.sum(); got > 1+1e-9 {
+				t.Fatalf("they hold %.4f together", got)
+			}
+		}
+		for i, b := range w.books {
+			if b.Counts().Borrowed > 0 && w.lives[i] > 0 {
+				moved++
+				break
+			}
+		}
+	})
+	if moved == 0 {
+		t.Error("nothing was lent in any run")
+	}
+}
+
+// copied is the world as it stands, to be gone on with in another way.
+func (w *world) copied() *world {
+	c := *w
+	c.books, c.lives, c.wants, c.air = slices.Clone(w.books), slices.Clone(w.lives), slices.Clone(w.wants), slices.Clone(w.air)
+	for i, b := range w.books {
+		x := *b
+		x.rng = rand.New(rand.NewPCG(uint64(i), uint64(w.now)))
+		x.entries, x.fellows, x.numbers, x.hello = map[string]*entry{}, map[int]*fellow{}, maps.Clone(b.numbers), maps.Clone(b.hello)
+		for k, e := range b.entries {
+			y := *e
+			y.lent, y.loans = slices.Clone(e.lent), slices.Clone(e.loans)
+			x.entries[k] = &y
+		}
+		for k, f := range b.fellows {
+			y := *f
+			y.uses = maps.Clone(f.uses)
+			x.fellows[k] = &y
+		}
+		c.books[i] = &x
+	}
+	return &c
+}
+
+// Explored whole to a depth: two ways that want and one that lends, every order of ticks, of messages that come, come twice or are lost, of time,
+// and of starts anew. HITCHSPRING_EXPLORE goes deeper.
+func TestEveryOrder(t *testing.T) {
+	deep, _ := strconv.Atoi(os.Getenv("HITCHSPRING_EXPLORE"))
+	deep = min(max(deep, 5), 8)
+	states, lent := 0, 0
+	var walk func(w *world, path []int)
+	walk = func(w *world, path []int) {
+		states++
+		if got := w.sum(); got > 1+1e-9 {
+			t.Fatalf("%v: they hold %.4f together", path, got)
+		}
+		for _, b := range w.books {
+			if b.Counts().Borrowed > 0 {
+				lent++
+				break
+			}
+		}
+		if len(path) == deep {
+			return
+		}
+		for p := range 6 + 2*len(w.air) {
+			x, n := w.copied(), len(w.air)
+			switch {
+			case p < 2:
+				x.tick(p)
+			case p == 2:
+				x.now += 300 * ms
+			case p == 3:
+				x.now += 900 * ms
+			case p == 4:
+				x.start(2)
+			case p == 5:
+				x.start(0)
+			case p-6 < n:
+				x.deliver(p-6, false)
+			default:
+				x.deliver(p-6-n, true)
+			}
+			if len(x.air) > 3 { // few at a time, the oldest are lost
+				x.air = x.air[len(x.air)-3:]
+			}
+			walk(x, append(path[:len(path):len(path)], p))
+		}
+	}
+	w := newWorld(1, 1.09, 0.91)
+	w.run(1100 * ms)
+	w.wants = []float64{1, 0.9, 0}
+	w.air = nil
+	walk(w, nil)
+	t.Logf("%d orders of up to %d steps, with a loan in %d", states, deep, lent)
+	if lent == 0 {
+		t.Error("no loan in any order")
+	}
+}
+
+// What is spent unheard: as much as one says that is alone; of one that is not heard itself what it wanted, but for what the totals show.
+func TestAway(t *testing.T) {
+	for name, c := range map[string]struct {
+		alone  bool
+		quiet  time.Duration
+		others float64
+		gone   bool
+		want   float64
+	}{
+		"it hears the counter":                 {false, 0, 0.3, false, 0},
+		"it is alone":                          {true, 0, 0, false, 1.0 / 3},
+		"it is not heard, and nothing shows":   {false, 2 * time.Second, 0, false, 1.0 / 3},
+		"it is not heard, and its adds show":   {false, 2 * time.Second, 0.4, false, 0},
+		"it is not heard for very long":        {false, 2 * time.Minute, 0, false, 0},
+		"it has ended":                         {true, 2 * time.Second, 0, true, 0},
+		"it was alone and is not heard anyway": {true, 2 * time.Second, 0, false, 1.0 / 3},
+	} {
+		b := New(0, instances, time.Hour, rand.New(rand.NewPCG(1, 1)))
+		now := time.Hour + 2*time.Second
+		use := Use{Key: "k", Part: 1.0 / 3, Want: 1, Passed: 0.3, Alone: c.alone}
+		b.Receive(now, Member{"b", 1}, Message{Me: 1, Gateways: instances, Uses: []Use{use}})
+		now += c.quiet
+		if c.gone {
+			b.Gone("b", 1)
+		}
+		b.Tick(now, []Need{{Key: "k", Spread: instances, Want: 1, Others: c.others}}, []Member{{"b", 1}})
+		if got := b.Parts(now)["k"].Away; math.Abs(got-c.want) > 1e-9 {
+			t.Errorf("%s: %.3f, want %.3f", name, got, c.want)
+		}
+	}
+}
+
+// What no instance of the fleet can mean changes nothing.
+func TestNonsense(t *testing.T) {
+	w := newWorld(1, 1, 1)
+	w.run(1500 * ms)
+	b := w.books[0]
+	from := Member{"b", w.lives[1]}
+	before := fmt.Sprint(b.Parts(w.clock(0)))
+	ask := func(a Ask) Message { return Message{Me: 1, Gateways: instances, Asks: []Ask{a}} }
+	for i, m := range []Message{
+		{Me: 0, Gateways: instances}, {Me: 7, Gateways: instances}, {Me: -1, Gateways: instances}, {Me: 1, Gateways: 4},
+		{Me: 1, Gateways: instances, Uses: []Use{{Key: "k", Part: math.NaN()}, {Key: "k", Part: -1}, {Key: "k", Want: 1e300}}},
+		ask(Ask{Key: "k", Spread: instances, Loan: 1, N: 1, Part: math.NaN()}), ask(Ask{Key: "k", Spread: instances, Loan: 1, N: 1, Part: -1}), ask(Ask{Key: "k", Spread: instances, Loan: 1, N: 1, Part: 2}),
+		ask(Ask{Key: "k", Spread: -3, Loan: 1, N: 1, Part: 0.1}), ask(Ask{Key: "k", Spread: 2, First: -1, Loan: 1, N: 1, Part: 0.1}),
+		ask(Ask{Key: "k", Spread: 2, First: 0, Loan: 1, N: 1, Part: 0.1}), // another set of ways
+		ask(Ask{Key: "", Spread: instances, Loan: 1, N: 1, Part: 0.1}),
+		{Me: 1, Gateways: instances, Grants: []Grant{{Key: "k", Loan: 99, N: 1, Part: 0.3}, {Key: "none", Loan: 1, N: 1, Part: 0.3}, {Key: "k", Loan: 1, N: 1, Part: math.Inf(1)}}},
+	} {
+		b.Receive(w.clock(0), from, m)
+		if got := fmt.Sprint(b.Parts(w.clock(0))); got != before {
+			t.Errorf("message %d: %s, before %s", i, got, before)
+		}
+	}
+	if b.Receive(w.clock(0), Member{"z", 1}, Message{Me: 1, Gateways: instances}); b.Counts().Conflicts != 1 {
+		t.Errorf("another with the number of one that is heard: %+v", b.Counts())
+	}
+	if b.Receive(w.clock(0), Member{"b", 0}, ask(Ask{Key: "k", Spread: instances, Loan: 5, N: 1, Part: 0.1})); fmt.Sprint(b.Parts(w.clock(0))) != before {
+		t.Error("an ended life has borrowed")
+	}
+}
