Work that another may have taken over is not refused as if nothing of it had run

Cause: work that waits at its instance is written down as being nowhere; its taker sends it. The owner wakes, its module finds the time too short and refuses, for nothing of it went out there (core.act, logic.Refuse): the refusal is not true any more. Ruled out: the taker's own refusal (it says Failed where it has sent).

Change: what is written down and about to be refused is confirmed by its keepers first (Desk.Confirm): nobody has taken it: refused; another has: its answer; nobody answers within 25 ms: an honest failure.

Test: TestConfirmBeforeRefusal.

--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -70,7 +70,8 @@
 	ran    int     // attempts that may have run
 	out    uint64  // a bit for each attempt that has gone out
 	joined bool    // another try's answer is waited for
-	refuse *Answer // the module refuses it, and the keepers are asked whether another try has an answer
+	refuse *Answer // the module refuses it, and the keepers are asked whether another try has an answer, or has taken it over
+	was    bool    // refuse: it was written down for others to go on with
 	ended  bool
 }
 
@@ -208,6 +209,12 @@
 // there is no room is to have what is there already, or on its way. It returns false where that can't be asked. A client learns within 25 ms
 // that it is refused.
 func (g *Core) askForAnswer(r *Request, after time.Duration) bool {
+	if r != nil && !r.final && r.kept != nil && !r.kept.joined && r.kept.refuse == nil && r.kept.waits == nil && r.kept.ran <= 0 && r.out == 0 { // another may have taken it over
+		r.kept.refuse, r.kept.was = &Answer{Kind: Refused, RetryAfter: after}, true
+		g.taking.desk.Confirm(g.now, r.Key)
+		g.drainDesk()
+		return true
+	}
 	if r == nil || r.final || r.kept != nil || r.out > 0 || len(r.attempts) > 0 || r.Idem == "" || g.classes[r.Class].Effect != logic.Keyed {
 		return false
 	}
@@ -269,6 +276,8 @@
 			r.kept.joined = true
 		case a.Do == custody.Answered && a.Answer.Kind == custody.Served:
 			g.answer(r, Answer{Kind: Served, Value: a.Answer.Value})
+		case r.kept.was && a.Do != custody.Go && a.Do != custody.Free: // it may have been sent elsewhere: that is no refusal
+			g.answer(r, Answer{Kind: Failed})
 		default:
 			g.answer(r, *refuse)
 		}
--- a/internal/custody/desk.go
+++ b/internal/custody/desk.go
@@ -277,6 +277,26 @@
 	d.ask(now, h)
 }
 
+// Confirm asks whether nobody has taken over a try that is about to be refused: a refusal says that nothing has run. Go: nobody has;
+// Halt: it can't be known; Join and Answered as ever. It takes 25 ms at the most.
+func (d *Desk) Confirm(now time.Duration, try uint64) {
+	d.now = max(now, d.now)
+	h := d.hands[try]
+	if h == nil {
+		d.act(Act{Do: Halt, Try: try})
+		return
+	}
+	h.n++
+	h.nowhere, h.covers = h.at == Nowhere && h.from == "", true
+	if len(h.keepers) == 0 {
+		d.act(Act{Do: Go, Try: try, N: h.n})
+		return
+	}
+	d.ask(now, h)
+	h.waits = true
+	h.patience = askPatience
+}
+
 // keep chooses a try's keepers by the members that are there now, and asks them.
 func (d *Desk) keep(now time.Duration, h *hand) {
 	h.order = Keepers(h.Key, d.members)
--- a/internal/custody/desk_test.go
+++ b/internal/custody/desk_test.go
@@ -406,3 +406,56 @@
 	}
 	runtime.KeepAlive(k)
 }
+
+// Work that waits at its instance is refused only where nobody has taken it over: an owner that was held to be dead may be asked to refuse what
+// another has sent.
+func TestConfirmBeforeRefusal(t *testing.T) {
+	later := func(f *fleet, d time.Duration) {
+		for end := f.now + d; f.now < end; f.now += 10 * ms {
+			for name, d := range f.desks {
+				if !f.deaf[name] {
+					d.Tick(f.now)
+				}
+			}
+			f.run()
+		}
+	}
+	for name, c := range map[string]struct {
+		before func(f *fleet)
+		want   Do
+	}{
+		"nobody has taken it": {func(f *fleet) {}, Go},
+		"it was taken over": {func(f *fleet) {
+			f.deaf["n0"] = true
+			for n, d := range f.desks {
+				if n != "n0" {
+					d.Left(f.now, "n0", 1)
+				}
+			}
+			later(f, 300*ms)
+			if f.all(Finish) != 1 {
+				t.Fatal("nobody took it over")
+			}
+			f.deaf["n0"] = false
+		}, Join},
+		"nobody answers": {func(f *fleet) {
+			for n := range f.desks {
+				f.deaf[n] = n != "n0"
+			}
+		}, Halt},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(4)
+			f.desks["n0"].Begin(f.now, work(), 7, Nowhere, f.now+4*time.Second)
+			f.run()
+			later(f, 100*ms)
+			c.before(f)
+			f.acts["n0"] = nil
+			f.desks["n0"].Confirm(f.now, 7)
+			later(f, 100*ms)
+			if len(f.acts["n0"]) != 1 || f.acts["n0"][0].Do != c.want {
+				t.Errorf("%+v, want %v", f.acts["n0"], c.want)
+			}
+		})
+	}
+}
