Parts of budgets move between instances: [rights], off by default

Need: one instance of three that does not hear the counter overdraws a hot channel by 67% of its ceiling's store, two by 91%: each lives on an even part of the rate, which the others, who hear, take as well.

Change: [rights] (needs [peers]) wires internal/rights: every 50 ms what is asked for, messages beside those of work in hand, parts to the module (Hold) before anything is let in after a stop. Deaths that hosts have told are told apart from silence. lab trial budgets plays each case with rights off and on.

--- a/cmd/hitchspring/main.go
+++ b/cmd/hitchspring/main.go
@@ -127,7 +127,7 @@
 	if p := o.Peers; p != nil {
 		cfg.Peers = &peers.Config{Name: p.Name, Listen: p.Listen, Advertise: p.Advertise, Seeds: p.Seeds, SeedsFile: p.SeedsFile, KeyFile: p.KeyFile, Dial: p.Dial}
 	}
-	cfg.TakesOver = o.Takeover != nil
+	cfg.TakesOver, cfg.Lends = o.Takeover != nil, o.Rights != nil
 	if c := o.Clock; c != nil {
 		cfg.Clock = core.Clock{Ahead: time.Duration(c.Ahead), Rate: c.Rate}
 	}
@@ -243,7 +243,7 @@
 		log.Error("the old options are kept: of halls nothing can change in service but what the file of drills says", "options", options)
 		return
 	}
-	if !reflect.DeepEqual(o.Peers, began.Peers) || !reflect.DeepEqual(o.Clock, began.Clock) || !reflect.DeepEqual(o.Takeover, began.Takeover) {
+	if !reflect.DeepEqual(o.Peers, began.Peers) || !reflect.DeepEqual(o.Clock, began.Clock) || !reflect.DeepEqual(o.Takeover, began.Takeover) || !reflect.DeepEqual(o.Rights, began.Rights) {
 		log.Error("the old options are kept: of peers nothing can change in service but what the files of keys and seeds say", "options", options)
 		return
 	}
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -98,6 +98,9 @@
 		s.Mode = Late
 	}
 	alone := b.Plan.Rate / ways * span.Seconds()
+	if b.Part > 1/ways { // lent by others, who can't be asked any more: it ends
+		alone += b.Plan.Rate * (b.Part - 1/ways) * min(span, loanEnds).Seconds()
+	}
 	if c.Silent { // its part of the refill since the block was last looked at is there, up to a full block
 		alone += min(b.Plan.Rate/ways*max(0, now-c.Refreshed).Seconds(), max(0, max(b.Plan.Burst/ways, b.Plan.MaxUnits, 1)-c.Block))
 	} else { // when calls fail it takes its part of what is there once, and its calls may still bring some until then
@@ -107,6 +110,9 @@
 	return s
 }
 
+// loanEnds is when the last of what was borrowed of others has ended; see package rights.
+const loanEnds = time.Second
+
 // giveUp is how long calls may still be answered after this instance was last heard: it borrows on what the last total showed meanwhile.
 const giveUp = 500 * time.Millisecond
 
--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -40,12 +40,16 @@
 	Log         *Log         `toml:"log,omitempty"`
 	Peers       *Peers       `toml:"peers,omitempty"`
 	Takeover    *Takeover    `toml:"takeover,omitempty"`
+	Rights      *Rights      `toml:"rights,omitempty"`
 	Clock       *Clock       `toml:"clock,omitempty"`
 }
 
 // Takeover lets keyed work in hand survive its instance. It has no settings.
 type Takeover struct{}
 
+// Rights lets parts of budgets move between the instances that a channel comes through. It has no settings.
+type Rights struct{}
+
 // Log says what the log holds besides what is out of the ordinary.
 type Log struct {
 	Summary Duration `toml:"summary"` // between two lines that sum up what happened; they add up over instances
@@ -195,6 +199,9 @@
 	if o.Takeover != nil && o.Peers == nil {
 		faults = append(faults, fault{"takeover", "it needs [peers]: who would take over?"})
 	}
+	if o.Rights != nil && o.Peers == nil {
+		faults = append(faults, fault{"rights", "it needs [peers]: with whom would parts move?"})
+	}
 	if o.Clock != nil {
 		faults = append(faults, o.Clock.check()...)
 	}
--- a/internal/config/options_test.go
+++ b/internal/config/options_test.go
@@ -120,6 +120,8 @@
 		good + "[clock]\nahead = \"5s\"\nrate = 1.1\n":                "",
 		good + "[takeover]\n":            "",
 		"[takeover]\n":                   "takeover: it needs [peers]",
+		good + "[rights]\n":              "",
+		"[rights]\n":                     "rights: it needs [peers]",
 		good + "secret = 1\n":            ":5: peers.secret: no such key",
 		good + "[clock]\nrate = 9\n":     ":6: clock.rate: 9 is out of range",
 		good + "[clock]\nahead = \"2h\"": ":6: clock.ahead: 2h0m0s is out of range",
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,6 +60,7 @@
 	Words       WordStore     // of what operators say of nodes; nil: it ends with the process
 	Peers       Peers         // other instances, with whom judgements on nodes are shared; nil: there are none
 	Clock       Clock         // of this process, where tests have it wrong
+	Rights      Works         // parts of budgets move between instances by it; nil: all are even
 	Takeover    *Takeover     // work in hand survives this instance; nil: it does not
 }
 
@@ -166,6 +167,7 @@
 	requests  map[logic.RequestID]*Request
 	keys      map[uint64]bool // ids of requests whose time is not up, ended or not
 	lastID    logic.RequestID
+	unread    int // messages of other instances that could not be read
 	nodes     pool
 	heldBytes int // bytes of their commands
 	actions   []logic.Action
@@ -177,6 +179,7 @@
 	mostHeld  int         // of heldBytes
 	mostUnits float64     // of one request
 	judged    *judgements // nil: nobody tells of nodes
+	holding   *holding    // nil: each instance holds an even part
 	taking    *taking     // nil: work in hand ends with this instance
 	sum       *summary    // nil: no lines that sum up
 	fig       *figures.Set
@@ -234,6 +237,9 @@
 	if cfg.Takeover != nil {
 		g.taking = newTaking(*cfg.Takeover)
 	}
+	if cfg.Rights != nil {
+		g.holding = newHolding(cfg, g.clock(start))
+	}
 	if cfg.Peers != nil {
 		g.judged = newJudgements(cfg)
 	}
@@ -377,6 +383,9 @@
 	if g.taking != nil {
 		g.lookAtDesk()
 	}
+	if g.holding != nil {
+		g.lookAtRights()
+	}
 	g.summarize()
 	if g.cfg.Operated {
 		g.lookAtCluster()
@@ -418,6 +427,9 @@
 }
 
 func (g *Core) handle(ev event) {
+	if h := g.holding; h != nil && g.now-h.ticked > 2*rightsEvery { // before anything is let in by what may have ended
+		g.tickRights()
+	}
 	switch ev := ev.(type) {
 	case arrived:
 		g.arrived(ev.r)
@@ -608,6 +620,9 @@
 // launch lets an attempt go out.
 func (g *Core) launch(r *Request, a *nodes.Attempt, to logic.ServerID) {
 	g.sum.sent(a.N, g.now-r.came)
+	if g.holding != nil && a.N == 0 {
+		g.holding.passes(g.now, r)
+	}
 	if g.judged != nil {
 		g.judged.sight.Sent(g.now, to, judge.Try{Request: r.ID, N: a.N}, r.Class)
 	}
--- /dev/null
+++ b/internal/core/rights.go
@@ -0,0 +1,147 @@
+package core
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"hitchspring/internal/rights"
+	"hitchspring/logic"
+)
+
+const (
+	rightsEvery  = 50 * time.Millisecond // between two looks at what is held
+	stoppedAfter = 4 * rightsEvery       // a look so late says that this process did not run
+	passTau      = time.Second           // over which what is passed on is averaged
+	mostPassed   = 1024                  // channels of which that is known
+)
+
+// holding is this instance's parts of budgets, which move between instances. The loop's alone, but for shown.
+type holding struct {
+	book    *rights.Book
+	works   Works
+	ticked  time.Duration
+	members []rights.Member
+	passed  map[string]*passing
+	told    int // conflicts of numbers of which a line was written
+	shown   atomic.Pointer[RightsStatus]
+	showAt  time.Duration
+}
+
+// passing is the units a second that this instance passes on for a channel.
+type passing struct {
+	rate float64
+	at   time.Duration
+}
+
+func (p *passing) now(now time.Duration) float64 {
+	return p.rate * math.Exp(-(now-p.at).Seconds()/passTau.Seconds())
+}
+
+func newHolding(cfg Config, now time.Duration) *holding {
+	return &holding{book: rights.New(cfg.Settings.Me, cfg.Settings.Gateways, now, rand.New(rand.NewPCG(cfg.Seed, 47))), works: cfg.Rights, ticked: now, passed: map[string]*passing{}}
+}
+
+// passes counts a request's units, when it is first sent on.
+func (h *holding) passes(now time.Duration, r *Request) {
+	p := h.passed[r.Customer]
+	if p == nil {
+		if len(h.passed) >= mostPassed {
+			clear(h.passed)
+		}
+		p = &passing{}
+		h.passed[r.Customer] = p
+	}
+	p.rate, p.at = p.now(now)+r.Units/passTau.Seconds(), now
+}
+
+// fellows takes over who is there, and whose life has surely ended.
+func (h *holding) fellows(ev fellows) {
+	h.members = h.members[:0]
+	for _, m := range ev.members {
+		h.members = append(h.members, rights.Member{Name: m.Name})
+	}
+	for _, x := range ev.left {
+		h.book.Gone(x.Name, x.Life)
+	}
+}
+
+// lookAtRights looks at what is held, again and again.
+func (g *Core) lookAtRights() {
+	g.after(rightsEvery, g.lookAtRights)
+	g.tickRights()
+}
+
+// tickRights asks others for what lacks here, and lets the module know what this instance holds.
+func (g *Core) tickRights() {
+	h := g.holding
+	stopped := g.now-h.ticked > stoppedAfter
+	h.ticked = g.now
+	var needs []rights.Need
+	for _, n := range g.mod.Needs(g.now) {
+		x := rights.Need{Key: n.Customer, Spread: n.Spread, First: n.First, Want: n.Want, Others: n.Others / n.Rate, Places: n.Places, Alone: n.Alone}
+		if p := h.passed[n.Customer]; p != nil {
+			x.Passed = p.now(g.now) / n.Rate
+		}
+		needs = append(needs, x)
+	}
+	g.sendRights(h.book.Tick(g.now, needs, h.members))
+	g.holdParts(stopped)
+	if c := h.book.Counts().Conflicts; c > 0 && h.told == 0 {
+		h.told = c
+		g.log.Warn("two members have one number among the ingresses: what the second says of budgets is left aside", "name", g.cfg.Settings.Me)
+	}
+	if g.now >= h.showAt {
+		h.showAt = g.now + statusEvery
+		h.shown.Store(&RightsStatus{Counts: h.book.Counts(), Budgets: h.book.Status(g.now)})
+	}
+}
+
+// holdParts lets the module know what this instance holds now.
+func (g *Core) holdParts(stopped bool) {
+	p := logic.Parts{Home: g.holding.book.Home(g.now), Of: map[string]logic.Part{}}
+	for key, x := range g.holding.book.Parts(g.now) {
+		p.Of[key] = logic.Part{Share: x.Share, Away: x.Away}
+	}
+	g.mod.Hold(g.now, p, stopped)
+}
+
+// heardRights takes in what another instance's life says of budgets. What it lends or has back holds from the next look on at the latest; what this
+// instance lends counts at once.
+func (g *Core) heardRights(from string, life uint64, m rights.Message) {
+	out := g.holding.book.Receive(g.now, rights.Member{Name: from, Life: life}, m)
+	if len(out) > 0 || len(m.Grants) > 0 {
+		g.holdParts(false)
+	}
+	g.sendRights(out)
+}
+
+func (g *Core) sendRights(out []rights.Send) {
+	for _, s := range out {
+		b, err := cbor.Marshal(parcel{Rights: &s.Msg})
+		if err != nil { // of plain fields
+			panic(err)
+		}
+		g.holding.works.Send(s.To, b)
+	}
+}
+
+// RightsStatus is what is held of budgets, for people and tests.
+type RightsStatus struct {
+	rights.Counts
+	Budgets []rights.Status
+}
+
+// RightsStatus is what this instance holds, as of a moment ago; false where parts are even. It may be called by many goroutines.
+func (g *Core) RightsStatus() (RightsStatus, bool) {
+	if g.holding == nil {
+		return RightsStatus{}, false
+	}
+	if s := g.holding.shown.Load(); s != nil {
+		return *s, true
+	}
+	return RightsStatus{}, true
+}
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -8,6 +8,7 @@
 
 	"hitchspring/internal/custody"
 	"hitchspring/internal/nodes"
+	"hitchspring/internal/rights"
 	"hitchspring/logic"
 )
 
@@ -43,6 +44,7 @@
 		members []custody.Member // who is there, this instance not among them
 		gone    []Life
 		back    []Life
+		left    []Life // of gone: those that have surely ended
 	}
 )
 
@@ -57,7 +59,6 @@
 	cfg    Takeover
 	desk   *custody.Desk
 	byTry  map[uint64]*Request
-	errors int // messages that could not be read
 	shown  atomic.Pointer[WorkStatus]
 	showAt time.Duration
 }
@@ -85,26 +86,39 @@
 }
 
 // Fellows tells who else is there now, and which lives have ended or begun since.
-func (g *Core) Fellows(members []custody.Member, ended, begun []Life) {
-	g.post(fellows{members, ended, begun})
+// left are those of ended of which that is sure.
+func (g *Core) Fellows(members []custody.Member, ended, begun, left []Life) {
+	g.post(fellows{members, ended, begun, left})
 }
 
 func (g *Core) heardWork(ev heardWork) {
-	if g.taking == nil {
-		return
-	}
-	var m custody.Message
+	var m parcel
 	if err := cbor.Unmarshal(ev.data, &m); err != nil {
-		if g.taking.errors++; g.taking.errors == 1 {
-			g.log.Warn("a message on work in hand cannot be read", "from", ev.from, "err", err)
+		if g.unread++; g.unread == 1 {
+			g.log.Warn("a message of another instance cannot be read", "from", ev.from, "err", err)
 		}
 		return
 	}
-	g.taking.desk.Receive(g.now, ev.from, ev.life, m)
+	if m.Rights != nil && g.holding != nil {
+		g.heardRights(ev.from, ev.life, *m.Rights)
+	}
+	if g.taking == nil || m.Message == (custody.Message{}) {
+		return
+	}
+	g.taking.desk.Receive(g.now, ev.from, ev.life, m.Message)
 	g.drainDesk()
 }
 
+// parcel is what one instance sends another: of work, or of parts of budgets.
+type parcel struct {
+	custody.Message
+	Rights *rights.Message `cbor:"10,keyasint,omitempty"`
+}
+
 func (g *Core) fellows(ev fellows) {
+	if g.holding != nil {
+		g.holding.fellows(ev)
+	}
 	t := g.taking
 	if t == nil {
 		return
@@ -127,7 +141,7 @@
 	g.drainDesk()
 	if g.now >= t.showAt {
 		t.showAt = g.now + statusEvery
-		s := &WorkStatus{Counts: t.desk.Counts(), Unread: t.errors}
+		s := &WorkStatus{Counts: t.desk.Counts(), Unread: g.unread}
 		s.InHand, s.Records, s.Bytes = t.desk.Held()
 		t.shown.Store(s)
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -55,6 +55,8 @@
 	Peers    *peers.Config // other instances with whom this one shares what it sees; nil: none
 	// TakesOver is whether keyed work in hand survives this instance, and this one finishes others'; it needs Peers.
 	TakesOver bool
+	// Lends is whether parts of budgets move between this instance and others; it needs Peers.
+	Lends bool
 	core.Config
 }
 
@@ -120,6 +122,9 @@
 		cfg.Takeover = &core.Takeover{Self: custody.Member{Name: others.name, Hall: cfg.Settings.Zone}, Life: 1, Works: others,
 			Rebuild: func(words [][]byte) (*core.Request, error) { return later.rebuild(words) }}
 	}
+	if cfg.Config.Rights = nil; cfg.Lends && others != nil {
+		cfg.Config.Rights = others
+	}
 	c, err := core.New(cfg.Config, log)
 	if err != nil {
 		return nil, err
--- a/internal/ingress/peers.go
+++ b/internal/ingress/peers.go
@@ -56,7 +56,7 @@
 	cfg.Life = uint64(time.Now().UnixNano())
 	cfg.Hall, cfg.Seed = g.cfg.Settings.Zone, g.cfg.Seed
 	cfg.Patient = g.cfg.Listener != nil
-	if g.cfg.Takeover != nil {
+	if g.cfg.Takeover != nil || g.cfg.Config.Rights != nil {
 		cfg.Heard = func(list []peers.Parcel) {
 			for _, p := range list {
 				g.core.HeardWork(p.From, p.Life, p.Data)
@@ -69,7 +69,7 @@
 		return nil, err
 	}
 	g.company.p.Store(p)
-	if g.cfg.Takeover != nil {
+	if g.cfg.Takeover != nil || g.cfg.Config.Rights != nil {
 		g.changed(nil) // who was found before that
 	}
 	return p.Close, nil
@@ -106,11 +106,14 @@
 	for _, m := range p.Members() {
 		members = append(members, custody.Member{Name: m.Name, Hall: m.Hall})
 	}
-	var ended, begun []core.Life
+	var ended, begun, left []core.Life
 	for _, c := range changes {
 		switch {
 		case c.State > swim.Suspect:
 			ended = append(ended, core.Life{Name: c.Name, Life: c.Life})
+			if c.State == swim.Left || c.Told {
+				left = append(left, core.Life{Name: c.Name, Life: c.Life})
+			}
 		case c.State == swim.Alive:
 			if c.New && c.Life > 0 { // an earlier life of the name has ended, whether or not anybody saw it
 				ended = append(ended, core.Life{Name: c.Name, Life: c.Life - 1})
@@ -118,7 +121,7 @@
 			begun = append(begun, core.Life{Name: c.Name, Life: c.Life})
 		}
 	}
-	g.core.Fellows(members, ended, begun)
+	g.core.Fellows(members, ended, begun, left)
 }
 
 // Send and ClockOf are core.Works's.
--- a/internal/lab/trial/budgets.go
+++ b/internal/lab/trial/budgets.go
@@ -18,6 +18,7 @@
 	about:     "instances that do not hear the counter: what each passes on beside what it stated before, and the overrun",
 	cases:     budgetCases,
 	instances: []int{3},
+	offToo:    true,
 	play:      playBudgets,
 	table:     tableBudgets,
 }
@@ -56,7 +57,7 @@
 	var mu sync.Mutex
 	stated, modes := map[int]map[string]budget.Statement{}, map[budget.Mode]int{}
 	statedAt := map[int]time.Duration{}
-	cfg := lab.Config{Day: "calm", Seed: c.Seed, For: unheardAt + unheardFor + rejoinFor, Ingresses: c.Instances, Nodes: 24, Hot: 5, Ingress: program, Tolerance: tolerance, Linked: true, Peers: true,
+	cfg := lab.Config{Day: "calm", Seed: c.Seed, For: unheardAt + unheardFor + rejoinFor, Ingresses: c.Instances, Nodes: 24, Hot: 5, Ingress: program, Tolerance: tolerance, Linked: true, Peers: true, Rights: c.On,
 		Faults: faults}
 	cfg.Watch = func(ctx context.Context, w *lab.World) {
 		for t := 500 * time.Millisecond; ; t += 500 * time.Millisecond {
@@ -119,6 +120,13 @@
 		}
 	}
 	r.Figures["service"] = rep.Service
+	clips, inTime := 0, 0
+	for _, row := range rep.Rows {
+		if row.Class == "clip-publish" {
+			clips, inTime = clips+row.Wishes, inTime+row.InTime
+		}
+	}
+	r.Figures["clips"] = float64(inTime) / float64(max(1, clips))
 	r.Figures["looks_alone"], r.Figures["looks"] = float64(modes[budget.Alone]+modes[budget.Unheard]), float64(modes[budget.Normal]+modes[budget.Late]+modes[budget.Alone]+modes[budget.Unheard])
 	if len(list) > 0 && r.Figures["looks_alone"] == 0 {
 		r.Breaks = append(r.Breaks, "no instance said that it was alone")
@@ -130,14 +138,16 @@
 }
 
 func tableBudgets(out io.Writer, all []Result) {
-	fmt.Fprintf(out, "\n%-18s  %-7s  %-22s  %-16s  %-26s\n", "case", "service", "passed on, stated", "tightest, worst", "overdrawn, % of the ceiling")
+	fmt.Fprintf(out, "\n%-26s  %-6s  %-7s  %-8s  %-22s  %-16s  %-26s\n", "case", "rights", "service", "clips", "passed on, stated", "tightest, worst", "overdrawn, % of the ceiling")
 	for _, name := range budgetCases {
-		is := func(r Result) bool { return r.Case == name }
-		if len(pick(all, "service", is)) == 0 {
-			continue
+		for _, on := range []bool{false, true} {
+			is := func(r Result) bool { return r.Case == name && r.On == on }
+			if len(pick(all, "service", is)) == 0 {
+				continue
+			}
+			over := pick(all, "overdrawn", is)
+			fmt.Fprintf(out, "%-26s  %-6v  %.3f    %.3f     %8.0f, %8.0f    %.2f              %.1f mean, %.1f worst\n", name, on, mean(pick(all, "service", is)), mean(pick(all, "clips", is)),
+				mean(pick(all, "passed", is)), mean(pick(all, "stated", is)), quantile(pick(all, "tightest", is), 1), mean(over), quantile(over, 1))
 		}
-		over := pick(all, "overdrawn", is)
-		fmt.Fprintf(out, "%-18s  %.3f    %8.0f, %8.0f    %.2f              %.1f mean, %.1f worst\n", name, mean(pick(all, "service", is)), mean(pick(all, "passed", is)), mean(pick(all, "stated", is)),
-			quantile(pick(all, "tightest", is), 1), mean(over), quantile(over, 1))
 	}
 }
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -65,6 +65,7 @@
 	Takeover  bool                          // work in hand survives its instance: [takeover] is in their options; Peers too
 	Strangers []int                         // instances with another key than their peers have
 	Mortal    []int                         // instances that may end by themselves: for tests of programs that do
+	Rights    bool                          // parts of budgets move between the instances: [rights] is in their options; Peers too
 	Options   map[int]string                // further lines of an instance's options
 	Watch     func(context.Context, *World) // runs beside the load, and is waited for; nil: nothing does
 	Live      io.Writer                     // a table each second; nil: none
@@ -98,7 +99,7 @@
 	if c.Store != "" {
 		d.Store = c.Store
 	}
-	c.Peers, c.SameKey = c.Peers || c.Takeover, c.SameKey || c.Takeover
+	c.Peers, c.SameKey = c.Peers || c.Takeover || c.Rights, c.SameKey || c.Takeover
 	c.Linked = c.Linked || c.Peers
 	d.Faults = append(d.Faults, c.Faults...)
 	if !(c.Hot >= 0 && c.Hot <= 10) {
@@ -433,6 +434,9 @@
 	if w.cfg.Takeover {
 		options += "[takeover]\n"
 	}
+	if w.cfg.Rights {
+		options += "[rights]\n"
+	}
 	options += w.cfg.Options[i]
 	config := filepath.Join(w.dir, g.Name+".json")
 	text, err := json.Marshal(map[string]any{"name": g.Name, "listen": g.addr, "discovery": agent, "counter": counter,
--- a/internal/swim/swim.go
+++ b/internal/swim/swim.go
@@ -215,6 +215,7 @@
 	Was  State
 	New  bool // it was not known, or not in this life
 	Gone bool // it is forgotten
+	Told bool // of a death: hosts have turned messages back, two at the least; it was no mere silence
 }
 
 // New returns a member that knows nobody.
@@ -737,6 +738,7 @@
 	} else if u.Life != was.Life {
 		x.doubted = 0
 	}
+	told := u.State == Dead && len(x.refused) >= refusedMembers
 	x.refused = nil
 	if u.Hall == "" && u.Life == was.Life {
 		u.Hall = was.Hall
@@ -748,7 +750,7 @@
 	}
 	if u.State != was.State || u.Life != lived || fresh {
 		x.since = m.now
-		m.notes = append(m.notes, Change{Update: u, Was: was.State, New: fresh || u.Life != lived})
+		m.notes = append(m.notes, Change{Update: u, Was: was.State, New: fresh || u.Life != lived, Told: told})
 	}
 	if x.by = nil; u.State == Suspect {
 		i, _ := slices.BinarySearch(m.suspects, u.Name)
--- a/logic/state.go
+++ b/logic/state.go
@@ -46,7 +46,8 @@
 	Silent                 bool
 	Ceiling                float64
 	CeilingAt              time.Duration
-	Open                   int // attempts out
+	Open                   int     // attempts out
+	Part                   float64 // held of the plan's figures
 }
 
 // Learned returns what is known now.
@@ -66,7 +67,7 @@
 			First: (g.set.Me - c.place + g.set.Gateways) % g.set.Gateways, Block: c.block, Owed: c.owed, Level: c.level, Demand: c.demand,
 			Others: c.others, At: c.at, Looked: c.looked, Spent: c.spent, Epoch: c.epoch, Total: c.total, SeenUnits: c.seenUnits,
 			SeenFor: c.seenFor, SeenAt: c.seenAt, Seen: c.seen, NextCall: c.nextCall, Refreshed: c.refreshed, Silent: c.silent,
-			Ceiling: c.ceiling, CeilingAt: c.ceilingAt, Open: c.open})
+			Ceiling: c.ceiling, CeilingAt: c.ceilingAt, Open: c.open, Part: 1 / c.ways})
 	}
 	return l
 }
@@ -198,10 +199,15 @@
 const leastPart = 1e-9
 
 // Hold takes over what this gateway holds from now on. What was let into its block before stays.
-func (g *Gateway) Hold(now time.Duration, p Parts) {
+//
+// After a time in which this process did not run (stopped), nothing has come to it meanwhile: what it held then may have ended.
+func (g *Gateway) Hold(now time.Duration, p Parts, stopped bool) {
 	g.now = max(now, g.now)
 	g.parts = &p
 	for _, c := range g.roster {
+		if stopped {
+			c.refreshed, c.ceilingAt = g.now, g.now
+		}
 		ways, away := p.of(c)
 		if ways == c.ways && away == c.away {
 			continue
@@ -218,7 +224,9 @@
 type Need struct {
 	Customer      string
 	Spread, First int
-	Part          float64 // held
+	Rate          float64 // units a second
+	Others        float64 // units a second that the counter's totals show of all others
+	Places        int     // of the cap, where parts of it are held
 	Want          float64 // the part with which what is asked for here would pass
 	Alone         bool    // the counter is not heard
 }
@@ -229,7 +237,7 @@
 		if c.spread < 2 || c.plan.Rate <= 0 || c.sparse {
 			continue
 		}
-		n := Need{Customer: c.id, Spread: c.spread, First: (g.set.Me - c.place + g.set.Gateways) % g.set.Gateways, Part: 1 / c.ways, Alone: c.silent}
+		n := Need{Customer: c.id, Spread: c.spread, First: (g.set.Me - c.place + g.set.Gateways) % g.set.Gateways, Rate: c.plan.Rate, Others: c.others, Alone: c.silent}
 		demand := c.demand * math.Exp(-(now - c.refreshed).Seconds())
 		if n.Alone {
 			n.Want = demand / c.plan.Rate
@@ -237,7 +245,8 @@
 		if c.plan.CeilingRate > 0 {
 			n.Want = max(n.Want, demand/c.plan.CeilingRate)
 		}
-		if c.plan.Open > 0 {
+		if c.plan.Open >= c.spread {
+			n.Places = c.plan.Open
 			n.Want = max(n.Want, float64(c.open)/float64(c.plan.Open))
 		}
 		out = append(out, n)
