A starter whose earlier life has lent nothing holds its part as soon as all others say so

Change: each says to another's very life (a number drawn at its start, echoed) whether it holds loans of an earlier one; a starter is settled when all have said no, else after a second.

--- a/internal/rights/rights.go
+++ b/internal/rights/rights.go
@@ -12,7 +12,8 @@
 //   - its borrower counts its end from when it asked, less a fifth, its lender from when it answered; so the borrower's comes first as long as no
 //     clock runs more than a tenth wrong;
 //   - what was lent stays lent until that end, also where the borrower has died or the answer was lost;
-//   - whoever starts knows of no loans of an earlier life of its own: it holds no more than what is never lent until all those have ended.
+//   - whoever starts knows of no loans of an earlier life of its own: it holds no more than what is never lent until all those have ended, or all
+//     others have said to this very life that they hold none; from then on they take none of an earlier one.
 //
 // No two clocks are compared. A process that was stopped holds nothing that it had borrowed once it looks at its clock.
 package rights
@@ -99,6 +100,9 @@
 	Asks     []Ask   `cbor:"3,keyasint,omitempty"`
 	Grants   []Grant `cbor:"4,keyasint,omitempty"`
 	Uses     []Use   `cbor:"5,keyasint,omitempty"`
+	Book     uint64  `cbor:"6,keyasint"`           // drawn by the sender's life
+	Echo     uint64  `cbor:"7,keyasint,omitempty"` // the receiver's, as last heard; 0: it was not heard
+	Holds    bool    `cbor:"8,keyasint,omitempty"` // the sender holds loans of the receiver's, or has asked it for some
 }
 
 // Send is a message to a member.
@@ -146,6 +150,8 @@
 	heard time.Duration
 	beat  time.Duration // when it is told again
 	uses  map[string]Use
+	book  uint64
+	clear bool // it has told this life that it holds no loans of an earlier one
 	gone  bool // it has surely ended, or left
 }
 
@@ -154,17 +160,18 @@
 	me, gateways int
 	rng          *rand.Rand
 	now, began   time.Duration
+	id           uint64
 	entries      map[string]*entry
 	fellows      map[int]*fellow
 	numbers      map[string]int // by name
 	hello        map[string]time.Duration
-	last         uint64 // loan
+	last         uint64 // loan; the first is drawn, so that no answer to an earlier life fits
 	counts       Counts
 }
 
 // New returns the book of a life that begins now: of what an earlier one has lent it knows nothing.
 func New(me, gateways int, now time.Duration, rng *rand.Rand) *Book {
-	return &Book{me: me, gateways: max(1, gateways), rng: rng, now: now, began: now, entries: map[string]*entry{}, fellows: map[int]*fellow{}, numbers: map[string]int{}, hello: map[string]time.Duration{}}
+	return &Book{me: me, gateways: max(1, gateways), rng: rng, now: now, began: now, id: rng.Uint64() | 1, last: rng.Uint64() >> 1, entries: map[string]*entry{}, fellows: map[int]*fellow{}, numbers: map[string]int{}, hello: map[string]time.Duration{}}
 }
 
 // Counts is what happened so far.
@@ -192,10 +199,33 @@
 	return min(f, home)
 }
 
+// settled says whether nobody can hold a loan of an earlier life of this instance.
+func (b *Book) settled() bool {
+	if b.now >= b.began+Lease {
+		return true
+	}
+	clear := 0
+	for _, f := range b.fellows {
+		if f.clear {
+			clear++
+		}
+	}
+	return clear == b.gateways-1
+}
+
+// to is a message to a fellow.
+func (b *Book) to(f *fellow, m Message) Send {
+	m.Me, m.Gateways, m.Book, m.Echo = b.me, b.gateways, b.id, f.book
+	for _, e := range b.entries {
+		m.Holds = m.Holds || slices.ContainsFunc(e.loans, func(l loan) bool { return l.name == f.Name })
+	}
+	return Send{f.Name, m}
+}
+
 // own is what is left of the home.
 func (b *Book) own(e *entry) float64 {
 	p := b.home(e)
-	if b.now < b.began+Lease { // an earlier life may have lent the rest
+	if !b.settled() { // an earlier life may have lent the rest
 		return keepShare * p
 	}
 	for _, l := range e.lent {
@@ -219,7 +249,8 @@
 
 // Home is the part of its even part that this instance holds of a budget that is not known yet.
 func (b *Book) Home(now time.Duration) float64 {
-	if now < b.began+Lease {
+	b.now = max(b.now, now)
+	if !b.settled() {
 		return keepShare
 	}
 	return 1
@@ -312,14 +343,14 @@
 			continue
 		}
 		f.beat = b.now + beatEvery + time.Duration(b.rng.Int64N(int64(beatEvery/2)))
-		out = append(out, Send{f.Name, Message{Me: b.me, Gateways: b.gateways, Asks: asks[number], Uses: uses}})
+		out = append(out, b.to(f, Message{Asks: asks[number], Uses: uses}))
 	}
 	hellos := 0
 	for _, m := range members {
 		if _, known := b.numbers[m.Name]; !known && hellos < mostHellos && b.now >= b.hello[m.Name] {
 			hellos++
 			b.hello[m.Name] = b.now + helloEvery/2 + time.Duration(b.rng.Int64N(int64(helloEvery)))
-			out = append(out, Send{m.Name, Message{Me: b.me, Gateways: b.gateways}})
+			out = append(out, Send{m.Name, Message{Me: b.me, Gateways: b.gateways, Book: b.id}})
 		}
 	}
 	return out
@@ -414,6 +445,7 @@
 		return nil
 	}
 	f := b.fellows[m.Me]
+	fresh := f == nil || f.book != m.Book
 	switch {
 	case f == nil:
 		f = &fellow{Member: from, uses: map[string]Use{}}
@@ -427,7 +459,13 @@
 		delete(b.numbers, f.Name)
 		*f = fellow{Member: from, uses: map[string]Use{}}
 	}
+	if fresh { // its loans of an earlier life are no more: nothing is taken from that any longer
+		f.book, f.clear = m.Book, false
+	}
 	f.heard, f.gone = b.now, false
+	if m.Echo == b.id && !m.Holds {
+		f.clear = true
+	}
 	b.numbers[from.Name] = m.Me
 	if len(m.Uses) > 0 || len(f.uses) > 0 {
 		clear(f.uses)
@@ -448,8 +486,8 @@
 			grants = append(grants, g)
 		}
 	}
-	if len(grants) > 0 {
-		out = append(out, Send{from.Name, Message{Me: b.me, Gateways: b.gateways, Grants: grants, Uses: b.uses(m.Me)}})
+	if len(grants) > 0 || fresh {
+		out = append(out, b.to(f, Message{Grants: grants, Uses: b.uses(m.Me)}))
 	}
 	return out
 }
@@ -490,7 +528,7 @@
 		return Grant{}, false
 	}
 	e := b.entry(a.Key, a.Spread, a.First, a.Places)
-	if e == nil || e.spread != a.Spread || e.first != a.First || b.now < b.began+Lease {
+	if e == nil || e.spread != a.Spread || e.first != a.First || !b.settled() {
 		return Grant{}, false
 	}
 	kept := floor(b.home(e), max(e.places, a.Places))
--- a/internal/rights/rights_test.go
+++ b/internal/rights/rights_test.go
@@ -150,6 +150,30 @@
 	}
 }
 
+// Instances that start together, or one beside others that hold nothing of it, need not wait for loans that there are not.
+func TestSettledAtOnce(t *testing.T) {
+	w := newWorld(1, 1, 1)
+	w.run(200 * ms)
+	for i := range instances {
+		if got := w.share(i); math.Abs(got-1.0/3) > 1e-9 {
+			t.Errorf("%d holds %.2f, 200 ms after all began", i, got)
+		}
+	}
+	w.run(2 * time.Second)
+	w.start(1)
+	w.run(200 * ms)
+	if got := w.share(1); math.Abs(got-1.0/3) > 1e-9 {
+		t.Errorf("a starter of whom nobody holds anything holds %.2f after 200 ms", got)
+	}
+	w.wants = []float64{1, 0, 0}
+	w.run(time.Second)
+	w.start(1)
+	w.run(200 * ms)
+	if got := w.share(1); got > 0.1 {
+		t.Errorf("a starter that has lent most of its part holds %.2f after 200 ms", got)
+	}
+}
+
 // A holder of half of the rights that is killed, stopped for long or started anew: nothing is held twice, and its part is back with its lender
 // within a lease.
 func TestHolderLost(t *testing.T) {
@@ -343,6 +367,7 @@
 	w := newWorld(1, 1, 1)
 	w.run(1500 * ms)
 	b := w.books[0]
+	book := w.books[1].id
 	from := Member{"b", w.lives[1]}
 	before := fmt.Sprint(b.Parts(w.clock(0)))
 	ask := func(a Ask) Message { return Message{Me: 1, Gateways: instances, Asks: []Ask{a}} }
@@ -355,6 +380,7 @@
 		ask(Ask{Key: "", Spread: instances, Loan: 1, N: 1, Part: 0.1}),
 		{Me: 1, Gateways: instances, Grants: []Grant{{Key: "k", Loan: 99, N: 1, Part: 0.3}, {Key: "none", Loan: 1, N: 1, Part: 0.3}, {Key: "k", Loan: 1, N: 1, Part: math.Inf(1)}}},
 	} {
+		m.Book = book
 		b.Receive(w.clock(0), from, m)
 		if got := fmt.Sprint(b.Parts(w.clock(0))); got != before {
 			t.Errorf("message %d: %s, before %s", i, got, before)
