--- a/internal/lab/trial/budgets.go
+++ b/internal/lab/trial/budgets.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,7 +24,8 @@
 	table:     tableBudgets,
 }
 
-var budgetCases = []string{"no fault", "nobody hears", "one does not hear", "all but one", "never heard"}
+var budgetCases = []string{"no fault", "nobody hears", "one does not hear", "all but one", "never heard", "peers cut", "one hears nothing", "one restarts, nobody hears",
+	"one stops, nobody hears", "all restart, nobody hears", "clocks off, one deaf"}
 
 const (
 	unheardAt  = 4 * time.Second
@@ -36,7 +38,7 @@
 // deaf are the instances of a case that do not hear the counter.
 func deaf(name string, instances int) (out []int) {
 	for i := range instances {
-		if name == "nobody hears" || name == "never heard" || name == "one does not hear" && i == 0 || name == "all but one" && i > 0 {
+		if strings.HasSuffix(name, "nobody hears") || name == "never heard" || (name == "one does not hear" || name == "one hears nothing" || name == "clocks off, one deaf") && i == 0 || name == "all but one" && i > 0 {
 			out = append(out, i)
 		}
 	}
@@ -54,11 +56,30 @@
 	for _, i := range list {
 		faults = append(faults, fmt.Sprintf("link/%d|counter:cut %v at %v", i, unheardAt+unheardFor-cutAt, cutAt))
 	}
+	lost := map[int]bool{} // instances that start anew: they have stated nothing
+	span1 := fmt.Sprintf("%v at %v", unheardFor, unheardAt)
+	switch c.Case {
+	case "peers cut":
+		faults = append(faults, "link/0|1,2:cut "+span1)
+	case "one hears nothing":
+		faults = append(faults, "link/0|1,2:cut "+span1)
+	case "one restarts, nobody hears":
+		faults, lost[0] = append(faults, fmt.Sprintf("ingress/0:restart 300ms at %v", unheardAt+2*time.Second)), true
+	case "one stops, nobody hears":
+		faults = append(faults, fmt.Sprintf("ingress/0:pause 3s at %v", unheardAt+2*time.Second))
+	case "all restart, nobody hears":
+		for i := range c.Instances {
+			faults, lost[i] = append(faults, fmt.Sprintf("ingress/%d:restart 300ms at %v", i, unheardAt+time.Duration(1+i)*time.Second)), true
+		}
+	}
 	var mu sync.Mutex
 	stated, modes := map[int]map[string]budget.Statement{}, map[budget.Mode]int{}
 	statedAt := map[int]time.Duration{}
 	cfg := lab.Config{Day: "calm", Seed: c.Seed, For: unheardAt + unheardFor + rejoinFor, Ingresses: c.Instances, Nodes: 24, Hot: 5, Ingress: program, Tolerance: tolerance, Linked: true, Peers: true, Rights: c.On,
 		Faults: faults}
+	if c.Case == "clocks off, one deaf" {
+		cfg.Options = map[int]string{1: "[clock]\nahead = \"3s\"\n", 2: "[clock]\nrate = 1.08\n"}
+	}
 	cfg.Watch = func(ctx context.Context, w *lab.World) {
 		for t := 500 * time.Millisecond; ; t += 500 * time.Millisecond {
 			at := t
@@ -97,6 +118,9 @@
 	r.Breaks = slices.DeleteFunc(r.Breaks, func(b string) bool { return len(b) > len(lab.Quotas) && b[:len(lab.Quotas)] == lab.Quotas }) // the figure is the trial's
 	for _, i := range list {
 		for customer, s := range stated[i] {
+			if lost[i] {
+				continue
+			}
 			if s.Mode == budget.Asked || s.Plan != "storby" { // others may be passed on beyond their quota on purpose
 				continue
 			}
