--- a/cmd/hitchspring/status.go
+++ b/cmd/hitchspring/status.go
@@ -22,6 +22,7 @@
 	Peers   statusPeersCmd   `cmd:"" help:"The other instances: what is believed of each, since when, and what came from them."`
 	Work    statusWorkCmd    `cmd:"" help:"Work in hand: covered, uncovered, kept for others, taken over."`
 	Budgets statusBudgetsCmd `cmd:"" help:"The quotas of the channels with the most demand: mode, what is held, what may be passed on if nothing more is heard."`
+	Rights  statusRightsCmd  `cmd:"" help:"Parts of budgets that have moved between instances: held, lent, borrowed, and what others spend unheard."`
 	Nodes   statusNodesCmd   `cmd:"" help:"The nodes of which something is known or told: what is believed, from whom, how old, and why."`
 }
 
@@ -108,16 +109,34 @@
 	return status(c.asking, e, "budgets?for="+c.For.String(), printBudgets)
 }
 
+type statusRightsCmd struct{ asking }
+
+// Run asks a running ingress and prints a table.
+func (c *statusRightsCmd) Run(e *env) error { return status(c.asking, e, "rights", printRights) }
+
+func printRights(out io.Writer, s core.RightsStatus) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "channel\tat home\theld\tlent\tborrowed\tspent unheard by others\tlent to\tborrowed of")
+	for _, b := range s.Budgets {
+		fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%s\t%s\n", b.Key, b.Home, b.Share, b.Lent, b.Borrowed, b.Away, strings.Join(b.To, " "), strings.Join(b.From, " "))
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(out, "lent %d times, borrowed %d, denied %d; messages that no instance of this fleet can mean %d, from members with another's number %d\n", s.Lent, s.Borrowed, s.Denied, s.Strange, s.Conflicts)
+	return err
+}
+
 func printBudgets(out io.Writer, all []budget.Statement) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "channel\tplan\tmode\tways\tdemand/s\tothers/s\ttotal heard\theld\tuntold\troom\tmay pass on\tuncounted\twithin")
+	fmt.Fprintln(w, "channel\tplan\tmode\tways\tdemand/s\tothers/s\ttotal heard\tpart\theld\tuntold\troom\tmay pass on\tuncounted\tmay overdraw\twithin")
 	for _, s := range all {
 		heard := "never"
 		if s.Age >= 0 {
 			heard = s.Age.Round(time.Millisecond).String() + " ago"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.1f\t%.1f\t%s\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%v\n", s.Customer, s.Plan, s.Mode, s.Ways, s.Demand, s.Others, heard, s.Held, s.Untold, s.Room, s.Spend,
-			s.Uncounted, s.For)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.1f\t%.1f\t%s\t%.2f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%v\n", s.Customer, s.Plan, s.Mode, s.Ways, s.Demand, s.Others, heard, s.Part, s.Held, s.Untold, s.Room, s.Spend,
+			s.Uncounted, s.Overrun, s.For)
 	}
 	return w.Flush()
 }
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -77,6 +77,8 @@
 	For            time.Duration
 	Spend          float64 // units that it passes on at the most within For, should nothing be heard from now on
 	Uncounted      float64 // of Spend and of what is spent, what the counter does not know of: the others may take as much again
+	Part           float64 // of the plan's figures that is held here: even, or by agreement with others
+	Overrun        float64 // units by which this instance may overdraw the budget at the most: Uncounted, or what is spent before the others reckon with it
 }
 
 // Of states what a book comes to, should nothing be heard for so long.
@@ -107,9 +109,20 @@
 		alone += max(0, s.Room+b.Plan.Rate*giveUp.Seconds())
 	}
 	s.Spend, s.Uncounted = s.Held+alone, s.Untold+alone
+	s.Part, s.Overrun = 1/ways, s.Uncounted
+	if b.Part > 0 {
+		s.Part = b.Part
+	}
+	if b.Agreed { // others leave to this one what it holds, once they know that it does not hear the counter
+		s.Overrun = min(s.Overrun, s.Untold+max(0, s.Room)*s.Part+b.Plan.Rate*max(s.Part, 1/ways)*noticed.Seconds())
+	}
 	return s
 }
 
+// noticed is within which the others reckon with what an instance spends unheard: a call that fails, its next message to them, or a second in which
+// they hear nothing of it; see package rights.
+const noticed = 1500 * time.Millisecond
+
 // loanEnds is when the last of what was borrowed of others has ended; see package rights.
 const loanEnds = time.Second
 
--- a/internal/ingress/budgets.go
+++ b/internal/ingress/budgets.go
@@ -28,3 +28,9 @@
 	s, err := g.core.Budgets(ctx, span)
 	showJSON(w, s, err == nil, "the event loop has no time")
 }
+
+// serveRights answers which parts of budgets have moved, for `hitchspring status rights`.
+func (g *Gateway) serveRights(w http.ResponseWriter, _ *http.Request) {
+	s, ok := g.core.RightsStatus()
+	showJSON(w, s, ok, "parts of budgets are even: [rights] is off")
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -290,6 +290,7 @@
 	mux.HandleFunc("GET /nodes", g.serveNodes)
 	mux.HandleFunc("GET /work", g.serveWork)
 	mux.HandleFunc("GET /budgets", g.serveBudgets)
+	mux.HandleFunc("GET /rights", g.serveRights)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(g.reg, promhttp.HandlerOpts{MaxRequestsInFlight: mostMetrics}))
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 2 * time.Second, WriteTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 8 << 10}
 	done := make(chan struct{})
--- a/internal/lab/trial/budgets.go
+++ b/internal/lab/trial/budgets.go
@@ -32,7 +32,9 @@
 	unheardFor = 8 * time.Second
 	rejoinFor  = 5 * time.Second
 	justBefore = 40 * time.Millisecond
-	underWay   = 6.0 // units of sends that were under way when it was stated
+	// usualOverrun is by how much of its ceiling's store a channel may be overdrawn where nothing fails: the platform's slack.
+	usualOverrun = 0.1
+	underWay     = 6.0 // units of sends that were under way when it was stated
 )
 
 // deaf are the instances of a case that do not hear the counter.
@@ -139,8 +141,22 @@
 		}
 	}
 	for _, x := range rep.Channels {
-		if x.Plan == "storby" {
-			r.Figures["overdrawn"] = max(r.Figures["overdrawn"], 100*x.OfCeiling)
+		if x.Plan != "storby" {
+			continue
+		}
+		r.Figures["overdrawn"] = max(r.Figures["overdrawn"], 100*x.OfCeiling)
+		bound, all := 0.0, len(list) > 0
+		for _, i := range list {
+			s, has := stated[i][x.Customer]
+			bound, all = bound+s.Overrun, all && has && !lost[i]
+		}
+		if x.OfCeiling <= 0 || !all {
+			continue
+		}
+		store := x.Overrun / x.OfCeiling
+		r.Figures["bound"] = max(r.Figures["bound"], 100*bound/store)
+		if bound += usualOverrun * store; x.Overrun > bound+underWay*float64(len(list)) {
+			r.Breaks = append(r.Breaks, fmt.Sprintf("%s is overdrawn by %.1f units, and %.1f were stated", x.Customer, x.Overrun, bound))
 		}
 	}
 	r.Figures["service"] = rep.Service
@@ -162,7 +178,7 @@
 }
 
 func tableBudgets(out io.Writer, all []Result) {
-	fmt.Fprintf(out, "\n%-26s  %-6s  %-7s  %-8s  %-22s  %-16s  %-26s\n", "case", "rights", "service", "clips", "passed on, stated", "tightest, worst", "overdrawn, % of the ceiling")
+	fmt.Fprintf(out, "\n%-26s  %-6s  %-7s  %-8s  %-22s  %-16s  %-36s  %s\n", "case", "rights", "service", "clips", "passed on, stated", "tightest, worst", "overdrawn, % of the ceiling's store", "stated, % of it")
 	for _, name := range budgetCases {
 		for _, on := range []bool{false, true} {
 			is := func(r Result) bool { return r.Case == name && r.On == on }
@@ -170,8 +186,8 @@
 				continue
 			}
 			over := pick(all, "overdrawn", is)
-			fmt.Fprintf(out, "%-26s  %-6v  %.3f    %.3f     %8.0f, %8.0f    %.2f              %.1f mean, %.1f worst\n", name, on, mean(pick(all, "service", is)), mean(pick(all, "clips", is)),
-				mean(pick(all, "passed", is)), mean(pick(all, "stated", is)), quantile(pick(all, "tightest", is), 1), mean(over), quantile(over, 1))
+			fmt.Fprintf(out, "%-26s  %-6v  %.3f    %.3f     %8.0f, %8.0f    %.2f              %.1f mean, %.1f worst                %.0f\n", name, on, mean(pick(all, "service", is)), mean(pick(all, "clips", is)),
+				mean(pick(all, "passed", is)), mean(pick(all, "stated", is)), quantile(pick(all, "tightest", is), 1), mean(over), quantile(over, 1), mean(pick(all, "bound", is)))
 		}
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -152,13 +152,14 @@
 	Queued float64 // units taken from the block by requests that have not gone out
 	Room   float64 // the store's level by now, as this gateway pictures it, less all leases it knows of
 	Sparse bool    // no blocks: each request is asked for
+	Agreed bool    // parts are held by agreement with the others, who reckon with what is spent here unheard
 }
 
 // Standings are those of all customers.
 func (g *Gateway) Standings() map[string]Standing {
 	out := map[string]Standing{}
 	for _, c := range g.roster {
-		out[c.id] = Standing{Room: g.room(c), Sparse: c.sparse}
+		out[c.id] = Standing{Room: g.room(c), Sparse: c.sparse, Agreed: g.parts != nil && c.spread > 1}
 	}
 	for _, r := range g.live {
 		if r.charged && !r.sent && !r.final {
