--- a/internal/lab/trial/trial_test.go
+++ b/internal/lab/trial/trial_test.go
@@ -9,13 +9,13 @@
 )
 
 // Three real processes, one of them cut off from the counter while a channel asks for five times its quota: it says that it is alone, and passes on no more than
-// it had stated before. The other rules have tests of their own, which a full machine disturbs less.
+// it had stated before, and overdraws the channel by no more, with even parts and with parts that move. The other rules have tests of their own, which a full machine disturbs less.
 func TestStatedBeforeTheCut(t *testing.T) {
 	t.Parallel()
 	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Minute)
 	defer cancel()
 	var out bytes.Buffer
-	results, err := Run(ctx, Config{Name: "budgets", Seed: 1, Seeds: 1, Cases: []string{"one does not hear"}, Jobs: 1}, &out)
+	results, err := Run(ctx, Config{Name: "budgets", Seed: 1, Seeds: 1, Cases: []string{"one does not hear"}, Jobs: 2}, &out)
 	if err != nil && len(results) == 0 {
 		t.Fatal(err)
 	}
@@ -25,7 +25,7 @@
 			t.Errorf("nothing was stated or passed on: %v", r.Figures)
 		}
 		for _, b := range r.Breaks {
-			if strings.Contains(b, "had stated") || strings.Contains(b, "was alone") {
+			if strings.Contains(b, "had stated") || strings.Contains(b, "were stated") || strings.Contains(b, "was alone") {
 				t.Error(b)
 			}
 		}
