A try whose instance was stopped beyond its time is no broken promise of the instance

Cause: the lab's client excuses a try that has no answer from an instance that was down meanwhile, not one whose answer comes when it wakes (load.go, try). Ruled out: the program (it was stopped by the lab's own SIGSTOP from 2 to 5 s).

Change: such an answer beyond its time is excused as well; one of an instance that was not down is judged as before.

--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -297,6 +297,9 @@
 		if err == nil {
 			t.Answers = append(t.Answers, audit.Answer{At: l.w.clock(), Kind: ans.kind})
 			t.value = ans.value
+			if at := t.Answers[0].At; at-t.Sent > wait { // one that was stopped answers when it wakes
+				t.Excused = g.wasDown(t.Sent, at)
+			}
 			t.Spoilt = ans.kind == "served" && ans.value != "value of "+t.ID && !(key != "" && t.key == key && strings.HasPrefix(ans.value, "value of ")) // the key's first try may have made it
 			if nc.more() {
 				t.Answers = append(t.Answers, audit.Answer{At: l.w.clock(), Kind: "failed"})
