A watch that says nothing is opened again in time, and indented lists are read on it

Found by reading what is owed when a watch ends.

At fault, internal/discovery: watch waited 6 s for an agent that takes the call and never answers, in which what the agent has counts as told; 6 s of silence is all the time that the platform's clock gives, so a stir of the machine was enough to be late; bufio.Scanner took each line for a list, so one that is indented over many ended the watch for good, again and again; the pause before the next watch doubled also where the last had lived and told, up to 3 s. Of 300 instances whose watches fell silent together each came back after 15 to 45 s, and what they miss counts as told after 6.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -4,7 +4,6 @@
 package discovery
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -24,13 +23,16 @@
 )
 
 const (
-	watchSilence = 6 * time.Second        // three of the empty lines that come every 2 s
-	listTimeout  = 1 * time.Second        // the agent answers at once, unless discovery is down
-	firstPause   = 100 * time.Millisecond // before the list is asked for again; doubled each time
+	watchSilence = 4500 * time.Millisecond // two of the empty lines that come every 2 s: what a silent watch misses counts as told after 6 s
+	listTimeout  = 1 * time.Second         // the agent answers at once, unless discovery is down
+	agentPause   = 400 * time.Millisecond  // the longest before an agent is asked again that answers by itself
+	firstPause   = 100 * time.Millisecond  // before the list is asked for again; doubled each time
 	longestPause = 2 * time.Second
 	few          = 20                     // instances that may each ask at their own pace
 	callSpace    = 100 * time.Millisecond // of more: their calls together come one in so long after a failure, or later
-	mostSpace    = 4                      // times that space, at the most
+	allCalls     = 8 * time.Second        // in which discovery can take a call of each, however many they are
+	mostSpace    = 2                      // times their pause, at the most
+	reopenWithin = 1 * time.Second        // of more: within it all watches are opened again that fell silent together
 	maxList      = 1 << 20
 )
 
@@ -80,21 +82,25 @@
 	log    *slog.Logger
 	pauses [2]time.Duration // the first and the longest before asking again
 	known  bool             // a list came with the configuration, and many instances would ask at once
+	agent  bool             // the list is pushed: the agent answers by itself, at once and at no cost
 }
 
 // New returns a watcher of the agent at an address, which holds the list of a revision already. It posts every further list
 // and change from its own goroutine. Instances is how many share what discovery can do (1: its agent
 // answers by itself): it has one capacity for all of them, and what
 // is asked of it while it is overbooked is work for nothing. Beyond a few, those that hold a list (known) begin to watch
-// within instances x 25 ms and ask for no whole list besides; after a failure all come back at one call in 100 ms together,
-// at last one in 400 ms.
+// within instances x 25 ms (2 s at most) and ask for no whole list besides; after a failure all come back at one call in 100 ms
+// together, at last one in 200 ms, but each within 8 s, at last 16: in 8 s discovery can take a call of everyone.
 func New(addr string, rev int64, instances int, known bool, post func(List), log *slog.Logger) *Watcher {
 	pauses := [2]time.Duration{firstPause, longestPause}
-	if instances > few {
-		pauses[0] = time.Duration(instances) * callSpace
+	switch {
+	case instances == 1:
+		pauses[1] = agentPause
+	case instances > few:
+		pauses[0] = min(time.Duration(instances)*callSpace, allCalls)
 		pauses[1] = mostSpace * pauses[0]
 	}
-	return &Watcher{pauses: pauses, known: known && instances > few, url: listURL(addr), rev: rev, moves: store.NewLatest[string](), post: post, log: log,
+	return &Watcher{pauses: pauses, agent: instances == 1, known: known && instances > few, url: listURL(addr), rev: rev, moves: store.NewLatest[string](), post: post, log: log,
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true}}, first: make(chan struct{})}
 }
 
@@ -145,17 +151,19 @@
 	listed()
 	for pause := d.pauses[0]; ctx.Err() == nil; pause = min(2*pause, d.pauses[1]) {
 		began := time.Now()
-		err := d.watch(ctx)
+		heard, err := d.watch(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		d.log.Warn("discovery: the watch ended", "err", err)
-		if time.Since(began) > watchSilence {
+		wait := pause/2 + rand.N(pause)
+		if heard || time.Since(began) > watchSilence { // it was no call that failed: what it misses is owed soon
 			pause = d.pauses[0]
+			wait = min(pause/2+rand.N(pause), rand.N(reopenWithin))
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause/2 + rand.N(pause)):
+		case <-time.After(wait):
 		}
 	}
 }
@@ -176,32 +184,63 @@
 	return d.tell(text)
 }
 
-// watch follows the changes; it always ends with an error.
-func (d *Watcher) watch(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silence := time.AfterFunc(watchSilence, cancel)
+// watch follows the changes; it always ends with an error, and says whether anything came on it. Nothing may keep it waiting for good:
+// neither an agent that takes the call and doesn't answer, nor a watch that falls silent, between two changes or within one.
+func (d *Watcher) watch(ctx context.Context) (heard bool, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	within := watchSilence
+	if d.agent {
+		within = listTimeout
+	}
+	silence := time.AfterFunc(within, func() { cancel(errSilent) })
 	defer silence.Stop()
+	defer func() {
+		if errors.Is(context.Cause(ctx), errSilent) {
+			err = errSilent
+		}
+	}()
 	body, err := d.get(ctx, fmt.Sprintf("%s?follow=1&since=%d", d.url, d.rev))
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer body.Close()
-	in := bufio.NewScanner(body)
-	in.Buffer(nil, maxList)
-	for in.Scan() {
+	silence.Reset(watchSilence)
+	in := &bounded{Reader: body, came: func() {
+		heard = true
 		silence.Reset(watchSilence)
-		if len(in.Bytes()) == 0 {
-			continue
-		}
-		if err := d.tell(in.Bytes()); err != nil {
-			return err
+	}}
+	for lists := json.NewDecoder(in); ; { // a list may stand on one line or be indented over many
+		in.left = maxList
+		var f List
+		if err := lists.Decode(&f); err != nil {
+			return heard, fmt.Errorf("watch: %w", err)
 		}
+		d.take(f)
 	}
-	if err := in.Err(); err != nil {
-		return fmt.Errorf("watch: %w", err)
+}
+
+// errSilent is why a watch was given up on which nothing comes any more.
+var errSilent = errors.New("watch: silent")
+
+// bounded reads so many bytes at most until more are allowed, and says when some have come.
+type bounded struct {
+	io.Reader
+	left int
+	came func()
+}
+
+// Read is io.Reader's.
+func (b *bounded) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errors.New("a list that does not end")
 	}
-	return errors.New("watch: closed")
+	n, err := b.Reader.Read(p[:min(len(p), b.left)])
+	if n > 0 {
+		b.left -= n
+		b.came()
+	}
+	return n, err
 }
 
 func (d *Watcher) get(ctx context.Context, url string) (io.ReadCloser, error) {
@@ -226,13 +265,18 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return fmt.Errorf("list: %w", err)
 	}
+	d.take(f)
+	return nil
+}
+
+// take passes a list or a change on, unless a later one has been.
+func (d *Watcher) take(f List) {
 	if f.Rev < d.rev { // it would revive what is gone
 		d.log.Warn("discovery: an older list is left aside", "rev", f.Rev, "held", d.rev)
-		return nil
+		return
 	}
 	d.rev = f.Rev
 	d.post(f.Usable(d.log))
-	return nil
 }
 
 // Usable is the list without the entries that say nothing.
