A second answer that comes late is not taken for the next command's

Checked: what came is the first answer again, word for word, and connections rest for 3 ms before their next command. At fault: internal/nodes, restTime; what came 3 to 10 ms late was passed on as the answer to the command written meanwhile, another client's. Ruled out: telling copies by their text (two requests may well have the same answer).

Change: a connection rests for 15 ms. Another command waits for that long at most, or has another connection.

Test: TestLateSecondAnswer, a node that holds the copy for 8.5 ms; without the mend request 2 is answered '1' (shown once).

--- a/internal/ingress/ends_test.go
+++ b/internal/ingress/ends_test.go
@@ -182,3 +182,28 @@
 		t.Errorf("the node was sent %d commands", n)
 	}
 }
+
+// A second copy of an answer may come some milliseconds late. It must not be taken for the answer to the next command, which waits on
+// that connection: the node holds it back for longer than a command took to follow once.
+func TestLateSecondAnswer(t *testing.T) {
+	t.Parallel()
+	value := func(args []string) string { return "*3\r\n$1\r\n" + args[2][15:] + "\r\n$-1\r\n$-1\r\n" }
+	be := scripted.NewNode(t, func(_ int, args []string, nc net.Conn) string {
+		go func() {
+			<-time.After(8500 * time.Microsecond) // the latest that was seen
+			io.WriteString(nc, value(args))
+		}()
+		io.WriteString(nc, value(args))
+		<-time.After(12 * time.Millisecond) // a command that has followed is answered behind the copy
+		return ""
+	})
+	list := fleetOf(be.Addr)
+	addr, _ := startIngress(t, testConfig(scripted.Registry(t, list, nil), list))
+	nc, in := dial(t, addr)
+	for id := 1; id <= 9; id++ {
+		io.WriteString(nc, ask(id, readFields))
+		if a, b := line(t, in), line(t, in); a != "$1" || b != fmt.Sprint(id) {
+			t.Fatalf("request %d was answered %q, %q", id, a, b)
+		}
+	}
+}
--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -27,7 +27,7 @@
 	still        = logic.Failed // the zero outcome: an attempt that nobody has given up
 	writeTimeout = 5 * time.Second
 	answerTime   = 200 * time.Millisecond // for the rest of an answer that has begun: one that never ends is spoilt
-	restTime     = 3 * time.Millisecond   // of a connection between two commands: what stands behind an answer shows
+	restTime     = 15 * time.Millisecond  // of a connection between two commands: what stands behind an answer shows, some milliseconds late
 	mostLoad     = 1e9                    // a load figure beyond is none
 )
 
