A request is judged by its own plan, whoever named its customer first

Found by reading, for the moment in which a request picks up another's settings: logic/quota.go, customer, kept a record by the customer's number alone, with the plan of the first request that named it, for as long as it was seen once a minute. A client that says a wrong plan once set the rate, the store and the cap of the customer's true requests at that instance.

Change: a record belongs to a customer and a plan; the second plan has a record, and a name at the counter, of its own.

Test: TestPlansOfOneNameAreKeptApart; without it 5 of 9 and 4 of 20 are sent on (shown once).

--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -259,3 +259,37 @@
 		t.Fatalf("servers %v, fleet %v", r.g.servers, r.g.fleet)
 	}
 }
+
+// A request that names a customer with another plan than the first one did is judged by its own plan, and leaves the other's store alone:
+// whoever came first once set the quota of all that followed.
+func TestPlansOfOneNameAreKeptApart(t *testing.T) {
+	for _, first := range []string{"small", "large"} {
+		set := settings()
+		set.Gateways, set.Counter = 1, false
+		set.Plans = append(set.Plans, Plan{Name: "large", Price: 1, Rate: 3, Burst: 20, ExcessCost: 0.5})
+		r := newRig(t, set, Server{ID: "s", State: Running})
+		sent := map[string]int{}
+		id := RequestID(0)
+		ask := func(plan string) {
+			id++
+			out := r.tell(Arrival{Request{ID: id, Class: "read", Plan: plan, Customer: "c", Units: 1, GiveUpAt: r.now + 2*time.Second, Spread: 1}})
+			if got := only[Send](out); len(got) > 0 {
+				sent[plan]++
+				r.tell(AttemptEnded{ID: id, Server: "s", Outcome: Done, Took: ms, Finished: true})
+			}
+		}
+		ask(first)
+		r.pass(3 * time.Second) // its store is full again
+		for range 30 {
+			ask("small")
+			ask("large")
+		}
+		most := map[string]int{"small": 8, "large": 20}
+		most[first]++ // the store has filled since its first request
+		for plan, n := range most {
+			if sent[plan] != n {
+				t.Errorf("%s first: %d requests of plan %s were sent on, its store holds %d", first, sent[plan], plan, n)
+			}
+		}
+	}
+}
--- a/logic/quota.go
+++ b/logic/quota.go
@@ -1,7 +1,6 @@
 package logic
 
 import (
-	"hash/fnv"
 	"math"
 	"slices"
 	"strconv"
@@ -35,12 +34,14 @@
 }
 
 func (g *Gateway) customer(r *request) *customer {
-	c := g.customers[r.Customer]
+	id := r.Customer
+	if c := g.customers[id]; c != nil && c.plan.Name != r.plan.Name { // it is judged by no plan but its own
+		id += "/" + strconv.FormatUint(hashed(r.plan.Name), 36)
+	}
+	c := g.customers[id]
 	if c == nil {
-		h := fnv.New64a()
-		h.Write([]byte(r.Customer))
-		c = &customer{id: r.Customer, plan: r.plan, spread: min(max(r.Spread, 1), g.set.Gateways),
-			offset: time.Duration(h.Sum64() % uint64(epochLength)), silent: !g.set.Counter, at: g.now,
+		c = &customer{id: id, plan: r.plan, spread: min(max(r.Spread, 1), g.set.Gateways),
+			offset: time.Duration(hashed(id) % uint64(epochLength)), silent: !g.set.Counter, at: g.now,
 			refreshed: g.now, ceilingAt: g.now, seenAt: g.now,
 			place: (g.set.Me - r.First%g.set.Gateways + g.set.Gateways) % g.set.Gateways}
 		c.sparse = !c.silent && c.plan.Rate > 0 && c.plan.Burst < float64(2*c.spread)*max(1, g.set.MaxUnits)
@@ -52,7 +53,7 @@
 			c.silent, c.span = true, time.Duration(c.plan.Burst/c.plan.Rate*float64(time.Second))
 			c.block += g.rng.Float64() * max(1, g.set.MaxUnits)
 		}
-		g.customers[r.Customer] = c
+		g.customers[id] = c
 		g.roster = append(g.roster, c)
 	}
 	c.seen = g.now
@@ -133,11 +134,7 @@
 
 // unasked settles a request without the counter's word.
 func (g *Gateway) unasked(r *request) {
-	if g.thin {
-		g.settle(r, g.guess(r))
-	} else {
-		g.settle(r, g.admit(r))
-	}
+	g.settle(r, g.thin && g.guess(r) || !g.thin && g.admit(r))
 }
 
 // inquire asks the counter for a request's units, which stand for those of the part that is asked for.
--- a/logic/thin.go
+++ b/logic/thin.go
@@ -91,9 +91,13 @@
 
 // draw is a server's number in this gateway's round of four: these have each server among them equally.
 func (g *Gateway) draw(id ServerID) uint64 {
+	return hashed(string([]byte{byte(g.set.Me >> 2), byte(g.set.Me >> 10)})+string(id)) >> 7
+}
+
+func hashed(text string) uint64 {
 	h := fnv.New64a()
-	h.Write(append([]byte{byte(g.set.Me >> 2), byte(g.set.Me >> 10)}, id...))
-	return h.Sum64() >> 7
+	h.Write([]byte(text))
+	return h.Sum64()
 }
 
 // mine says whether the server is one of those that this gateway prefers. Each gateway of many uses a few
