A large value whose node falls silent is cut at its client's time, not up to 5 s after

Found by reading what time-outs leave: once a value is passed on piece by piece, the request's time ends nothing any more (nodes.GiveUp), and a node that says nothing in the middle had 5 s for each piece (stream.go, streamStall). The client is owed an end half a second after its time at the latest. And, from the watch of the list: one that can't be read counted as life, so that the same was asked for again ten times a second.

Change: past the client's time a node that is silent for 0.25 s is given up; one that goes on is not. A list that can't be read is followed by the pause of a failure.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -214,6 +214,11 @@
 		in.left = maxList
 		var f List
 		if err := lists.Decode(&f); err != nil {
+			if bad := (*json.SyntaxError)(nil); errors.As(err, &bad) { // it would be the same again
+				heard = false
+			} else if bad := (*json.UnmarshalTypeError)(nil); errors.As(err, &bad) {
+				heard = false
+			}
 			return heard, fmt.Errorf("watch: %w", err)
 		}
 		d.take(f)
--- a/internal/discovery/silent_test.go
+++ b/internal/discovery/silent_test.go
@@ -147,3 +147,16 @@
 		t.Errorf("%d watches for four indented lists, want 1", n)
 	}
 }
+
+// A list that can't be read ends its watch, and is not asked for again and again as fast as a watch that has lived.
+func TestBadListIsNoSignOfLife(t *testing.T) {
+	for _, text := range []string{`{"rev":"x"}`, `{"rev":8,]`} {
+		d := New("127.0.0.1:1", 7, 1, true, func(List) { t.Error("told") }, quiet)
+		d.client.Transport = carrier(func(r *http.Request) (*http.Response, error) {
+			return &http.Response{StatusCode: http.StatusOK, Status: "200", Request: r, Body: io.NopCloser(strings.NewReader(text))}, nil
+		})
+		if heard, err := d.watch(t.Context()); heard || err == nil {
+			t.Errorf("%s: %v, %v", text, heard, err)
+		}
+	}
+}
--- a/internal/ingress/ends_test.go
+++ b/internal/ingress/ends_test.go
@@ -207,3 +207,22 @@
 		}
 	}
 }
+
+// A large value whose node falls silent in the middle is owed an end when its client's time is over: it is cut, so that the client sees that
+// it is not whole, and not seconds later.
+func TestLargeValueStopsAtItsTime(t *testing.T) {
+	t.Parallel()
+	be := scripted.NewNode(t, func(int, []string, net.Conn) string {
+		return answerOf(pattern(1, 200<<10))[:100<<10] // and no more
+	})
+	list := fleetOf(be.Addr)
+	addr, _ := startIngress(t, testConfig(scripted.Registry(t, list, nil), list))
+	nc, in := dial(t, addr)
+	const wait = time.Second
+	began := time.Now()
+	io.WriteString(nc, ask(1, strings.Replace(readFields, "d=50000", "d=1000", 1)))
+	n, err := io.Copy(io.Discard, in)
+	if took := time.Since(began); took < wait || took > wait+500*time.Millisecond {
+		t.Errorf("cut after %v (%d bytes, %v), its time is %v", took, n, err, wait)
+	}
+}
--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -154,14 +154,16 @@
 	writing sync.Mutex              // held from before a command's first byte until whole tells of it
 	whole   atomic.Pointer[Attempt] // the last one that was written to its last byte: it may have run
 	passing atomic.Pointer[Stream]  // the last value that it began to pass on
+	until   atomic.Int64            // when its client gives that up, in nanoseconds of Unix time; 0: nobody does
 	cur     *Attempt
 	since   time.Duration // idle since
 	down    bool
 }
 
 type job struct {
-	a   *Attempt
-	buf []byte
+	a     *Attempt
+	buf   []byte
+	until time.Time // when its owner gives it up
 }
 
 // The events of a connection.
@@ -296,6 +298,9 @@
 			return
 		case j := <-c.work:
 			c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if !j.until.IsZero() {
+				c.until.Store(j.until.UnixNano())
+			}
 			c.writing.Lock()
 			n, err := c.nc.Write(j.buf)
 			if n == len(j.buf) {
@@ -513,7 +518,7 @@
 func (p *Pool) write(c *conn, a *Attempt) {
 	a.conn, c.cur, a.handed = c, a, p.owner.Now()
 	select {
-	case c.work <- job{a, a.command(p.owner.Now())}:
+	case c.work <- job{a, a.command(p.owner.Now()), time.Now().Add(a.Stop - p.owner.Now())}:
 	default: // it has answered what was not written yet: the order is lost, and this goroutine must not wait
 		c.nc.Close()
 	}
--- a/internal/nodes/nodes_test.go
+++ b/internal/nodes/nodes_test.go
@@ -234,7 +234,7 @@
 			near, far := net.Pipe()
 			a := &Attempt{}
 			cn := &conn{nc: near, work: make(chan job, 1), dead: make(chan struct{})}
-			cn.work <- job{a, []byte("123456789")}
+			cn.work <- job{a: a, buf: []byte("123456789")}
 			written := make(chan struct{})
 			go func() {
 				defer close(written)
--- a/internal/nodes/stream.go
+++ b/internal/nodes/stream.go
@@ -14,11 +14,26 @@
 )
 
 const (
-	pieceSize   = 8 << 10         // of a value that is passed on as it comes
-	leastPiece  = 1 << 10         // where the account of memory is empty
-	streamStall = 5 * time.Second // for a node to go on in the middle of such a value
+	pieceSize   = 8 << 10                // of a value that is passed on as it comes
+	leastPiece  = 1 << 10                // where the account of memory is empty
+	streamStall = 5 * time.Second        // for a node to go on in the middle of such a value
+	overStall   = 250 * time.Millisecond // the same once its client's time is over: the client is owed an end, if it still reads
 )
 
+// stall is until when a node may say nothing in the middle of a value.
+func (c *conn) stall(now time.Time) time.Time {
+	usual, over := now.Add(streamStall), now.Add(overStall)
+	if at := c.until.Load(); at != 0 {
+		if end := time.Unix(0, at).Add(overStall); end.After(over) {
+			over = end
+		}
+		if over.Before(usual) {
+			return over
+		}
+	}
+	return usual
+}
+
 // ErrUnwanted is what a stream ends with that nobody waits for any more.
 var ErrUnwanted = errors.New("the value is not wanted any more")
 
@@ -82,7 +97,7 @@
 		return Reply{}, err
 	}
 	for buf := make([]byte, min(room, left)); left > 0; {
-		c.nc.SetReadDeadline(time.Now().Add(streamStall))
+		c.nc.SetReadDeadline(c.stall(time.Now()))
 		n, err := c.nc.Read(buf[:min(len(buf), left)])
 		if n > 0 {
 			err = give(buf[:n])
@@ -97,7 +112,7 @@
 
 // tail reads what stands behind a value that was passed on: the end of its line, the figures on use, the load report.
 func (c *conn) tail(in *resp.Inbox) (Reply, error) {
-	c.nc.SetReadDeadline(time.Now().Add(streamStall))
+	c.nc.SetReadDeadline(c.stall(time.Now()))
 	for in.Came() < 2 {
 		if err := in.Fill(c.nc.Read); err != nil {
 			return Reply{}, err
