--- a/internal/front/resp/client.go
+++ b/internal/front/resp/client.go
@@ -34,7 +34,7 @@
 	tidyEvery     = 250 * time.Millisecond
 	leaveTidy     = 50 * time.Millisecond  // the same of a front that leaves
 	leaveOpen     = 600 * time.Millisecond // of leaving: new connections still come; then those without an open request are closed
-	leaveTake     = 700 * time.Millisecond // of leaving: what comes later on a connection that is still open is refused at once
+	leaveTake     = 700 * time.Millisecond // of leaving for good: what comes later on a connection that is still open is refused at once
 	writeStall    = 10 * time.Second       // for a client to take some of what it is owed
 	relaySize     = 8 << 10                // piece of a value that is passed on
 	mostKey       = 256
@@ -93,6 +93,7 @@
 	mu         sync.Mutex
 	clients    map[*client]bool
 	draining   bool           // the listener is closed for good
+	ending     atomic.Bool    // and the process is about to end
 	leaving    atomic.Int64   // since when, in nanoseconds of Unix time; 0: it serves
 	turned     chan struct{}  // room for one: leaving or unused has changed
 	unused     atomic.Int64   // places that are to be left to another process
@@ -154,8 +155,7 @@
 }
 
 // Leave begins to let the clients go, once: PING says no, each connection is closed after its next answer, after 0.6 s also
-// those without an open request. New ones are served in the same way. What comes after 0.7 s on a connection that is still open, because an
-// answer is owed on it, is refused at once: it was taken by being written. The listener stays.
+// those without an open request. New ones are served in the same way. The listener stays.
 func (f *Front) Leave() {
 	if f.leaving.CompareAndSwap(0, time.Now().UnixNano()) {
 		f.turn()
@@ -372,13 +372,15 @@
 func (f *Front) Close() { f.ln.Close() }
 
 // Drain closes the listener, and every connection as soon as nothing on it waits for an answer; where ctx ends first, at
-// once. It returns when all have ended.
+// once. What comes later than 0.7 s after Leave on a connection that is still open, because an answer is owed on it, is refused at once: it was
+// taken by being written. It returns when all have ended.
 func (f *Front) Drain(ctx context.Context) {
 	f.ln.Close()
 	defer func() {
 		f.stop()
 		f.own.Wait()
 	}()
+	f.ending.Store(true)
 	f.mu.Lock()
 	f.draining = true
 	for c := range f.clients {
@@ -727,7 +729,7 @@
 			c.fault(err.Error())
 			return
 		}
-		if c.f.left() > leaveTake { // this process is about to end, and something else is owed on this connection
+		if c.f.ending.Load() && c.f.left() > leaveTake { // something else is owed on this connection
 			c.reply(refusal(core.Answer{RetryAfter: core.FullRetry}))
 			return
 		}
--- a/internal/front/resp/ends_test.go
+++ b/internal/front/resp/ends_test.go
@@ -213,6 +213,7 @@
 	b.say(t, question(1))
 	first := b.next(t)
 	b.f.leaving.Store(time.Now().Add(-leaveTake - time.Second).UnixNano())
+	b.f.ending.Store(true)
 	b.c.close()
 	b.say(t, question(2)+question(3))
 	b.say(t, question(4)[:40])
@@ -279,3 +280,14 @@
 		})
 	}
 }
+
+// A front that leaves and does not end serves what comes, on each connection until its next answer.
+func TestLeavingFrontServes(t *testing.T) {
+	b := newBench(t, nil)
+	b.f.leaving.Store(time.Now().Add(-leaveTake - time.Second).UnixNano())
+	b.say(t, question(1))
+	b.next(t).Place.Answer(core.Answer{Kind: core.Served, Value: []byte("value")})
+	b.wantLine(t, "$5")
+	b.wantLine(t, "value")
+	b.wantEnd(t)
+}
