What is over, or too late to repeat, is not written when its connection comes up at last

At fault: internal/core, send, told nodes nothing of a keyed class's window: the module decides within nine tenths of it and knows nothing of the wait for a connection (internal/nodes, place: the connect timeout, 250 ms), so that with a window below 2 s and a connection that comes up late a repeat was written after the group had forgotten the first. And internal/core, final: what waits for a connection was ended by the module's Cancel alone, which settings may forbid (mayCancel); then it went out after the client had left, or after the final answer.

Change: an attempt says by when its last byte has to be out (19/20 of the window, as leases for gates had it already); it ends as never sent where no connection is there by then, and its write ends there too. A request that is over recalls what waits for a connection, whatever may be called off. An idle connection is also looked at for its age when it is taken, not only once a second: where the settings have nodes close them within a second that was too seldom.

Tests: a node to which a connection comes up a second late (a full listen queue, standin/scripted.Late), the crossing forced: TestRepeatIsNotWrittenAfterItsWindow (repeated, served after 1.0 s of 0.7 without the mend), TestNothingIsWrittenForWhatIsOver (both cases fail without), shown once.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -105,6 +105,7 @@
 	Start(a *nodes.Attempt, id logic.ServerID)
 	Moot(a *nodes.Attempt, id logic.ServerID)
 	GiveUp(a *nodes.Attempt, why logic.Outcome)
+	Withdraw(a *nodes.Attempt)
 	Handle(nodes.Event)
 	Knows(id logic.ServerID) bool
 	Addr(id logic.ServerID) (addr string, serves bool)
@@ -557,6 +558,7 @@
 		return
 	}
 	g.final(r, a)
+	g.recall(r)
 	g.forget(r)
 }
 
@@ -569,9 +571,18 @@
 	g.endCustody(r, Answer{Kind: Failed})
 	g.fig.Left()
 	g.tell(logic.Abandoned{ID: r.ID})
+	g.recall(r)
 	g.forget(r)
 }
 
+// recall calls off what has not been written of a request that is over, whatever the module may call off: whoever waits for a connection
+// then would go out for nobody.
+func (g *Core) recall(r *Request) {
+	for _, a := range r.attempts {
+		g.nodes.Withdraw(a)
+	}
+}
+
 // cutOff ends a request that the module has left unanswered until the last moment: refused where it was never sent, since trying again is
 // harmless then.
 func (g *Core) cutOff(r *Request) {
@@ -589,7 +600,7 @@
 }
 
 func (g *Core) forget(r *Request) {
-	if r.final && r.out == 0 {
+	if r.final && r.out == 0 && g.requests[r.ID] == r {
 		g.heldBytes -= r.Size
 		delete(g.requests, r.ID)
 		r.Command, r.Place, r.attempts = nil, nil, nil // its timer may hold it for seconds more
@@ -603,7 +614,7 @@
 	if r == nil {
 		return
 	}
-	a := &nodes.Attempt{Ref: r, N: len(r.attempts), Command: r.Command, Began: g.now, Stop: r.GiveUpAt}
+	a := &nodes.Attempt{Ref: r, N: len(r.attempts), Command: r.Command, Began: g.now, Stop: r.GiveUpAt, By: g.repeatBy(r)}
 	if s.StopAt > 0 {
 		a.Stop = min(s.StopAt, r.GiveUpAt)
 	}
@@ -622,6 +633,25 @@
 	g.launch(r, a, s.Server)
 }
 
+// repeatBy is when a further attempt of a keyed request reaches its node at the latest: while that, or those beside it, still know the first
+// that may have run. The module decides a little earlier, and doesn't know how long the attempt waits for a connection. 0: no repeat.
+func (g *Core) repeatBy(r *Request) time.Duration {
+	c := g.classes[r.Class]
+	if c.Effect != logic.Keyed {
+		return 0
+	}
+	remembered := c.RepeatWindow * 19 / 20
+	if r.Prior != nil {
+		return r.Prior.At + remembered
+	}
+	for _, a := range r.attempts {
+		if !a.NeverRan() {
+			return a.Began + remembered
+		}
+	}
+	return 0
+}
+
 // launch lets an attempt go out.
 func (g *Core) launch(r *Request, a *nodes.Attempt, to logic.ServerID) {
 	g.sum.sent(a.N, g.now-r.came)
@@ -657,6 +687,9 @@
 	r.out--
 	g.ended(r, logic.AttemptEnded{ID: r.ID, Attempt: a.N, Server: a.Node(), Outcome: o, Took: g.now - a.Began,
 		Finished: r.final, Load: rep.Load})
+	if o == logic.Done {
+		g.recall(r)
+	}
 }
 
 // attemptBegan hands a value on that has begun to come. For the module that is the answer: it is served, its time counts from the
@@ -671,6 +704,7 @@
 	g.sum.served(g.now-r.came, g.classes[r.Class].Aim)
 	r.Place.Answer(Answer{Kind: Served, Stream: s})
 	g.ended(r, logic.AttemptEnded{ID: r.ID, Attempt: a.N, Server: a.Node(), Outcome: logic.Done, Took: g.now - a.Began, Finished: true})
+	g.recall(r)
 	return true
 }
 
--- a/internal/core/grant.go
+++ b/internal/core/grant.go
@@ -173,13 +173,9 @@
 	if !ok || !serves || x.attempt != nil {
 		return false
 	}
-	by := time.Duration(0) // a repeat reaches its rack while that still knows the first, which came no sooner than it was granted
-	if c := g.classes[r.Class]; c.Effect == logic.Keyed && a.N > 0 {
-		by = r.attempts[0].Began + c.RepeatWindow*19/20
-	}
 	var b [16]byte
 	rand.Read(b[:]) // never fails
-	l := g.handing.book.Grant(g.now, x.entry, hex.EncodeToString(b[:]), string(id), addr, a.N, r.GiveUpAt, by)
+	l := g.handing.book.Grant(g.now, x.entry, hex.EncodeToString(b[:]), string(id), addr, a.N, r.GiveUpAt, a.By)
 	if l == nil {
 		return false
 	}
--- a/internal/ingress/ends_test.go
+++ b/internal/ingress/ends_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"hitchspring/internal/discovery"
 	"hitchspring/internal/standin/scripted"
 )
 
@@ -226,3 +228,103 @@
 		t.Errorf("cut after %v (%d bytes, %v), its time is %v", took, n, err, wait)
 	}
 }
+
+// A keyed request is sent again only while the nodes that would drop the repeat still know the first attempt. The repeat's connection comes up when
+// they may have forgotten it: it is not written any more.
+func TestRepeatIsNotWrittenAfterItsWindow(t *testing.T) {
+	t.Parallel()
+	var be *scripted.Late
+	reset := make(chan struct{})
+	be = scripted.NewLate(t, func(n int, _ []string, nc net.Conn) string {
+		if n > 1 {
+			return served
+		}
+		be.Hold() // before the repeat can look for another connection
+		close(reset)
+		nc.Close()
+		return ""
+	})
+	list := fleetOf(be.Addr)
+	cfg := testConfig(scripted.Registry(t, list, nil), list)
+	cfg.Settings.MaxAttempts = 3
+	for i := range cfg.Settings.Classes {
+		cfg.Settings.Classes[i].RepeatWindow = 700 * time.Millisecond // a connection that is begun now comes up after a second
+	}
+	addr, _ := startIngress(t, cfg)
+	nc, in := dial(t, addr)
+	io.WriteString(nc, command("Q.DO", "00000000b4d65521", "9b1f03aa5c7e2d41", "c=keyed,t=p,d=50000,k=1,units=1,spread=1,first=0"))
+	<-reset
+	eventually(t, 10*time.Second, "the repeat's connection is begun", be.Begun)
+	be.Open()
+	if got := line(t, in); !strings.HasPrefix(got, "-ERR") { // it may have run
+		t.Errorf("answered %q, want that it has failed", got)
+	}
+	io.WriteString(nc, ask(7, readFields)) // waits for the same connection, or takes it
+	wantValue(t, in)
+	for _, args := range be.Seen()[1:] {
+		if args[0] == "Q.DO" {
+			t.Errorf("repeated after its window: %q", args)
+		}
+	}
+}
+
+// Nothing goes out for a request that is over, also where the settings let nothing be called off: what still waits for a connection then is not
+// written when that comes up.
+func TestNothingIsWrittenForWhatIsOver(t *testing.T) {
+	t.Parallel()
+	later := ask(9, readFields)
+	t.Run("its client has left", func(t *testing.T) {
+		t.Parallel()
+		be := scripted.NewLate(t, func(int, []string, net.Conn) string { return served })
+		be.Hold()
+		list := fleetOf(be.Addr)
+		cfg := testConfig(scripted.Registry(t, list, nil), list)
+		cfg.Settings.MayCancel = false
+		addr, g := startGateway(t, cfg)
+		nc, _ := dial(t, addr)
+		io.WriteString(nc, ask(1, readFields))
+		eventually(t, 10*time.Second, "a connection to the node is begun", be.Begun)
+		nc.Close()
+		eventually(t, 10*time.Second, "its leaving is known", func() bool { return g.core.Figures().Current() == 0 })
+		be.Open()
+		nc, in := dial(t, addr)
+		io.WriteString(nc, later)
+		wantValue(t, in)
+		if seen := be.Seen(); len(seen) != 1 {
+			t.Errorf("the node was sent %q", seen)
+		}
+	})
+	t.Run("another copy was served", func(t *testing.T) {
+		t.Parallel()
+		late := scripted.NewLate(t, func(int, []string, net.Conn) string { return served })
+		late.Hold()
+		be := scripted.NewNode(t, func(n int, _ []string, _ net.Conn) string {
+			for n == 2 && !late.Begun() { // it holds its answer until the other copy waits for a connection
+				runtime.Gosched()
+			}
+			return served
+		})
+		changes := make(chan discovery.List)
+		list := fleetOf(be.Addr)
+		cfg := testConfig(scripted.Registry(t, list, changes), list)
+		cfg.Settings.MayCancel, cfg.Settings.SecondCopies, cfg.Settings.MaxAttempts = false, true, 2
+		addr, _ := startIngress(t, cfg)
+		nc, in := dial(t, addr)
+		io.WriteString(nc, ask(1, readFields)) // from now on it is known how long an answer takes
+		wantValue(t, in)
+		both := fleetOf(be.Addr, late.Addr)
+		both.Rev = 2
+		changes <- both
+		io.WriteString(nc, ask(2, readFields))
+		wantValue(t, in)
+		both.Rev, both.Targets[0].State = 3, "DRAINING"
+		changes <- both
+		late.Open()
+		eventually(t, 10*time.Second, "the connection is up", func() bool { return late.Conns.Load() == 3 })
+		io.WriteString(nc, later)
+		wantValue(t, in)
+		if seen := late.Seen(); len(seen) != 1 || seen[0][2] != "0000000000000009" {
+			t.Errorf("the node was sent %q", seen)
+		}
+	})
+}
--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -44,14 +44,19 @@
 	Command Command // nil: a probe
 	Began   time.Duration
 	Stop    time.Duration // when the owner gives it up
+	By      time.Duration // its last byte goes out by then, or it is never sent; 0: at any time before Stop
 	node    *node
 	conn    *conn         // carries it; nil while it waits for one
 	handed  time.Duration // when it was given to conn
 	why     logic.Outcome // given up by the owner: TimedOut or Cancelled; else still
 	stream  *Stream       // of a large value that has begun to come
 	ended   bool
+	unrun   bool // it has ended, and surely never ran
 }
 
+// NeverRan says whether it has ended as one that surely never ran.
+func (a *Attempt) NeverRan() bool { return a.unrun }
+
 // Ended says whether the owner has been told of its end.
 func (a *Attempt) Ended() bool { return a.ended }
 
@@ -164,6 +169,7 @@
 	a     *Attempt
 	buf   []byte
 	until time.Time // when its owner gives it up
+	by    time.Time // when its last byte is out at the latest
 }
 
 // The events of a connection.
@@ -297,7 +303,7 @@
 		case <-c.dead:
 			return
 		case j := <-c.work:
-			c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+			c.nc.SetWriteDeadline(j.by) // also of one that comes too late to be begun
 			if !j.until.IsZero() {
 				c.until.Store(j.until.UnixNano())
 			}
@@ -475,7 +481,7 @@
 	if a.ended {
 		return
 	}
-	a.ended = true
+	a.ended, a.unrun = true, o.NeverRan()
 	if o == logic.Done && a.Command != nil && rep.Value == nil && a.stream == nil { // PONG to a request
 		o = logic.Failed
 	}
@@ -485,10 +491,18 @@
 // place gives an attempt the warmest idle connection, or lets it wait for one.
 func (p *Pool) place(a *Attempt) {
 	n := a.node
+	wait := p.cfg.ConnectTimeout
+	if a.By > 0 {
+		wait = min(wait, a.By-p.owner.Now())
+	}
+	if wait <= 0 {
+		p.end(a, logic.Moot, Reply{})
+		return
+	}
 	for k := len(n.idle); k > 0; k = len(n.idle) {
 		c := n.idle[k-1]
 		n.idle = n.idle[:k-1]
-		if c.quiet() {
+		if p.owner.Now()-c.since <= p.retireAfter() && c.quiet() {
 			p.write(c, a)
 			return
 		}
@@ -497,9 +511,15 @@
 	n.waiting = append(n.waiting, a)
 	p.dial(n)
 	// Whoever waits, for a dial or for one of the connections that are all busy, waits no longer than a dial
-	// may take: the module counts on a send being written at about its time.
-	p.owner.After(p.cfg.ConnectTimeout, func() {
-		if p.unwait(a) {
+	// may take: the module counts on a send being written at about its time. One that has to be out earlier
+	// says nothing of the node.
+	p.owner.After(wait, func() {
+		if !p.unwait(a) {
+			return
+		}
+		if wait < p.cfg.ConnectTimeout {
+			p.end(a, logic.Moot, Reply{})
+		} else {
 			p.end(a, logic.NoConnect, Reply{})
 		}
 	})
@@ -517,8 +537,13 @@
 // write hands an attempt to a free connection.
 func (p *Pool) write(c *conn, a *Attempt) {
 	a.conn, c.cur, a.handed = c, a, p.owner.Now()
+	left := writeTimeout
+	if a.By > 0 {
+		left = min(left, a.By-a.handed)
+	}
+	now := time.Now()
 	select {
-	case c.work <- job{a, a.command(p.owner.Now()), time.Now().Add(a.Stop - p.owner.Now())}:
+	case c.work <- job{a, a.command(a.handed), now.Add(a.Stop - a.handed), now.Add(left)}:
 	default: // it has answered what was not written yet: the order is lost, and this goroutine must not wait
 		c.nc.Close()
 	}
@@ -579,12 +604,15 @@
 func (p *Pool) RetireIdle() {
 	for _, n := range p.nodes {
 		for len(n.idle) > 0 && (n.State != logic.Running || n.idle[0].addr != n.addr ||
-			p.owner.Now()-n.idle[0].since > p.cfg.Idle*2/3) {
+			p.owner.Now()-n.idle[0].since > p.retireAfter()) {
 			p.closeIdle(n)
 		}
 	}
 }
 
+// retireAfter is for how long a connection may be idle and still be used.
+func (p *Pool) retireAfter() time.Duration { return p.cfg.Idle * 2 / 3 }
+
 // CloseIdle closes all idle connections to a node.
 func (p *Pool) CloseIdle(id logic.ServerID) {
 	n := p.nodes[id]
@@ -613,6 +641,14 @@
 	return oldest != nil
 }
 
+// Withdraw ends an attempt that still waits for a connection, as one that was never sent: nothing goes out any more for a request that is
+// over. It leaves others as they are.
+func (p *Pool) Withdraw(a *Attempt) {
+	if !a.ended && a.node != nil && a.conn == nil && p.unwait(a) {
+		p.end(a, logic.Moot, Reply{})
+	}
+}
+
 // GiveUp ends an attempt from the owner's side, as TimedOut or Cancelled. One that waits was never sent, one that is written has its outcome at
 // once. Of one in between only the connection knows: it is closed, and its last event tells.
 func (p *Pool) GiveUp(a *Attempt, why logic.Outcome) {
--- a/internal/standin/scripted/scripted.go
+++ b/internal/standin/scripted/scripted.go
@@ -4,14 +4,17 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"github.com/tidwall/redcon"
@@ -27,6 +30,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	accept(t, ln, serve)
+	return ln.Addr().String()
+}
+
+// accept serves who comes until the test ends.
+func accept(t testing.TB, ln interface {
+	Accept() (net.Conn, error)
+	Close() error
+}, serve func(net.Conn)) {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var open []net.Conn
@@ -54,7 +66,6 @@
 		mu.Unlock()
 		wg.Wait()
 	})
-	return ln.Addr().String()
 }
 
 // Node answers commands by their order.
@@ -69,33 +80,35 @@
 func NewNode(t testing.TB, say func(n int, args []string, nc net.Conn) string) *Node {
 	t.Helper()
 	b := &Node{}
-	b.Addr = Listen(t, func(nc net.Conn) {
-		b.Conns.Add(1)
-		in := redcon.NewReader(nc)
-		for {
-			cmd, err := in.ReadCommand()
-			if err != nil {
-				return
-			}
-			var args []string
-			for _, a := range cmd.Args {
-				args = append(args, string(a))
-			}
-			b.mu.Lock()
-			b.commands = append(b.commands, args)
-			n := len(b.commands)
-			b.mu.Unlock()
-			if say == nil {
-				continue
-			}
-			if s := say(n, args, nc); s != "" {
-				io.WriteString(nc, s)
-			}
-		}
-	})
+	b.Addr = Listen(t, func(nc net.Conn) { b.serve(nc, say) })
 	return b
 }
 
+func (b *Node) serve(nc net.Conn, say func(n int, args []string, nc net.Conn) string) {
+	b.Conns.Add(1)
+	in := redcon.NewReader(nc)
+	for {
+		cmd, err := in.ReadCommand()
+		if err != nil {
+			return
+		}
+		var args []string
+		for _, a := range cmd.Args {
+			args = append(args, string(a))
+		}
+		b.mu.Lock()
+		b.commands = append(b.commands, args)
+		n := len(b.commands)
+		b.mu.Unlock()
+		if say == nil {
+			continue
+		}
+		if s := say(n, args, nc); s != "" {
+			io.WriteString(nc, s)
+		}
+	}
+}
+
 // Seen returns the commands that came.
 func (b *Node) Seen() [][]string {
 	b.mu.Lock()
@@ -103,6 +116,99 @@
 	return slices.Clone(b.commands)
 }
 
+// Late is a node to which a connection comes up late: from Hold on the kernel answers no further one, and the first that is begun then comes up when
+// the kernel of who begins it asks again, a second later, if Open was called by then. All are taken until Hold.
+type Late struct {
+	*Node
+	t      testing.TB
+	ln     net.Listener
+	held   atomic.Bool
+	caught chan struct{} // the first connection after Hold has been taken
+	open   chan struct{}
+	once   sync.Once
+}
+
+// NewLate starts such a node; say is as for NewNode.
+func NewLate(t testing.TB, say func(n int, args []string, nc net.Conn) string) *Late {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK, 0)
+	if err == nil {
+		err = syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+	}
+	if err == nil {
+		err = syscall.Listen(fd, 0) // one connection may wait to be accepted, and no more
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(fd), "late")
+	ln, err := net.FileListener(file)
+	file.Close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &Late{Node: &Node{Addr: ln.Addr().String()}, t: t, ln: ln, caught: make(chan struct{}), open: make(chan struct{})}
+	accept(t, l, func(nc net.Conn) { l.serve(nc, say) })
+	return l
+}
+
+// Accept is net.Listener's. From Hold to Open it keeps what it has taken to itself.
+func (l *Late) Accept() (net.Conn, error) {
+	nc, err := l.ln.Accept()
+	if err == nil && l.held.Load() {
+		l.caught <- struct{}{}
+		<-l.open
+	}
+	return nc, err
+}
+
+// Close is net.Listener's.
+func (l *Late) Close() error {
+	l.Open()
+	return l.ln.Close()
+}
+
+// Hold has the kernel answer no further connection. It is called once.
+func (l *Late) Hold() {
+	l.t.Helper()
+	l.held.Store(true)
+	for i := range 2 { // one that is taken and kept, one that waits to be taken: there is no room for a third
+		nc, err := net.Dial("tcp", l.Node.Addr)
+		if err != nil {
+			l.t.Error(err)
+			return
+		}
+		l.t.Cleanup(func() { nc.Close() })
+		if i == 0 {
+			<-l.caught
+		}
+	}
+}
+
+// Open takes connections again.
+func (l *Late) Open() {
+	l.once.Do(func() {
+		l.held.Store(false)
+		close(l.open)
+	})
+}
+
+// Begun says whether a connection to it has been begun and has not come up.
+func (l *Late) Begun() bool {
+	l.t.Helper()
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	port := fmt.Sprintf(":%04X", l.ln.Addr().(*net.TCPAddr).Port)
+	for line := range strings.Lines(string(table)) {
+		if f := strings.Fields(line); len(f) > 3 && strings.HasSuffix(f[2], port) && f[3] == "02" { // SYN_SENT
+			return true
+		}
+	}
+	return false
+}
+
 // Registry is discovery's agent: a list, and a watch that tells what is sent to changes.
 func Registry[T any](t testing.TB, list T, changes <-chan T) (addr string) {
 	t.Helper()
