Books of a customer have one name everywhere, and what was never sent repeats for free

Checked: the refusals come from the module, reason no-retry, behind attempts that ended as never sent (the node was taken out while they waited for a connection, longer since a connection rests 15 ms); ruled out: the shutdown's own refusals, losses at the handover. At fault: logic/attempts.go, attemptEnded: such an attempt's repeat was paid from the budget of further attempts, which is there to spare servers; none was spared, and a drain under load emptied it.

Found by reading, of: the second plan that an instance hears for a customer had a name of its own at the counter; which is the second differs between instances, so that one client's wrong word parted a channel's count for as long as it is seen once a minute, and a ceiling could be passed twice. And the set (spread, first) of whoever came first held for all. logic/quota.go, customer. Standings put what a second plan has queued to the first's books.

Change: books are a customer's under a plan, by one name that depends on the request alone (Request.Account); the set is each request's own. State of the version before is taken over and counted under the new name; while instances of both run side by side each kind counts apart.

Tests: TestBooksHaveOneName, TestRequestsAreJudgedByTheirOwnSet, TestNeverSentIsRepeatedWithoutBudget fail without (shown once); TestLearnsFromTheVersionBefore.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -84,7 +84,7 @@
 // Of states what a book comes to, should nothing be heard for so long.
 func Of(now time.Duration, b Book, span time.Duration) Statement {
 	c, ways := b.LearnedCustomer, float64(max(1, b.Spread))
-	s := Statement{Customer: c.ID, Plan: c.Plan, Ways: max(1, b.Spread), Demand: c.Demand, Others: c.Others, Age: -1, For: span, Held: max(0, c.Block) + b.Queued, Untold: max(0, c.Owed),
+	s := Statement{Customer: cmp.Or(c.Customer, c.ID), Plan: c.Plan, Ways: max(1, b.Spread), Demand: c.Demand, Others: c.Others, Age: -1, For: span, Held: max(0, c.Block) + b.Queued, Untold: max(0, c.Owed),
 		Room: b.Room}
 	if c.Looked > 0 {
 		s.Age = now - c.Looked
--- a/internal/core/rights.go
+++ b/internal/core/rights.go
@@ -47,13 +47,14 @@
 
 // passes counts a request's units, when it is first sent on.
 func (h *holding) passes(now time.Duration, r *Request) {
-	p := h.passed[r.Customer]
+	account := r.Account()
+	p := h.passed[account]
 	if p == nil {
 		if len(h.passed) >= mostPassed {
 			clear(h.passed)
 		}
 		p = &passing{}
-		h.passed[r.Customer] = p
+		h.passed[account] = p
 	}
 	p.rate, p.at = p.now(now)+r.Units/passTau.Seconds(), now
 }
@@ -82,8 +83,8 @@
 	h.ticked = g.now
 	var needs []rights.Need
 	for _, n := range g.mod.Needs(g.now) {
-		x := rights.Need{Key: n.Customer, Spread: n.Spread, First: n.First, Want: n.Want, Others: n.Others / n.Rate, Places: n.Places, Alone: n.Alone}
-		if p := h.passed[n.Customer]; p != nil {
+		x := rights.Need{Key: n.Account, Spread: n.Spread, First: n.First, Want: n.Want, Others: n.Others / n.Rate, Places: n.Places, Alone: n.Alone}
+		if p := h.passed[n.Account]; p != nil {
 			x.Passed = p.now(g.now) / n.Rate
 		}
 		needs = append(needs, x)
--- a/logic/api.go
+++ b/logic/api.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -138,6 +139,20 @@
 	Paid     bool   // another gateway has taken its units; with Prior always
 }
 
+// Account names the books that a request is counted in, here and at the shared counter: its customer's under its plan. It depends on nothing but the
+// request, so that all gateways have one name for it, whatever each has heard before; a request that names a customer with another plan is
+// counted by itself. At most 48 bytes of it are the plan's: longer names, and those that the counter could not take, stand as a hash.
+func (r *Request) Account() string {
+	plain := len(r.Plan) <= 24
+	for _, b := range []byte(r.Plan) {
+		plain = plain && (b >= '0' && b <= '9' || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b == '-' || b == '_' || b == '.')
+	}
+	if !plain {
+		return r.Customer + "/#" + strconv.FormatUint(hashed(r.Plan), 36)
+	}
+	return r.Customer + "/" + r.Plan
+}
+
 // Prior is an attempt that may have run, begun by another gateway. It is the request's attempt 0 here, and has ended.
 type Prior struct {
 	Zone string
--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -93,11 +93,14 @@
 		}
 		g.close(r)
 	case r.outs > 0 || r.held: // held: since its hall was lost
-	case !g.repeatable(r) || r.GiveUpAt-g.now < r.class.takes(0)+2*g.sweep || g.retries < 1:
+	case !g.repeatable(r) || r.GiveUpAt-g.now < r.class.takes(0)+2*g.sweep ||
+		g.retries < 1 && ev.Outcome != Moot:
 		r.why = NoRetry
 		g.giveUp(r)
-	default: // tried again where its class, its time and the budget allow
-		g.retries--
+	default: // tried again where its class, its time and the budget allow; what was never sent cost nothing
+		if ev.Outcome != Moot {
+			g.retries--
+		}
 		g.hold(r)
 	}
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 	"time"
 )
@@ -166,7 +167,7 @@
 		id++
 		r.arrive(id, "read", "small")
 		r.tell(AttemptEnded{ID: id, Outcome: Done, Took: ms, Finished: true})
-		if c := r.g.customers["c"]; c.calling {
+		if c := r.g.customers["c/small"]; c.calling {
 			r.tell(CountReply{Name: c.name(), Outcome: TimedOut})
 			return c
 		}
@@ -238,7 +239,7 @@
 			}
 			acts = next
 		}
-		c := r.g.customers["c"]
+		c := r.g.customers["c/capped"]
 		if c.silent || c.others > 1e-6 || math.Abs(c.total-totals) > 1e-6 {
 			t.Fatalf("after request %d: silent %v, others %v, total %v of %v", id, c.silent, c.others, c.total, totals)
 		}
@@ -293,3 +294,97 @@
 		}
 	}
 }
+
+// A customer's books have one name at the counter, whatever each gateway has heard before: where one has first heard it with another plan, or
+// with another set, its true requests are still counted together with the others'.
+func TestBooksHaveOneName(t *testing.T) {
+	name := func(before func(r *rig)) string {
+		r := newRig(t, settings(), Server{ID: "s", State: Running})
+		before(r)
+		for id := RequestID(10); id < 20; id++ {
+			if calls := only[Count](r.arrive(id, "read", "small")); len(calls) > 0 {
+				return calls[0].Name
+			}
+			r.tell(AttemptEnded{ID: id, Server: "s", Outcome: Done, Took: ms, Finished: true})
+		}
+		t.Fatal("the counter was not called")
+		return ""
+	}
+	want := name(func(*rig) {})
+	for what, before := range map[string]func(r *rig){
+		"another plan first": func(r *rig) { r.arrive(1, "read", "capped") },
+		"another set first": func(r *rig) {
+			r.tell(Arrival{Request{ID: 1, Class: "read", Plan: "small", Customer: "c", Units: 1, GiveUpAt: r.now + 2*time.Second, Spread: 1, First: 1}})
+		},
+	} {
+		if got := name(before); got != want {
+			t.Errorf("%s: counted as %q, elsewhere as %q", what, got, want)
+		}
+	}
+	for _, plan := range []string{"small", "", "with space", "Ünï", "a-plan-with-a-name-that-is-longer-than-the-counter-would-take-it"} {
+		r := Request{Customer: "00000000b4d65521", Plan: plan}
+		other := Request{Customer: r.Customer, Plan: plan + "2"}
+		if n := r.Account(); len(n) > 48 || strings.ContainsAny(n, " :\r\n") || n == other.Account() {
+			t.Errorf("plan %q: %q", plan, n)
+		}
+	}
+}
+
+// Each request is judged by the set that it names: one that says that its customer comes through this gateway alone does not leave it the whole
+// of the rate.
+func TestRequestsAreJudgedByTheirOwnSet(t *testing.T) {
+	set := settings()
+	set.Counter = false // the fair share of the rate decides
+	r := newRig(t, set, Server{ID: "s", State: Running})
+	id, sent := RequestID(0), 0
+	ask := func(spread int) {
+		id++
+		out := r.tell(Arrival{Request{ID: id, Class: "read", Plan: "small", Customer: "c", Units: 1, GiveUpAt: r.now + 2*time.Second, Spread: spread}})
+		if got := only[Send](out); len(got) > 0 {
+			sent++
+			r.tell(AttemptEnded{ID: id, Server: "s", Outcome: Done, Took: ms, Finished: true})
+		}
+	}
+	ask(1)
+	for range 80 {
+		r.pass(100 * ms)
+		ask(2)
+	}
+	if most := 8 + 8*1 + 1; sent > most { // the burst that the first has leased, half of the rate for 8 s, and one
+		t.Errorf("%d were sent on, %d at the most may be", sent, most)
+	}
+}
+
+// What was never sent costs no server anything: its repeat needs nothing of the budget of further attempts, which may be spent where a server
+// begins to drain under many that wait for a connection to it.
+func TestNeverSentIsRepeatedWithoutBudget(t *testing.T) {
+	for o, want := range map[Outcome]int{Moot: 1, NoConnect: 0} {
+		r := newRig(t, settings(), Server{ID: "s", State: Running}, Server{ID: "u", State: Running})
+		first := only[Send](r.arrive(1, "pay", "free"))[0]
+		r.g.retries = 0
+		again := only[Send](r.tell(AttemptEnded{ID: 1, Server: first.Server, Outcome: o}))
+		if len(again) != want || r.g.retries != 0 {
+			t.Errorf("outcome %d: %d further attempts, want %d; the budget is %v", o, len(again), want, r.g.retries)
+		}
+	}
+}
+
+// What a process of the version before leaves is known under its customers' names alone: the units stay this gateway's, the counter is asked
+// under the new name.
+func TestLearnsFromTheVersionBefore(t *testing.T) {
+	old := newRig(t, settings(), Server{ID: "s", State: Running})
+	for id := RequestID(1); id < 4; id++ {
+		old.arrive(id, "read", "small")
+	}
+	was := old.g.Learned()
+	was.Customers[0].ID, was.Customers[0].Customer = "c", ""
+	was.Customers[0].Total, was.Customers[0].Block = 5, 1.5
+	next := newRig(t, settings(), Server{ID: "s", State: Running})
+	next.g.Learn(old.now, was)
+	next.now = old.now
+	next.arrive(9, "read", "small")
+	got := next.g.Learned().Customers
+	if len(got) != 1 || got[0].ID != "c/small" || got[0].Customer != "c" || got[0].Block >= 1.5 || got[0].Total != 0 {
+		t.Errorf("learned %+v", got)
+	}
+}
--- a/logic/quota.go
+++ b/logic/quota.go
@@ -11,7 +11,7 @@
 // customer is this gateway's picture of a customer's store, replayed from the counter's totals: it fills at
 // the rate up to the burst, and what the totals show is taken evenly over the time between two looks.
 type customer struct {
-	id                        string
+	id, who                   string // of these books: request.Account; the customer's own
 	plan                      *Plan
 	spread, place             int           // gateways that it comes through; our place among them
 	ways, away                float64       // our part is one in so many; part that others spend unheard
@@ -34,16 +34,12 @@
 }
 
 func (g *Gateway) customer(r *request) *customer {
-	id := r.Customer
-	if c := g.customers[id]; c != nil && c.plan.Name != r.plan.Name { // it is judged by no plan but its own
-		id += "/" + strconv.FormatUint(hashed(r.plan.Name), 36)
-	}
-	c := g.customers[id]
+	id, n := r.Account(), g.set.Gateways
+	c, spread, place := g.customers[id], min(max(r.Spread, 1), n), (g.set.Me-r.First%n+n)%n
 	if c == nil {
-		c = &customer{id: id, plan: r.plan, spread: min(max(r.Spread, 1), g.set.Gateways),
+		c = &customer{id: id, who: r.Customer, plan: r.plan, spread: spread, seenAt: g.now,
 			offset: time.Duration(hashed(id) % uint64(epochLength)), silent: !g.set.Counter, at: g.now,
-			refreshed: g.now, ceilingAt: g.now, seenAt: g.now,
-			place: (g.set.Me - r.First%g.set.Gateways + g.set.Gateways) % g.set.Gateways}
+			refreshed: g.now, ceilingAt: g.now}
 		c.sparse = !c.silent && c.plan.Rate > 0 && c.plan.Burst < float64(2*c.spread)*max(1, g.set.MaxUnits)
 		c.ways, c.away = g.parts.of(c)
 		c.block = c.plan.Burst / c.ways // the first block, told to the counter once half is spent
@@ -56,7 +52,8 @@
 		g.customers[id] = c
 		g.roster = append(g.roster, c)
 	}
-	c.seen = g.now
+	c.spread, c.place, c.seen = spread, place, g.now // each request is judged by its own set
+	g.repart(c)
 	return c
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"time"
 )
 
@@ -33,7 +34,8 @@
 
 // LearnedCustomer is the picture of a customer's store, and what is leased of it.
 type LearnedCustomer struct {
-	ID, Plan               string
+	ID, Plan               string // ID: the books' name, Request.Account
+	Customer               string
 	Spread, First          int
 	Block, Owed            float64 // leased and not spent; to tell the counter
 	Level, Demand, Others  float64
@@ -63,7 +65,7 @@
 			Slow: s.slow, Fails: s.fails})
 	}
 	for _, c := range g.roster {
-		l.Customers = append(l.Customers, LearnedCustomer{ID: c.id, Plan: c.plan.Name, Spread: c.spread,
+		l.Customers = append(l.Customers, LearnedCustomer{ID: c.id, Customer: c.who, Plan: c.plan.Name, Spread: c.spread,
 			First: (g.set.Me - c.place + g.set.Gateways) % g.set.Gateways, Block: c.block, Owed: c.owed, Level: c.level, Demand: c.demand,
 			Others: c.others, At: c.at, Looked: c.looked, Spent: c.spent, Epoch: c.epoch, Total: c.total, SeenUnits: c.seenUnits,
 			SeenFor: c.seenFor, SeenAt: c.seenAt, Seen: c.seen, NextCall: c.nextCall, Refreshed: c.refreshed, Silent: c.silent,
@@ -100,7 +102,11 @@
 }
 
 func (g *Gateway) learnCustomer(p *Plan, k LearnedCustomer) {
-	c := g.customer(&request{Request: Request{Customer: k.ID, Spread: k.Spread, First: max(k.First, 0)}, plan: p})
+	if k.Customer == "" { // told by a version whose books were the customer's alone, under another name at the counter
+		k.Customer, _, _ = strings.Cut(k.ID, "/")
+		k.Epoch, k.Total = -1, 0
+	}
+	c := g.customer(&request{Request: Request{Customer: k.Customer, Plan: k.Plan, Spread: k.Spread, First: max(k.First, 0)}, plan: p})
 	c.block, c.owed, c.level, c.demand, c.others = k.Block, k.Owed, k.Level, k.Demand, k.Others
 	c.at, c.looked, c.spent, c.epoch, c.total = k.At, k.Looked, k.Spent, k.Epoch, k.Total
 	c.seenUnits, c.seenFor, c.seenAt, c.seen, c.refreshed = k.SeenUnits, k.SeenFor, k.SeenAt, k.Seen, k.Refreshed
@@ -163,9 +169,9 @@
 	}
 	for _, r := range g.live {
 		if r.charged && !r.sent && !r.final {
-			s := out[r.Customer]
+			s := out[r.cust.id]
 			s.Queued += r.Units
-			out[r.Customer] = s
+			out[r.cust.id] = s
 		}
 	}
 	return out
@@ -175,7 +181,7 @@
 // cap. Parts of one customer at all gateways together are one at the most, whatever is lost between them.
 type Parts struct {
 	Home float64         // of the even part, where a customer is not named
-	Of   map[string]Part // by customer
+	Of   map[string]Part // by Request.Account
 }
 
 // Part is one customer's.
@@ -209,21 +215,27 @@
 		if stopped {
 			c.refreshed, c.ceilingAt = g.now, g.now
 		}
-		ways, away := p.of(c)
-		if ways == c.ways && away == c.away {
-			continue
-		}
-		g.refresh(c)
-		c.level, c.at = c.level+c.filled(g.now), g.now
-		filled := c.ceiling + c.plan.CeilingRate/c.ways*(g.now-c.ceilingAt).Seconds()
-		c.ceiling, c.ceilingAt = min(filled, c.plan.CeilingBurst/c.ways, c.plan.CeilingBurst/ways), g.now
-		c.ways, c.away = ways, away
+		g.repart(c)
+	}
+}
+
+// repart brings this gateway's part of a customer's plan up to date, after what it depends on has changed. What has filled until now came by the
+// part that was.
+func (g *Gateway) repart(c *customer) {
+	ways, away := g.parts.of(c)
+	if ways == c.ways && away == c.away {
+		return
 	}
+	g.refresh(c)
+	c.level, c.at = c.level+c.filled(g.now), g.now
+	filled := c.ceiling + c.plan.CeilingRate/c.ways*(g.now-c.ceilingAt).Seconds()
+	c.ceiling, c.ceilingAt = min(filled, c.plan.CeilingBurst/c.ways, c.plan.CeilingBurst/ways), g.now
+	c.ways, c.away = ways, away
 }
 
 // Need is what a customer asks for here beside what this gateway holds of it.
 type Need struct {
-	Customer      string
+	Account       string // Request.Account
 	Spread, First int
 	Rate          float64 // units a second
 	Others        float64 // units a second that the counter's totals show of all others
@@ -238,7 +250,7 @@
 		if c.spread < 2 || c.plan.Rate <= 0 || c.sparse {
 			continue
 		}
-		n := Need{Customer: c.id, Spread: c.spread, First: (g.set.Me - c.place + g.set.Gateways) % g.set.Gateways, Rate: c.plan.Rate, Others: c.others, Alone: c.silent}
+		n := Need{Account: c.id, Spread: c.spread, First: (g.set.Me - c.place + g.set.Gateways) % g.set.Gateways, Rate: c.plan.Rate, Others: c.others, Alone: c.silent}
 		demand := c.demand * math.Exp(-(now - c.refreshed).Seconds())
 		if n.Alone {
 			n.Want = demand / c.plan.Rate
