A customer's number in capitals is the same customer

Found by reading which key tells customers apart: the front took the digits as they were written, so that one number in capitals had books of its own. TestOneNumberOneCustomer fails without.

--- a/internal/front/resp/client.go
+++ b/internal/front/resp/client.go
@@ -1048,7 +1048,7 @@
 		return nil, errors.New("the id is not 16 hex digits")
 	}
 	fields := string(args[3])
-	r.Customer = string(args[1])
+	r.Customer = strings.ToLower(string(args[1])) // one number, one customer
 	var d, spread, first uint64
 	var key string
 	seen := map[string]bool{}
--- a/internal/front/resp/ends_test.go
+++ b/internal/front/resp/ends_test.go
@@ -291,3 +291,18 @@
 	b.wantLine(t, "value")
 	b.wantEnd(t)
 }
+
+// A customer is a number: written in capitals it is the same one, with the same books.
+func TestOneNumberOneCustomer(t *testing.T) {
+	f := New(nil, deskCore{}, 1, 1<<20)
+	for _, digits := range []string{"00000000b4d65521", "00000000B4D65521"} {
+		var words [][]byte
+		for _, w := range []string{"Q.ASK", digits, "9b1f03aa5c7e2d41", "c=read,t=p,d=500,units=1,spread=1,first=0"} {
+			words = append(words, []byte(w))
+		}
+		r, err := f.Rebuild(words)
+		if err != nil || r.Customer != "00000000b4d65521" {
+			t.Errorf("%s: %v, %v", digits, r, err)
+		}
+	}
+}
