A node that a list only says to drain is drained, whatever else its entry lacks

Found by reading what a bad list leaves owed: an entry without an address, or with a start that is no time, was left aside with its state, so that a node went on being sent to after its drain was told. At fault: internal/discovery, Usable and check.

Change: of an entry that can't be used the state is, unless it says that the node serves; the address that is held stays (internal/nodes, Set). TestOddLists expected such an entry to be left aside; it now holds that only what can be used is told as serving, which is as strict.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -14,7 +14,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -46,6 +45,8 @@
 // Deleted is the state of an entry of a change that ends a node.
 const Deleted = "DELETED"
 
+const serving = "SERVING"
+
 // Target is one node of the list.
 type Target struct {
 	UID      string  `json:"uid"`
@@ -63,7 +64,7 @@
 	s := logic.Server{ID: logic.ServerID(t.UID), Zone: t.Zone, Kind: t.Model, Cell: t.Group, Size: t.Capacity,
 		Started: time.Duration(t.BootMS) * time.Millisecond}
 	switch t.State {
-	case "SERVING":
+	case serving:
 		s.State = logic.Running
 	case Deleted:
 		s.State = logic.Gone
@@ -284,15 +285,24 @@
 	d.post(f.Usable(d.log))
 }
 
-// Usable is the list without the entries that say nothing.
+// Usable is the list without the entries that say nothing. That a node drains is heard also where the rest of its entry can't be used: it
+// is owed that nothing more is sent to it.
 func (f List) Usable(log *slog.Logger) List {
-	f.Targets = slices.DeleteFunc(slices.Clone(f.Targets), func(t Target) bool {
+	usable := make([]Target, 0, len(f.Targets))
+	for _, t := range f.Targets {
 		err := t.check()
-		if err != nil {
+		switch {
+		case err == nil:
+		case t.UID == "" || t.State == serving:
 			log.Warn("an entry of the list is left aside", "err", err)
+			continue
+		default:
+			log.Warn("of an entry of the list only the state is used", "err", err, "state", t.State)
+			t.Endpoint, t.BootMS = "", 0
 		}
-		return err != nil
-	})
+		usable = append(usable, t)
+	}
+	f.Targets = usable
 	return f
 }
 
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -61,7 +61,10 @@
 		{`{"rev":6,"all":true,"targets":[{"uid":"a","endpoint":"127.0.0.1:1","state":"SERVING"}]}`, true, -1},
 		{`{"rev":7,"all":true,"targets":[{"uid":"a","endpoint":"127.0.0.1:1","state":"SERVING"},
 			{"endpoint":"127.0.0.1:1","state":"SERVING"},{"uid":"b","state":"SERVING"},{"uid":"c","state":"DELETED"},
-			{"uid":"d","endpoint":"127.0.0.1","state":"SERVING"},{"uid":"e","endpoint":"127.0.0.1:1","boot_ms":-5}]}`, true, 2},
+			{"uid":"d","endpoint":"127.0.0.1","state":"SERVING"},{"uid":"e","endpoint":"127.0.0.1:1","state":"SERVING","boot_ms":-5}]}`, true, 2},
+		// of one that can't be used but for its state, the state is: what drains is sent nothing more
+		{`{"rev":7,"all":false,"targets":[{"uid":"a","state":"DRAINING"},{"uid":"b","endpoint":"127.0.0.1","boot_ms":-5,"state":"ODD"},
+			{"uid":"","state":"DRAINING"}]}`, true, 2},
 	} {
 		told = nil
 		if err := d.tell([]byte(c.in)); (err == nil) != c.ok {
@@ -70,6 +73,13 @@
 		if c.known < 0 && len(told) > 0 || c.known >= 0 && (len(told) != 1 || len(told[0].Targets) != c.known) {
 			t.Errorf("%s: told %v, want %d entries", c.in, told, c.known)
 		}
+		for _, l := range told {
+			for _, x := range l.Targets {
+				if s := x.Server(); s.State == logic.Running && x.check() != nil || s.Started < 0 {
+					t.Errorf("%s: told %+v", c.in, x)
+				}
+			}
+		}
 	}
 	if s := (Target{UID: "a", Endpoint: "127.0.0.1:1", State: "ODD"}).Server(); s.State != logic.Draining {
 		t.Errorf("an unknown state is %v, want draining", s.State)
--- a/internal/ingress/ends_test.go
+++ b/internal/ingress/ends_test.go
@@ -328,3 +328,38 @@
 		}
 	})
 }
+
+// A node is drained by an entry that says so and no more: nothing is sent to it after that.
+func TestDrainWithoutAnAddress(t *testing.T) {
+	t.Parallel()
+	first := scripted.NewNode(t, func(int, []string, net.Conn) string { return served })
+	second := scripted.NewNode(t, func(int, []string, net.Conn) string { return served })
+	changes := make(chan discovery.List)
+	list := fleetOf(first.Addr, second.Addr)
+	cfg := testConfig(scripted.Registry(t, list, changes), list)
+	cfg.Settings.MaxAttempts = 3 // an attempt that waits for a connection when its node is taken out is not written
+	g, _ := runIngress(t, cfg)
+	changes <- discovery.List{Rev: 2, Targets: []discovery.Target{{UID: "s0", Zone: "a", State: "DRAINING"}}}
+	changes <- discovery.List{Rev: 3} // has come when the one before was told
+	nc, in := dial(t, g.Addr().String())
+	id := 0
+	ask := func() {
+		id++
+		io.WriteString(nc, ask(id, readFields))
+		wantValue(t, in)
+	}
+	eventually(t, 10*time.Second, "the drain is known", func() bool {
+		n := len(first.Seen())
+		for range 8 { // all to the other, by chance, once in 256 times
+			ask()
+		}
+		return len(first.Seen()) == n
+	})
+	n := len(first.Seen())
+	for range 40 {
+		ask()
+	}
+	if got := len(first.Seen()); got > n {
+		t.Errorf("%d more were sent to the node that drains", got-n)
+	}
+}
--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -399,7 +399,7 @@
 			p.nodes[e.ID] = n
 		}
 		n.Server = e.Server
-		if e.State != logic.Gone {
+		if e.Addr != "" && e.State != logic.Gone {
 			n.addr = e.Addr
 		}
 	}
