The pool of connections is explored in every order; nobody waits for a node that has gone

Need: which of several ends comes first is chance, and tests of single crossings find what somebody thought of.

Found by walking through all orders of what can happen to two attempts, their connections and their node (internal/nodes/explore_test.go; the real pool, connections played): after 25,181 states, ten steps deep, a node that was gone stayed known for good where an attempt had waited for it as its last connection ended (nodes.go, end: nothing looked whether the node could be forgotten). Found beside it by reading: what waited for a connection to a node that drains or has gone waited on, up to the connect timeout, before it could go elsewhere.

Change: an attempt's end looks whether its node can be forgotten; what waits ends as never sent when the node stops serving. The module hears of the list before it hears of such ends, or it would choose the same node again (internal/core, overlaid).

--- a/internal/core/operate.go
+++ b/internal/core/operate.go
@@ -133,6 +133,7 @@
 		ev.Servers = append(ev.Servers, s)
 	}
 	g.ops.mu.Unlock()
+	g.tell(ev) // before what ends by it, which would be sent to the same nodes again
 	g.nodes.Set(entries, f.All)
 	if g.judged != nil {
 		g.listJudged()
@@ -140,7 +141,6 @@
 	if g.halls != nil {
 		g.halls.list(g.now, ev)
 	}
-	g.tell(ev)
 }
 
 // lookAtCluster brings the figures of the cluster up to date.
--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -120,6 +120,7 @@
 	conns   int  // to all of them
 	starved bool // an attempt waits because of MostConns
 	dials   int
+	begin   func(*conn) // runs a connection; tests play it by themselves
 }
 
 // Dials is how many connections were begun.
@@ -130,7 +131,9 @@
 	if cfg.Sent == nil {
 		cfg.Sent = func() {}
 	}
-	return &Pool{cfg: cfg, owner: owner, nodes: map[logic.ServerID]*node{}}
+	return &Pool{cfg: cfg, owner: owner, nodes: map[logic.ServerID]*node{}, begin: func(c *conn) {
+		owner.Spawn(func(ctx context.Context) { c.run(ctx, cfg.ConnectTimeout, owner.Post) })
+	}}
 }
 
 // node is what is kept of a node: its entry, its connections, and the attempts that wait for one. A connection carries one
@@ -385,7 +388,7 @@
 // --- the pool: everything below runs on the owner's goroutine ---
 
 // Set brings the list of nodes, whole or its changes. A drain counts from here on: what waits for a connection to a node that
-// does not serve any more is not written.
+// does not serve any more ends now, as never sent, so that it can go elsewhere.
 func (p *Pool) Set(list []Entry, whole bool) {
 	if whole {
 		for _, n := range p.nodes {
@@ -405,10 +408,22 @@
 	}
 	p.RetireIdle()
 	for _, n := range p.nodes {
+		if n.State != logic.Running {
+			p.turnAway(n)
+		}
 		p.drop(n)
 	}
 }
 
+// turnAway ends what waits for a connection to a node that does not serve any more, but for probes.
+func (p *Pool) turnAway(n *node) {
+	for _, a := range slices.Clone(n.waiting) {
+		if a.Command != nil && p.unwait(a) {
+			p.end(a, logic.Moot, Reply{})
+		}
+	}
+}
+
 // SetMost changes the bound on connections to all nodes together. Where there are more, idle ones close now, and busy ones are not
 // followed by others.
 func (p *Pool) SetMost(n int) {
@@ -486,6 +501,7 @@
 		o = logic.Failed
 	}
 	p.owner.AttemptEnded(a, o, rep)
+	p.drop(a.node)
 }
 
 // place gives an attempt the warmest idle connection, or lets it wait for one.
@@ -561,7 +577,7 @@
 		n.conns++
 		p.conns++
 		p.dials++
-		p.owner.Spawn(func(ctx context.Context) { c.run(ctx, p.cfg.ConnectTimeout, p.owner.Post) })
+		p.begin(c)
 	}
 }
 
