The client is asked for before each send: a command and its end may come together

Cause: where all places are taken, connections wait in the kernel's listen queue. A client that gives up writes its command and closes there; once the connection is accepted, the reader gets the command, hands it to the core, and reads the end behind it only then, while the core sends at once. Ruled out there: held requests, waits for a connection, retries (none was written after its client's end was read).

Change: core asks whether the client is there in one file (departure.go), by Place.Gone, which asks the kernel (POLLRDHUP): when a request is taken in, when a backend is chosen, and, through nodes.Owner.AttemptWanted, right before an attempt is handed to a connection; once a turn of the loop. Callers of the front for gates are asked for in the same way. Looks at sockets have a package (internal/socket). Figures say at which step clients had gone. The pool's exploration has a client that leaves, and a third planted defect. TestNothingIsSentForWhoHasLeft is held to 0.1 s in place of 0.3.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -95,8 +95,14 @@
 	State      lease.State   // of Over
 }
 
-// Place is where a front waits for the one final answer. Answer never blocks, and is called once.
-type Place interface{ Answer(Answer) }
+// Place is where a front waits for the one final answer.
+type Place interface {
+	// Answer hands the final answer over, once. It never blocks.
+	Answer(Answer)
+	// Gone reports whether nobody waits for the answer any more, as far as can be told now: a front has not always been told by the
+	// time that its request is about to be sent. It may ask the kernel, and never blocks.
+	Gone() bool
+}
 
 // pool is the connections to the nodes, as package nodes keeps them.
 type pool interface {
@@ -126,6 +132,7 @@
 	Size     int    // bytes that it holds
 	attempts []*nodes.Attempt
 	came     time.Duration
+	asked    time.Duration  // when Gone was asked last
 	passing  *nodes.Attempt // brings a value that is passed on to the client
 	out      int
 	final    bool
@@ -528,6 +535,9 @@
 
 func (g *Core) arrived(r *Request) {
 	g.fig.Took()
+	if g.goneOnArrival(r) {
+		return
+	}
 	// Many clients with large bodies must not fill the memory: beyond the bounds nothing is taken.
 	if len(g.requests) >= g.net.MaxOpen || g.heldBytes+r.Size > g.mostHeld {
 		g.final(r, Answer{Kind: Refused, RetryAfter: FullRetry})
@@ -562,19 +572,6 @@
 	g.forget(r)
 }
 
-// abandon ends a request whose client has gone.
-func (g *Core) abandon(r *Request) {
-	if r.final {
-		return
-	}
-	r.final = true
-	g.endCustody(r, Answer{Kind: Failed})
-	g.fig.Left()
-	g.tell(logic.Abandoned{ID: r.ID})
-	g.recall(r)
-	g.forget(r)
-}
-
 // recall calls off what has not been written of a request that is over, whatever the module may call off: whoever waits for a connection
 // then would go out for nobody.
 func (g *Core) recall(r *Request) {
@@ -623,6 +620,7 @@
 	if g.halls != nil {
 		g.halls.Sent(g.now, s.Server)
 	}
+	g.dropIfGone(r)
 	if r.final || a.Stop <= g.now || a.N >= g.cfg.Settings.MaxAttempts || r.Handed && !g.grant(r, a, s.Server) {
 		g.nodes.Moot(a, s.Server)
 		return
@@ -752,6 +750,16 @@
 	o.g.attemptEnded(a, out, r)
 }
 
+// AttemptWanted is for the pool.
+func (o owner) AttemptWanted(a *nodes.Attempt) bool {
+	r, ok := a.Ref.(*Request)
+	if !ok { // a probe
+		return true
+	}
+	o.g.dropIfGone(r)
+	return !r.final
+}
+
 // AttemptBegan is for the pool.
 func (o owner) AttemptBegan(a *nodes.Attempt, s *nodes.Stream) bool { return o.g.attemptBegan(a, s) }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -18,9 +18,13 @@
 const served = scripted.Served
 
 // place keeps the answer that it is given.
-type place struct{ got Answer }
+type place struct {
+	got  Answer
+	gone bool // its client has left, and no front has told
+}
 
 func (p *place) Answer(a Answer) { p.got = a }
+func (p *place) Gone() bool      { return p.gone }
 
 func (p *place) refused(after time.Duration) bool {
 	return p.got.Kind == Refused && p.got.RetryAfter == after
--- /dev/null
+++ b/internal/core/departure.go
@@ -0,0 +1,75 @@
+package core
+
+import (
+	"hitchspring/internal/figures"
+	"hitchspring/logic"
+)
+
+// Whether a request's client is still there is asked here and nowhere else: when the request is taken in, when the module has chosen a
+// backend for an attempt, and when the pool is about to hand an attempt to a connection. A front tells of a client that has closed its
+// connection as soon as it reads that (Abandon), which may be later: the command and the end of the connection can lie in the kernel
+// together, and whoever reads the connection may be held up.
+
+// gone reports whether nobody waits for a request's answer any more. The kernel is asked once in each turn of the loop.
+func (g *Core) gone(r *Request) bool {
+	if r.Place == nil || r.asked == g.now && r.asked != 0 {
+		return false
+	}
+	r.asked = g.now
+	return r.Place.Gone()
+}
+
+// goneOnArrival drops a request, before the module hears of it, whose command came together with the end of its connection.
+func (g *Core) goneOnArrival(r *Request) bool {
+	if !g.gone(r) {
+		return false
+	}
+	r.final = true
+	r.withdrawHanded()
+	g.fig.Left(figures.BeforeAdmission)
+	return true
+}
+
+// dropIfGone abandons a request before an attempt of it is sent, if its client has gone.
+func (g *Core) dropIfGone(r *Request) {
+	if r.final || r.passing != nil || r.Handed && len(r.attempts) > 1 || !g.gone(r) { // what was granted before is remembered
+		return
+	}
+	r.withdrawHanded()
+	g.abandon(r)
+}
+
+// withdrawHanded forgets what the front for gates keeps of a request of its own.
+func (r *Request) withdrawHanded() {
+	if x, ok := r.Place.(*handed); ok {
+		x.withdraw()
+	}
+}
+
+// abandon ends a request whose client has gone. Nothing more goes out for it.
+func (g *Core) abandon(r *Request) {
+	if r.final {
+		return
+	}
+	r.final = true
+	g.endCustody(r, Answer{Kind: Failed})
+	g.fig.Left(r.stage())
+	g.tell(logic.Abandoned{ID: r.ID})
+	g.recall(r)
+	g.forget(r)
+}
+
+// stage says how far a request has come that is not answered.
+func (r *Request) stage() figures.Stage {
+	stage := figures.BeforeAttempt
+	for _, a := range r.attempts {
+		switch {
+		case !a.Written():
+		case !a.Ended():
+			return figures.InFlight
+		default:
+			stage = figures.BeforeRetry
+		}
+	}
+	return stage
+}
--- a/internal/core/grant.go
+++ b/internal/core/grant.go
@@ -166,6 +166,22 @@
 
 func (x *handed) close() { delete(x.g.handing.open, x.entry.ID) }
 
+// Gone reports whether all who asked have hung up. Where nobody waits, a report's answer or a later call learns the decision.
+func (x *handed) Gone() bool {
+	for _, p := range x.waiting {
+		if !p.Gone() {
+			return false
+		}
+	}
+	return len(x.waiting) > 0
+}
+
+// withdraw forgets a request that no backend was granted for, and that nobody waits for.
+func (x *handed) withdraw() {
+	x.close()
+	x.g.handing.book.Forget(x.entry)
+}
+
 // grant gives an attempt to those who wait for it. false: nobody may send it.
 func (g *Core) grant(r *Request, a *nodes.Attempt, id logic.ServerID) bool {
 	x, ok := r.Place.(*handed)
@@ -201,8 +217,7 @@
 	}
 	x.waiting = kept
 	if len(kept) == 0 && x.entry.State == lease.Open && len(x.r.attempts) == 0 {
-		x.close()
-		g.handing.book.Forget(x.entry)
+		x.withdraw()
 		g.abandon(x.r)
 	}
 }
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -414,6 +414,9 @@
 	}
 }
 
+// Gone is Place's: whoever comes back for the answer of work that is taken over asks for it by its key.
+func (takenPlace) Gone() bool { return false }
+
 // finish goes on with a piece of work whose instance has gone.
 func (g *Core) finish(t custody.Take) {
 	fail := func(why string, err error) {
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -30,11 +30,32 @@
 // String is the end's name.
 func (e End) String() string { return endNames[min(e, ends-1)] }
 
+// Stage is how far a request has come.
+type Stage uint8
+
+// The stages at which a client may have gone.
+const (
+	BeforeAdmission Stage = iota // its command and the end of its connection were read together: the decision module never saw it
+	BeforeAttempt                // no attempt of it was handed to a connection
+	BeforeRetry                  // all attempts had ended, and there was to be another
+	InFlight                     // an attempt was out; nothing followed it
+	stages
+)
+
+var stageNames = [stages]string{"before_admission", "before_attempt", "before_retry", "in_flight"}
+
+// Stages are all stages, in their order.
+func Stages() []Stage { return []Stage{BeforeAdmission, BeforeAttempt, BeforeRetry, InFlight} }
+
+// String is the stage's name.
+func (s Stage) String() string { return stageNames[min(s, stages-1)] }
+
 // Set is the figures of one process; each counts from 0.
 type Set struct {
 	classes   []string
 	index     map[string]int
 	ended     [][ends]atomic.Int64 // by class
+	left      [stages]atomic.Int64
 	sends     atomic.Int64
 	current   atomic.Int64
 	size      atomic.Int64
@@ -61,8 +82,14 @@
 	}
 }
 
-// Left counts a request whose client has gone, which has no end of its own.
-func (s *Set) Left() { s.current.Add(-1) }
+// Left counts a request whose client has gone, which has no end of its own, by how far it had come.
+func (s *Set) Left(at Stage) {
+	s.current.Add(-1)
+	s.left[at].Add(1)
+}
+
+// Departures is how many requests were dropped at a stage because their clients had gone.
+func (s *Set) Departures(at Stage) int64 { return s.left[at].Load() }
 
 // Sent counts an attempt that was written to its last byte.
 func (s *Set) Sent() { s.sends.Add(1) }
@@ -110,5 +137,8 @@
 	line("current", s.current.Load())
 	line("cluster_size", s.size.Load())
 	line("cluster_unhealthy", s.unhealthy.Load())
+	for _, at := range Stages() {
+		line("clients_gone."+at.String(), s.Departures(at))
+	}
 	return b
 }
--- a/internal/figures/figures_test.go
+++ b/internal/figures/figures_test.go
@@ -12,7 +12,9 @@
 	first := string(s.Text())
 	want := "edge_router.transactions.b.answered=0\nedge_router.transactions.b.deferred=0\nedge_router.transactions.b.errored=0\n" +
 		"edge_router.transactions.a.answered=0\nedge_router.transactions.a.deferred=0\nedge_router.transactions.a.errored=0\n" +
-		"edge_router.sends=0\nedge_router.current=0\nedge_router.cluster_size=0\nedge_router.cluster_unhealthy=0\n"
+		"edge_router.sends=0\nedge_router.current=0\nedge_router.cluster_size=0\nedge_router.cluster_unhealthy=0\n" +
+		"edge_router.clients_gone.before_admission=0\nedge_router.clients_gone.before_attempt=0\nedge_router.clients_gone.before_retry=0\n" +
+		"edge_router.clients_gone.in_flight=0\n"
 	if first != want {
 		t.Fatalf("figures at the start:\n%s\nwant:\n%s", first, want)
 	}
@@ -32,10 +34,11 @@
 	}
 	wg.Wait()
 	s.Took()
-	s.Left()
+	s.Left(BeforeRetry)
 	s.Cluster(7, 2)
 	for _, line := range []string{"transactions.a.answered=800", "transactions.b.deferred=800", "transactions.a.errored=0", "sends=800",
-		"current=0", "cluster_size=7", "cluster_unhealthy=2"} {
+		"current=0", "cluster_size=7", "cluster_unhealthy=2", "clients_gone.before_retry=1",
+		"clients_gone.in_flight=0"} {
 		if !strings.Contains(string(s.Text()), "edge_router."+line+"\n") {
 			t.Errorf("no line %s in:\n%s", line, s.Text())
 		}
--- a/internal/front/forwardauth/front.go
+++ b/internal/front/forwardauth/front.go
@@ -24,6 +24,7 @@
 
 	"hitchspring/internal/core"
 	"hitchspring/internal/lease"
+	"hitchspring/internal/socket"
 	"hitchspring/logic"
 )
 
@@ -74,7 +75,8 @@
 	f.key.Store(1 << 63) // apart from the ids of other fronts
 	f.table.Store(table)
 	f.srv = &http.Server{Handler: f.handler(), ReadHeaderTimeout: cfg.HeaderTime, ReadTimeout: cfg.HeaderTime + 5*time.Second, IdleTimeout: cfg.IdleTime,
-		MaxHeaderBytes: cfg.MostHeader, ConnState: f.connState, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+		MaxHeaderBytes: cfg.MostHeader, ConnState: f.connState,
+		ConnContext: func(ctx context.Context, nc net.Conn) context.Context { return context.WithValue(ctx, connKey{}, nc) }, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 	f.srv.Protocols = new(http.Protocols)
 	f.srv.Protocols.SetHTTP1(true)
 	f.srv.Protocols.SetUnencryptedHTTP2(true)
@@ -163,10 +165,22 @@
 }
 
 // place waits for one answer.
-type place struct{ got chan core.Answer }
+type place struct {
+	got    chan core.Answer
+	caller context.Context // of the call; it ends when the server has seen that the caller left
+	conn   net.Conn        // that the call came on; nil: not known
+}
 
 func (p *place) Answer(a core.Answer) { p.got <- a } // it has room for the one
 
+// Gone reports whether the caller has hung up, whether or not the server has come to that.
+func (p *place) Gone() bool {
+	return p.caller.Err() != nil || p.conn != nil && socket.HungUp(p.conn)
+}
+
+// connKey is under what a call's context has its connection.
+type connKey struct{}
+
 // ask answers one call.
 func (f *Front) ask(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
@@ -188,7 +202,8 @@
 		f.problem(w, r, http.StatusBadRequest, err.Error(), 0)
 		return
 	}
-	p := &place{make(chan core.Answer, 1)}
+	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	p := &place{got: make(chan core.Answer, 1), caller: r.Context(), conn: conn}
 	f.core.Ask(req, id, print, p)
 	select {
 	case a := <-p.got:
--- a/internal/front/resp/client.go
+++ b/internal/front/resp/client.go
@@ -12,16 +12,14 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
-	"unsafe"
 
 	"github.com/tidwall/redcon"
-	"golang.org/x/sys/unix"
 
 	"hitchspring/internal/core"
 	"hitchspring/internal/nodes"
 	"hitchspring/internal/resp"
+	"hitchspring/internal/socket"
 	"hitchspring/logic"
 )
 
@@ -422,7 +420,7 @@
 		c.close()
 		if c.await() {
 			c.nc.SetReadDeadline(time.Now().Add(lingerTime))
-			closeWrite(c.nc)
+			socket.CloseWrite(c.nc)
 			io.CopyN(io.Discard, c.nc, lingerBytes)
 		}
 	case over:
@@ -589,7 +587,7 @@
 	if !c.look() {
 		return false, false
 	}
-	if came, gone := peek(c.nc); len(c.waiting) > 0 || c.in.Partial() || came || gone {
+	if came, gone := socket.Peek(c.nc); len(c.waiting) > 0 || c.in.Partial() || came || gone {
 		return true, false
 	}
 	c.ended = true
@@ -601,20 +599,14 @@
 // crosses our end is not read: the client sends it again elsewhere.
 func (c *client) linger() {
 	<-c.written
-	closeWrite(c.nc)
+	socket.CloseWrite(c.nc)
 	for until := time.Now().Add(lingerTime); time.Now().Before(until); time.Sleep(lingerLook) {
-		if _, gone := peek(c.nc); gone {
+		if _, gone := socket.Peek(c.nc); gone {
 			return
 		}
 	}
 }
 
-func closeWrite(nc net.Conn) {
-	if t, ok := nc.(interface{ CloseWrite() error }); ok {
-		t.CloseWrite()
-	}
-}
-
 // await waits for the last answer, and throws away a bounded part of what comes meanwhile, so that a client's leaving shows: false.
 func (c *client) await() (written bool) {
 	b := make([]byte, relaySize)
@@ -633,7 +625,7 @@
 			}
 			continue
 		}
-		if hungUp(c.nc) {
+		if socket.HungUp(c.nc) {
 			return false
 		}
 		wait(c.written, aheadLook)
@@ -655,7 +647,7 @@
 			if done(aheadLook) {
 				return
 			}
-			if c.hungUp = hungUp(c.nc); c.hungUp {
+			if c.hungUp = socket.HungUp(c.nc); c.hungUp {
 				return
 			}
 			continue
@@ -814,6 +806,10 @@
 	}
 }
 
+// Gone reports whether the client has closed its connection, whether or not the reader has come to that: the command and the end of the
+// connection may have come together, and the reader may be held up. It asks the kernel and never waits.
+func (s *slot) Gone() bool { return socket.HungUp(s.c.nc) }
+
 // answer fills the slot and never blocks. Clients that leave their answers unread lose their connections before they
 // can fill the memory.
 func (s *slot) answer(b []byte) {
@@ -907,24 +903,23 @@
 // send writes all of b. The client's time-out is for want of progress: one that reads slowly gets it all. Where nothing more can be written,
 // what the client has taken of what was shows that it reads: the kernel lets more be written only when a third of its buffer is free.
 func (c *client) send(b []byte) error {
-	const unknown = -1
-	owed := unknown // what the client had not taken when half of its time had passed
+	owed := socket.Unknown // what the client had not taken when half of its time had passed
 	for len(b) > 0 {
 		c.nc.SetWriteDeadline(time.Now().Add(writeStall / 2))
 		n, err := c.nc.Write(b)
 		b = b[n:]
 		switch {
 		case n > 0 && (err == nil || errors.Is(err, os.ErrDeadlineExceeded)):
-			owed = unknown
+			owed = socket.Unknown
 		case err == nil:
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return err
 		default:
-			now := unsent(c.nc)
-			if owed != unknown && (now >= owed || now == unknown) {
+			now := socket.Unsent(c.nc)
+			if owed != socket.Unknown && (now >= owed || now == socket.Unknown) {
 				return err
 			}
-			if owed = now; now == unknown { // nobody can tell: the other half of its time, and no more
+			if owed = now; now == socket.Unknown { // nobody can tell: the other half of its time, and no more
 				owed = 0
 			}
 		}
@@ -932,51 +927,6 @@
 	return nil
 }
 
-// peek says whether something has come on a connection that was not read, or its other side has ended it, as far as that shows.
-func peek(nc net.Conn) (came, gone bool) {
-	var b [1]byte
-	if !control(nc, func(fd int) {
-		n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		came = err == nil && n > 0
-		gone = err == nil && n == 0 || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
-	}) {
-		return false, false
-	}
-	return came, gone
-}
-
-// hungUp says whether the other side has ended a connection, also where what it sent before is not read; false where nobody can tell.
-func hungUp(nc net.Conn) (gone bool) {
-	control(nc, func(fd int) {
-		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(p, 0)
-		gone = err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-	})
-	return gone
-}
-
-// control does something with the descriptor of a connection; false where there is none, or it is closed.
-func control(nc net.Conn, do func(fd int)) bool {
-	s, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	return err == nil && raw.Control(func(fd uintptr) { do(int(fd)) }) == nil
-}
-
-// unsent is how many bytes of what was written to a connection its other side has not taken; -1: it can't be told.
-func unsent(nc net.Conn) int {
-	n, failed := int32(0), true
-	if !control(nc, func(fd int) {
-		_, _, e := syscall.Syscall(syscall.SYS_IOCTL, uintptr(fd), syscall.TIOCOUTQ, uintptr(unsafe.Pointer(&n)))
-		failed = e != 0
-	}) || failed {
-		return -1
-	}
-	return int(n)
-}
-
 // write sends answers as they come due, and ends the connection between requests once it is closing.
 func (c *client) write(done <-chan struct{}) {
 	var buf []byte
--- a/internal/front/resp/ends_test.go
+++ b/internal/front/resp/ends_test.go
@@ -14,6 +14,7 @@
 	"github.com/tidwall/redcon"
 
 	"hitchspring/internal/core"
+	"hitchspring/internal/socket"
 	"hitchspring/logic"
 )
 
@@ -190,7 +191,7 @@
 					gate = b.held.after
 				} else { // it lies in the kernel: our side of the connection says so
 					for came := false; !came; {
-						came, _ = peek(b.held)
+						came, _ = socket.Peek(b.held)
 					}
 				}
 				end(b)
--- a/internal/ingress/ends_test.go
+++ b/internal/ingress/ends_test.go
@@ -15,7 +15,7 @@
 )
 
 // leftFor is how long after a client has left nothing may go out for it any more.
-const leftFor = 300 * time.Millisecond
+const leftFor = 100 * time.Millisecond
 
 // What a client has asked that left while it waited is not sent when there is room again. The node holds what fills the window; the
 // observer is the node's record of commands. The last request, of a client that stays, passes the same queue behind them.
--- a/internal/ingress/figures.go
+++ b/internal/ingress/figures.go
@@ -8,8 +8,8 @@
 
 // requestFigures exports to [metrics] what the operators' door shows: the same counters, read when they are asked for.
 type requestFigures struct {
-	set                                 *figures.Set
-	ended, sends, open, size, unhealthy *prometheus.Desc
+	set                                       *figures.Set
+	ended, gone, sends, open, size, unhealthy *prometheus.Desc
 }
 
 func newRequestFigures(set *figures.Set) *requestFigures {
@@ -18,6 +18,7 @@
 	}
 	return &requestFigures{set: set,
 		ended:     d("requests_total", "Requests by class and by how they ended: answered, deferred (refused), errored (failed).", "class", "end"),
+		gone:      d("requests_client_gone_total", "Requests dropped because their client had closed its connection, by how far they had come.", "stage"),
 		sends:     d("attempts_written_total", "Attempts that were written to a node to their last byte."),
 		open:      d("requests_open", "Requests taken and not ended."),
 		size:      d("nodes_listed", "Nodes in discovery's list."),
@@ -37,6 +38,9 @@
 			put(f.ended, prometheus.CounterValue, f.set.Count(class, end), class, end.String())
 		}
 	}
+	for _, stage := range figures.Stages() {
+		put(f.gone, prometheus.CounterValue, f.set.Departures(stage), stage.String())
+	}
 	size, unhealthy := f.set.Nodes()
 	put(f.sends, prometheus.CounterValue, f.set.Sends())
 	put(f.open, prometheus.GaugeValue, f.set.Current())
--- a/internal/nodes/explore_test.go
+++ b/internal/nodes/explore_test.go
@@ -24,8 +24,9 @@
 	trialTime    = 5 * time.Minute
 	leastSettled = 2000 // states; else the exploration has lost its way
 
-	plantUntold = "a connection does not tell that it wrote a command whole"
-	plantTwice  = "a connection tells its end twice"
+	plantUntold  = "a connection does not tell that it wrote a command whole"
+	plantTwice   = "a connection tells its end twice"
+	plantUnasked = "the owner is not asked whether an attempt is still wanted"
 )
 
 // playedConn is a connection's own side.
@@ -60,7 +61,8 @@
 	whole  map[*Attempt]bool // came to the node to its last byte
 	conns  []*playedConn
 	broken string
-	plant  string // a defect of the connections' own side, to show that the exploration finds it
+	left   map[*Attempt]bool // once the client of all has gone: the attempts that no connection had then
+	plant  string            // a defect of the connections' own side, to show that the exploration finds it
 }
 
 func (o *orders) Now() time.Duration { return o.now }
@@ -71,6 +73,17 @@
 func (o *orders) Spawn(func(context.Context))         {}
 func (o *orders) AttemptBegan(*Attempt, *Stream) bool { return false }
 
+// AttemptWanted withdraws the others too, as the core does when it finds that a request's client has gone.
+func (o *orders) AttemptWanted(*Attempt) bool {
+	if o.left == nil || o.plant == plantUnasked {
+		return true
+	}
+	for _, a := range o.tries {
+		o.p.Withdraw(a)
+	}
+	return false
+}
+
 func (o *orders) AttemptEnded(a *Attempt, out logic.Outcome, _ Reply) {
 	if was, twice := o.ends[a]; twice {
 		o.breaks("attempt %d ended twice: %d, then %d", a.N, was, out)
@@ -211,9 +224,20 @@
 	if len(o.alarms) > 0 {
 		add(o.ring, "time passes", -1)
 	}
+	if o.left == nil {
+		add(o.leave, "the client leaves", -1)
+	}
 	return out
 }
 
+// leave is the client's going, of which nobody has told the pool's owner.
+func (o *orders) leave() {
+	o.left = map[*Attempt]bool{}
+	for _, a := range o.tries {
+		o.left[a] = a.conn == nil
+	}
+}
+
 // write is the goroutine of a connection that writes: the node has the whole command.
 func (o *orders) write(pc *playedConn) {
 	j := <-pc.c.work
@@ -248,6 +272,11 @@
 			busy++
 		}
 	}
+	for _, a := range o.tries {
+		if o.left[a] && a.conn != nil {
+			o.breaks("attempt %d was handed to a connection after its client had gone", a.N)
+		}
+	}
 	if busy != o.p.conns {
 		o.breaks("%d connections are there, the pool counts %d", busy, o.p.conns)
 	}
@@ -339,7 +368,7 @@
 	try := func(a *Attempt) int { return slices.Index(o.tries, a) }
 	for _, a := range o.tries {
 		out, ended := o.ends[a]
-		put(yes(a.node != nil), int(a.why), yes(ended), int(out), yes(o.whole[a]), conn(a.conn))
+		put(yes(o.left[a]), yes(a.node != nil), int(a.why), yes(ended), int(out), yes(o.whole[a]), conn(a.conn))
 		if a.conn != nil {
 			put(yes(a.node.heard <= a.handed), yes(o.now-a.handed >= o.p.cfg.ConnectTimeout))
 		}
@@ -367,7 +396,7 @@
 			put(conn(c))
 		}
 	}
-	put(o.p.conns, yes(o.p.starved))
+	put(o.p.conns, yes(o.p.starved), yes(o.left != nil))
 	for _, a := range o.alarms {
 		put(int((a.at - o.now) / time.Millisecond))
 	}
@@ -454,7 +483,7 @@
 	if x.settled < leastSettled {
 		t.Errorf("%d states were settled, %d at least are wanted", x.settled, leastSettled)
 	}
-	for _, plant := range []string{plantUntold, plantTwice} {
+	for _, plant := range []string{plantUntold, plantTwice, plantUnasked} {
 		x := explore(plant, steps, time.Now().Add(within))
 		if x.broken == "" {
 			t.Errorf("planted, and not found in %d states: %s", x.states, plant)
--- a/internal/nodes/nodes.go
+++ b/internal/nodes/nodes.go
@@ -60,6 +60,9 @@
 // Ended says whether the owner has been told of its end.
 func (a *Attempt) Ended() bool { return a.ended }
 
+// Written says whether it was handed to a connection and may have run, as far as is known.
+func (a *Attempt) Written() bool { return a.conn != nil && !a.unrun }
+
 // Node is where it was sent; empty before Start.
 func (a *Attempt) Node() logic.ServerID {
 	if a.node == nil {
@@ -95,6 +98,8 @@
 	Post(Event)
 	// Spawn starts a goroutine whose context ends with the owner's life, and which is waited for.
 	Spawn(run func(context.Context))
+	// AttemptWanted is asked right before an attempt is handed to a connection. False: it ends as Moot, never sent.
+	AttemptWanted(a *Attempt) bool
 	// AttemptEnded tells how an attempt ended, once for each.
 	AttemptEnded(a *Attempt, o logic.Outcome, r Reply)
 	// AttemptBegan tells of an attempt whose value has begun to come and is passed on; its end is told later. From now on the
@@ -196,7 +201,7 @@
 // Reply is a node's answer, taken apart.
 type Reply struct {
 	Value   []byte
-	Load    logic.Load // the load report that came with it; nil: none that can n read
+	Load    logic.Load // the load report that came with it; nil: none that can be read
 	outcome logic.Outcome
 	keep    bool // it is of a known form and nothing stands behind it: the connection is in order
 }
@@ -233,8 +238,8 @@
 	post(connDown{c: c, up: true})
 }
 
-// read posts answers until the connection ends or is of no further use: bytes behind an answer may n a second copy of
-// it, which must never n taken for the answer to the next command.
+// read posts answers until the connection ends or is of no further use: bytes behind an answer may be a second copy of
+// it, which must never be taken for the answer to the next command.
 func (c *conn) read(ctx context.Context, post func(Event)) {
 	in := resp.Inbox{Budget: c.frames}
 	defer in.Close()
@@ -351,7 +356,7 @@
 		if r.Data != nil {
 			out.outcome, out.keep, out.Load = logic.Done, true, parseLoad(string(r.Data))
 		}
-	case redcon.Array: // the value, the figures on use, the load report: the latter may n unreadable
+	case redcon.Array: // the value, the figures on use, the load report: the latter may be unreadable
 		if r.Count != 3 {
 			break
 		}
@@ -459,7 +464,7 @@
 	p.place(a)
 }
 
-// Moot ends an attempt that is not to n sent at all.
+// Moot ends an attempt that is not to be sent at all.
 func (p *Pool) Moot(a *Attempt, id logic.ServerID) {
 	a.node = &node{Server: logic.Server{ID: id}}
 	p.end(a, logic.Moot, Reply{})
@@ -511,7 +516,7 @@
 	if a.By > 0 {
 		wait = min(wait, a.By-p.owner.Now())
 	}
-	if wait <= 0 {
+	if wait <= 0 || !p.wanted(a) {
 		p.end(a, logic.Moot, Reply{})
 		return
 	}
@@ -550,6 +555,9 @@
 	return i >= 0
 }
 
+// wanted asks the owner whether an attempt that is about to be handed to a connection is to go out still.
+func (p *Pool) wanted(a *Attempt) bool { return a.Command == nil || p.owner.AttemptWanted(a) }
+
 // write hands an attempt to a free connection.
 func (p *Pool) write(c *conn, a *Attempt) {
 	a.conn, c.cur, a.handed = c, a, p.owner.Now()
@@ -592,7 +600,7 @@
 		a := n.waiting[0]
 		n.waiting = n.waiting[1:]
 		// The list may have changed since the attempt began to wait: a drain counts from then on.
-		if n.State != logic.Running {
+		if n.State != logic.Running || !p.wanted(a) {
 			p.end(a, logic.Moot, Reply{})
 			continue
 		}
@@ -615,8 +623,8 @@
 	}
 }
 
-// RetireIdle closes connections that the node is about to close: a command that crossed that would n a
-// reset, and may not n sent again.
+// RetireIdle closes connections that the node is about to close: a command that crossed that would be a
+// reset, and may not be sent again.
 func (p *Pool) RetireIdle() {
 	for _, n := range p.nodes {
 		for len(n.idle) > 0 && (n.State != logic.Running || n.idle[0].addr != n.addr ||
--- a/internal/nodes/nodes_test.go
+++ b/internal/nodes/nodes_test.go
@@ -64,6 +64,11 @@
 	g.ends = append(g.ends, end{a, o, r})
 }
 
+func (g *testOwner) AttemptWanted(a *Attempt) bool { return a.Ref != departed }
+
+// departed is the Ref of an attempt whose client has gone.
+const departed = "departed"
+
 func (g *testOwner) AttemptBegan(a *Attempt, s *Stream) bool {
 	g.began = append(g.began, s)
 	return !g.unwanted
