Facts on hundreds of backends among 350 instances: room for them, and told in seconds

An instance held 512 facts of one owner and 4 MiB of all, and dropped the rest without a word: of 2,000 backends that one owner spoke of, 1,488 were refused. Among more than 36 owners a full answer was followed by a question about other owners, so that 1,200 facts of two owners were not known to 350 instances after 30 s in virtual time (facts end after 60 s).

One owner may have 8,192 facts and all together take 8 MiB, by need; what others tell never keeps out what an instance has seen itself. A bound that is met (facts, members, queue of messages, message too large) is one line, at once and then once in 10 s, and counted in the status. The members' bound stays 4,096; the constants that were touched have standard names.

--- /dev/null
+++ b/internal/peers/bounds_test.go
@@ -0,0 +1,137 @@
+package peers
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"hitchspring/internal/shared"
+)
+
+// 350 processes find one another, and what two of them have seen of hundreds of backends is known to all.
+func TestManyProcesses(t *testing.T) {
+	const processes, backends = 350, 600
+	n := newNet(t, 21)
+	for i := range processes {
+		n.start(fmt.Sprintf("i%04d", i), uint64(100+i))
+	}
+	joined, ok := n.until(2*time.Minute, func() bool {
+		for _, a := range n.addrs {
+			if n.engines[a].Member().Alive() != processes-1 {
+				return false
+			}
+		}
+		return true
+	})
+	if !ok {
+		t.Fatal("they have not found one another")
+	}
+	for _, owner := range n.addrs[:2] {
+		for i := range backends {
+			if !n.engines[owner].Tell("node", fmt.Sprintf("backend-%05d", i), n.now, make([]byte, 32)) {
+				t.Fatalf("%s: no room for fact %d", owner, i)
+			}
+		}
+	}
+	told, ok := n.until(30*time.Second, func() bool {
+		for _, a := range n.addrs {
+			if n.engines[a].Store().Len() != 2*backends {
+				return false
+			}
+		}
+		return true
+	})
+	if !ok {
+		t.Fatal("not all of them know all facts")
+	}
+	t.Logf("joined after %v, all facts at all after %v", joined, told)
+	for _, a := range n.addrs {
+		if c := n.engines[a]; c.Store().Counts().Full > 0 || c.Member().Counts().Full > 0 {
+			t.Fatal(a, c.Store().Counts(), c.Member().Counts())
+		}
+	}
+}
+
+// unstarted is an instance without a socket, on a clock of the test's.
+func unstarted(t *testing.T, log *lines, now *time.Duration) *Peers {
+	n := newNet(t, 1)
+	return &Peers{engine: n.start("self", 1), log: slog.New(slog.NewTextHandler(log, nil)), works: make(chan work, maxQueuedSends),
+		cfg: Config{Name: "self", Clock: func() time.Duration { return *now }}}
+}
+
+// A bound that is met again and again is one line at once and one in ten seconds after that, with how often; one that is met no
+// more is none.
+func TestFullFactsAreOneLine(t *testing.T) {
+	const line = "no room for further facts"
+	log, now := &lines{}, time.Hour
+	p := unstarted(t, log, &now)
+	for i := range shared.MaxFactsPerOwner {
+		p.engine.Tell("node", fmt.Sprint(i), now, nil)
+	}
+	p.reportBounds(now)
+	if log.count(line) != 0 {
+		t.Fatal("a line before the bound was passed")
+	}
+	for i := range 500 {
+		p.engine.Tell("node", fmt.Sprint("more", i), now, nil)
+		p.reportBounds(now)
+	}
+	if log.count(line) != 1 || log.count("refused=1 held=8192") != 1 {
+		t.Fatal(log.b.String())
+	}
+	now += lineSpan
+	p.reportBounds(now)
+	if log.count(line) != 2 || log.count("refused=499 ") != 1 {
+		t.Fatal(log.b.String())
+	}
+	now += lineSpan
+	p.reportBounds(now)
+	if log.count(line) != 2 || p.engine.store.Len() != shared.MaxFactsPerOwner {
+		t.Fatal(log.b.String())
+	}
+}
+
+// A message to each of 1,024 members finds a place in the queue; further ones are counted, and are one line.
+func TestFullQueueIsOneLine(t *testing.T) {
+	const line = "the queue is full"
+	log, now := &lines{}, time.Hour
+	p := unstarted(t, log, &now)
+	for i := range 1024 {
+		p.Send(fmt.Sprint("member", i), nil)
+	}
+	p.reportBounds(now)
+	if log.count(line) != 0 {
+		t.Fatal(log.b.String())
+	}
+	for i := range 30 {
+		p.Send(fmt.Sprint("member", i), nil)
+	}
+	p.reportBounds(now)
+	p.reportBounds(now)
+	if log.count(line) != 1 || log.count("dropped=30 ") != 1 || len(p.works) != 1024 || p.unqueued.Load() != 30 {
+		t.Fatal(log.b.String())
+	}
+}
+
+// Bytes for a member that no datagram may hold are counted, and are one line.
+func TestOversizedMessageIsOneLine(t *testing.T) {
+	log, now := &lines{}, 3*time.Second
+	n := newNet(t, 5)
+	n.start("i0000", 100)
+	n.start("i0001", 101)
+	n.run(now)
+	p := unstarted(t, log, &now)
+	p.engine = n.engines["at-i0000"]
+	if out := p.engine.Work(now, "i0001", make([]byte, MostParcel)); len(out) != 1 {
+		t.Fatal("the largest message is not sent")
+	}
+	if out := p.engine.Work(now, "i0001", make([]byte, MostParcel+1)); len(out) != 0 {
+		t.Fatal("a larger message is sent")
+	}
+	p.reportBounds(now)
+	p.reportBounds(now)
+	if log.count("they are too large") != 1 || log.count("dropped=1 ") != 1 {
+		t.Fatal(log.b.String())
+	}
+}
--- a/internal/peers/engine.go
+++ b/internal/peers/engine.go
@@ -32,8 +32,8 @@
 	mostAsks     = 16                     // questions that may be out
 	starterAsks  = 3                      // members that one who has just come asks at once
 	mostMore     = 64                     // further questions in a row, where an answer was full
-	mostMessage  = 16 << 10               // bytes of a datagram; what is larger is nonsense
-	mostParcels  = 1024
+	maxDatagram  = 16 << 10               // bytes of a datagram; larger ones are not read
+	maxParcels   = 1024
 	sweepEvery   = time.Second
 	horizon      = 60 * time.Second // of facts
 )
@@ -89,11 +89,13 @@
 	Malformed                  int // that say nothing that can be read
 	Newer                      int // that only a later version can read
 	Strange                    int // answers to no question
+	Oversized                  int // messages for a member that were larger than MostParcel: not sent
 }
 
 type question struct {
-	at   time.Duration
-	addr string
+	at     time.Duration
+	addr   string
+	digest shared.Digest
 }
 
 // Engine is one instance's membership and facts. It is used by one goroutine at a time.
@@ -155,7 +157,11 @@
 func (e *Engine) Work(now time.Duration, to string, data []byte) []Packet {
 	e.out, e.now = nil, now
 	m, known := e.member.Member(to)
-	if !known || len(data) > MostParcel || e.member.Over() != "" {
+	if !known || e.member.Over() != "" {
+		return nil
+	}
+	if len(data) > MostParcel {
+		e.counts.Oversized++
 		return nil
 	}
 	e.send(m.Addr, &packet{Swim: e.hello(), Work: data})
@@ -271,7 +277,7 @@
 		return
 	}
 	n := e.rng.Uint64()
-	e.asks[n] = question{now, addr}
+	e.asks[n] = question{now, addr, d}
 	e.send(addr, &packet{Swim: e.hello(), Ask: &ask{n, d}})
 }
 
@@ -281,7 +287,7 @@
 	e.out, e.now = nil, now
 	e.counts.In++
 	e.counts.BytesIn += len(data)
-	if len(data) > mostMessage {
+	if len(data) > maxDatagram {
 		e.counts.Malformed++
 		return nil, errTooLarge
 	}
@@ -320,7 +326,7 @@
 	if c := e.clocks[x.Name]; x.Life > c.life || x.Life == c.life && time.Duration(p.Clock)*time.Microsecond > c.at {
 		e.clocks[x.Name] = reading{x.Life, time.Duration(p.Clock) * time.Microsecond}
 	}
-	if len(p.Work) > 0 && len(e.parcels) < mostParcels {
+	if len(p.Work) > 0 && len(e.parcels) < maxParcels {
 		e.parcels = append(e.parcels, Parcel{x.Name, x.Life, p.Work})
 	}
 	if p.Ask != nil {
@@ -351,9 +357,9 @@
 	if e.store.Version() != before {
 		e.rounds, e.newsAt = e.nudges(), now
 	}
-	if a.More && len(a.Shares) > 0 && e.more < mostMore {
+	if a.More && e.store.Version() != before && e.more < mostMore {
 		e.more++
-		e.ask(now, from)
+		e.askFor(now, from, e.store.AskOn(q.digest))
 		return
 	}
 	e.told = true
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -60,6 +61,9 @@
 	works  chan work     // to be sent; what finds no room is lost, as on the way
 	lines  limiter
 	told   chan struct{} // closed when another has told all that it knows
+	bounds boundReports
+
+	unqueued atomic.Int64 // messages that found the queue full
 
 	mu         sync.Mutex // of all below; never held over I/O
 	engine     *Engine
@@ -78,14 +82,16 @@
 	data []byte
 }
 
-// mostWorks bounds what waits to be sent.
-const mostWorks = 1024
+// maxQueuedSends bounds the messages that wait to be sent: one to each member of a fleet of 1,024.
+const maxQueuedSends = 1024
 
-// Send sends bytes to a member, as well as can be; it waits for nothing.
+// Send sends bytes to a member, as well as can be; it waits for nothing. What finds the queue full is counted and dropped, as if it
+// were lost on the way.
 func (p *Peers) Send(to string, data []byte) {
 	select {
 	case p.works <- work{to, data}:
 	default:
+		p.unqueued.Add(1)
 	}
 }
 
@@ -137,7 +143,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("peers.key_file: %w", err)
 	}
-	p := &Peers{cfg: cfg, log: log, sealer: sealer, wake: make(chan struct{}, 1), works: make(chan work, mostWorks), told: make(chan struct{}), dials: map[string]netip.AddrPort{}, advertised: map[netip.AddrPort]string{}}
+	p := &Peers{cfg: cfg, log: log, sealer: sealer, wake: make(chan struct{}, 1), works: make(chan work, maxQueuedSends), told: make(chan struct{}), dials: map[string]netip.AddrPort{}, advertised: map[netip.AddrPort]string{}}
 	if cfg.SeedsFile != "" {
 		if p.cfg.Seeds, err = ReadSeeds(cfg.SeedsFile); err != nil {
 			return nil, fmt.Errorf("peers.seeds_file: %w", err)
@@ -246,6 +252,7 @@
 		p.mu.Unlock()
 		p.send(out)
 		p.tellOf(changes)
+		p.reportBounds(now)
 		timer.Reset(min(max(due-p.cfg.Clock(), 0), longestTick))
 	}
 	p.mu.Lock()
--- a/internal/peers/seal.go
+++ b/internal/peers/seal.go
@@ -17,7 +17,7 @@
 // Errors of datagrams that are left aside.
 var (
 	ErrKey      = errors.New("no key opens it")
-	errTooLarge = fmt.Errorf("larger than %d bytes", mostMessage)
+	errTooLarge = fmt.Errorf("larger than %d bytes", maxDatagram)
 	errNewer    = errors.New("only a later version can read it")
 	errNoSender = errors.New("it names no sender")
 )
--- a/internal/peers/status.go
+++ b/internal/peers/status.go
@@ -21,6 +21,7 @@
 	FactsSum uint64 // of what is held; alike where two hold the same
 	Counts   Counts
 	Unsent   int
+	Unqueued int // messages that were dropped because the queue was full
 	Swim     swim.Counts
 	Shared   shared.Counts
 }
@@ -42,7 +43,7 @@
 	e := p.engine
 	self := e.member.Self()
 	s := Status{Name: self.Name, Addr: self.Addr, Hall: self.Hall, Life: self.Life, Inc: self.Inc, Over: e.member.Over(), Version: e.member.Version(),
-		Alive: e.member.Alive(), Bytes: e.store.Bytes(), FactsSum: e.store.Sum(now), Counts: e.counts, Unsent: p.unsent, Swim: e.member.Counts(), Shared: e.store.Counts()}
+		Alive: e.member.Alive(), Bytes: e.store.Bytes(), FactsSum: e.store.Sum(now), Counts: e.counts, Unsent: p.unsent, Unqueued: int(p.unqueued.Load()), Swim: e.member.Counts(), Shared: e.store.Counts()}
 	s.Facts = e.store.Len()
 	for _, m := range e.member.Members() {
 		heard := int64(-1)
--- a/internal/shared/shared.go
+++ b/internal/shared/shared.go
@@ -20,16 +20,19 @@
 	"time"
 )
 
-// Bounds.
+// Bounds. Memory is taken by need; docs/design/limits-on-record.md has what each bound costs.
 const (
 	// MostTrip is the longest time between a question and its answer for which ages are believed.
-	MostTrip     = 500 * time.Millisecond
-	mostFacts    = 512     // of one owner
-	mostBytes    = 4 << 20 // of all together, by kinds, subjects, data and mostly the books for them
-	overhead     = 160     // bytes that one fact takes besides
-	mostText     = 128     // of a kind and of a subject
-	mostData     = 512     // bytes of one fact's data
-	mostOwners   = 4096
+	MostTrip = 500 * time.Millisecond
+	// MaxFactsPerOwner bounds the facts of one owner: one about each of 7,700 backends.
+	MaxFactsPerOwner = 8192
+	// MaxBytes bounds what all owners' facts take: 350 owners with a fact about each of 100 backends take 7.5 MB. An instance's
+	// own facts count, and are held beyond it.
+	MaxBytes     = 8 << 20
+	overhead     = 160 // bytes that one fact takes besides
+	maxText      = 128 // of a kind and of a subject
+	maxData      = 512 // bytes of one fact's data
+	maxOwners    = 4096
 	shareHead    = 64 // bytes of a share and of a fact on the wire, at most, besides texts and data
 	factHead     = 32
 	mostNews     = 8       // owners that are named with a nudge
@@ -81,7 +84,9 @@
 
 // Counts is what was not taken over so far, and why.
 type Counts struct {
-	Late, EndedLife, Own, Malformed, Full int
+	Late, EndedLife, Own, Malformed int
+	// Full is the facts and owners for which there was no room. A fact of another owner is asked for again, and counts each time.
+	Full int
 }
 
 type key struct{ kind, subject string }
@@ -145,7 +150,7 @@
 	if o := s.owners[name]; o != nil {
 		return o
 	}
-	if len(s.owners) >= mostOwners {
+	if len(s.owners) >= maxOwners {
 		return nil
 	}
 	o := &owner{name: name, hash: hashOf(name), life: life, facts: map[key]*Fact{}}
@@ -177,16 +182,19 @@
 }
 
 func textsOK(kind, subject string, data []byte) bool {
-	return kind != "" && len(kind) <= mostText && len(subject) <= mostText && len(data) <= mostData
+	return kind != "" && len(kind) <= maxText && len(subject) <= maxText && len(data) <= maxData
 }
 
-// room says whether a fact may take another's place, or one of its own.
+// room says whether a fact may take another's place, or one of its own. What others tell keeps out nothing that this instance has
+// seen itself.
 func (s *Store) room(o *owner, old, f *Fact) bool {
-	grow := sizeOf(f)
+	growth := sizeOf(f)
 	if old != nil {
-		grow -= sizeOf(old)
+		growth -= sizeOf(old)
 	}
-	if old == nil && len(o.facts) >= mostFacts || s.bytes+grow > mostBytes {
+	ownerFull := old == nil && len(o.facts) >= MaxFactsPerOwner
+	storeFull := o != s.self && s.bytes+growth > MaxBytes
+	if ownerFull || storeFull {
 		s.counts.Full++
 		return false
 	}
@@ -244,9 +252,33 @@
 	if len(s.order) <= mostAsked {
 		s.asked = 0
 	}
-	d := Digest{Lo: s.asked, Hi: wholeCircle}
+	d := s.digest(s.asked, wholeCircle)
+	s.asked = d.Hi % wholeCircle
+	return d
+}
+
+// AskOn is the question that goes on with an earlier one whose answer did not hold everything: of the same owners or the same part of
+// the circle, with the marks as they are now.
+func (s *Store) AskOn(earlier Digest) Digest {
+	if !earlier.Only {
+		return s.digest(earlier.Lo, earlier.Hi)
+	}
+	d := Digest{Lo: earlier.Lo, Hi: earlier.Hi, Only: true}
+	for _, m := range earlier.Marks {
+		next := Mark{Owner: m.Owner}
+		if o := s.owners[m.Owner]; o != nil {
+			next.Life, next.Have = o.life, o.have
+		}
+		d.Marks = append(d.Marks, next)
+	}
+	return d
+}
+
+// digest is the marks of the owners from lo up to hi, or of as many of them as one message holds.
+func (s *Store) digest(lo, hi uint64) Digest {
+	d := Digest{Lo: lo, Hi: hi}
 	for _, o := range s.order {
-		if o.hash < s.asked {
+		if o.hash < lo || o.hash >= hi {
 			continue
 		}
 		if len(d.Marks) >= mostAsked && o.hash != hashOf(d.Marks[len(d.Marks)-1].Owner) {
@@ -255,7 +287,6 @@
 		}
 		d.Marks = append(d.Marks, Mark{o.name, o.life, o.have})
 	}
-	s.asked = d.Hi % wholeCircle
 	return d
 }
 
@@ -351,7 +382,7 @@
 		s.counts.Own++
 		return
 	}
-	if sh.Owner == "" || len(sh.Owner) > mostText || sh.To < sh.From {
+	if sh.Owner == "" || len(sh.Owner) > maxText || sh.To < sh.From {
 		s.counts.Malformed++
 		return
 	}
--- a/internal/shared/shared_test.go
+++ b/internal/shared/shared_test.go
@@ -262,21 +262,21 @@
 	now := time.Second
 	long := strings.Repeat("x", 1000)
 	s.Merge(now, now, []Share{{}, {Owner: long, Life: 1}, {Owner: "o", Life: 1, From: 5, To: 4}, {Owner: "o", Life: 1, To: 9, Facts: []Item{{"", "x", 1, 0, nil}, {"k", long, 2, 0, nil},
-		{"k", "x", 3, -5, nil}, {"k", "x", 30, 0, nil}, {"k", "x", 4, 0, make([]byte, mostData+1)}, {"k", "x", 5, 1 << 62, nil}}}})
+		{"k", "x", 3, -5, nil}, {"k", "x", 30, 0, nil}, {"k", "x", 4, 0, make([]byte, maxData+1)}, {"k", "x", 5, 1 << 62, nil}}}})
 	if s.Len() != 0 || s.Counts().Malformed != 9 {
 		t.Fatal(s.Len(), s.Counts())
 	}
-	if s.Put("", "x", now, nil) || s.Put("k", long, now, nil) || s.Put("k", "x", now, make([]byte, mostData+1)) {
+	if s.Put("", "x", now, nil) || s.Put("k", long, now, nil) || s.Put("k", "x", now, make([]byte, maxData+1)) {
 		t.Fatal("taken")
 	}
 	for o := range 50 {
 		sh := Share{Owner: fmt.Sprint("flood", o), Life: 1, To: 1000}
 		for i := range 1000 {
-			sh.Facts = append(sh.Facts, Item{"k", fmt.Sprint(i), uint64(i + 1), 0, make([]byte, mostData)})
+			sh.Facts = append(sh.Facts, Item{"k", fmt.Sprint(i), uint64(i + 1), 0, make([]byte, maxData)})
 		}
 		s.Merge(now, now, []Share{sh})
 	}
-	if s.Bytes() > mostBytes || len(s.owners["flood0"].facts) > mostFacts {
+	if s.Bytes() > MaxBytes || len(s.owners["flood0"].facts) > MaxFactsPerOwner {
 		t.Fatal(s.Bytes(), len(s.owners["flood0"].facts))
 	}
 }
--- a/internal/swim/swim.go
+++ b/internal/swim/swim.go
@@ -93,6 +93,9 @@
 	Timeout          time.Duration // of a direct probe; then others are asked to try
 }
 
+// MaxMembers bounds the other members that are known, those that have gone among them. Memory is taken by need.
+const MaxMembers = 4096
+
 // Usual times and bounds.
 const (
 	DefaultPeriod   = 200 * time.Millisecond
@@ -110,7 +113,6 @@
 	deadKept        = 10 * time.Minute // a dead member is tried and remembered for so long
 	leftKept        = time.Minute      // the same of one that left
 	forgetEvery     = time.Second
-	mostMembers     = 4096
 	mostName        = 64
 	mostLives       = 3 // lives that are taken on after others of the name, before it is held to be in use
 	leaveFanout     = 8
@@ -173,7 +175,7 @@
 	EndedLife int // messages from a life that has ended
 	Refusals  int // members that were suspected for turning a message back
 	Stray     int // messages that were meant for another, or of oneself
-	Full      int // members for whom there was no room
+	Full      int // updates about members for whom there was no room
 }
 
 // Machine is one member's view and protocol. It is used by one goroutine at a time.
@@ -649,7 +651,7 @@
 		if u.State > Suspect { // who was never there is not missed, and who was forgotten is not remembered again
 			return
 		}
-		if len(m.members) >= mostMembers {
+		if len(m.members) >= MaxMembers {
 			m.counts.Full++
 			return
 		}
