--- a/internal/config/forward_auth.go
+++ b/internal/config/forward_auth.go
@@ -41,10 +41,10 @@
 }
 
 // drainGrace is the platform's; a grant must be used well within it.
-const (
-	drainGrace = Duration(2 * time.Second)
-	mostRules  = 500
-)
+const drainGrace = Duration(2 * time.Second)
+
+// maxRules bounds the table of rules: 12,000 routes are designed for.
+const maxRules = 16384
 
 var headerName = regexp.MustCompile(`^[A-Za-z][A-Za-z0-9-]{0,39}$`)
 
@@ -99,8 +99,8 @@
 	number("calls", &f.Calls, 2000, 1, 100000)
 	number("connections", &f.Connections, 1000, 1, 100000)
 	number("header_bytes", &f.HeaderBytes, 16<<10, 1<<10, 1<<20)
-	if len(f.Rules) > mostRules {
-		wrong("rule", "%d rules are too many, %d at most", len(f.Rules), mostRules)
+	if len(f.Rules) > maxRules {
+		wrong("rule", "%d rules are too many, %d at most", len(f.Rules), maxRules)
 	}
 	return faults
 }
