Operators can speak of each of 7,700 listed backends after a change of the list

4,096 ids were remembered; a change names only what changed, so with a longer list the next change made the book forget ids that were listed still, and a call on one was refused as "no such node was ever listed". 16,384 are remembered (2.2 MB at the bound, by need). TestLargeList fails with 4,096: "s0 is listed: no such node was ever listed".

--- a/internal/suspend/suspend.go
+++ b/internal/suspend/suspend.go
@@ -13,8 +13,10 @@
 	"hitchspring/logic"
 )
 
-// mostKnown is how many ids are remembered; beyond, those that were listed longest ago and are not taken out go first.
-const mostKnown = 4096
+// maxKnown is how many ids are remembered, more than twice the 7,700 backends of the largest fleet that is designed for: a change to
+// a list names only what changed, so an id that is listed still may not have been named for long. Beyond, those that were named
+// longest ago and are not taken out go first.
+const maxKnown = 16384
 
 // ErrUnknown is said of an id that was never listed.
 var ErrUnknown = errors.New("no such node was ever listed")
@@ -64,7 +66,7 @@
 
 // shorten forgets the oldest ids that nobody has taken out, a quarter at a time.
 func (b *Book) shorten() {
-	if len(b.known) <= mostKnown {
+	if len(b.known) <= maxKnown {
 		return
 	}
 	type aged struct {
@@ -78,7 +80,7 @@
 		}
 	}
 	slices.SortFunc(old, func(x, y aged) int { return cmp.Or(cmp.Compare(x.listed, y.listed), cmp.Compare(x.id, y.id)) })
-	for _, o := range old[:min(len(old), len(b.known)-mostKnown*3/4)] {
+	for _, o := range old[:min(len(old), len(b.known)-maxKnown*3/4)] {
 		delete(b.known, o.id)
 	}
 }
--- a/internal/suspend/suspend_test.go
+++ b/internal/suspend/suspend_test.go
@@ -90,17 +90,33 @@
 	b := New()
 	b.Listed([]logic.ServerID{"kept"})
 	b.Say("kept", true, 1)
-	for i := range 3 * mostKnown {
+	for i := range 3 * maxKnown {
 		b.Listed([]logic.ServerID{logic.ServerID(fmt.Sprint("s", i))})
 	}
-	if len(b.known) > mostKnown || !b.Out("kept") {
+	if len(b.known) > maxKnown || !b.Out("kept") {
 		t.Fatalf("%d ids known, kept is out: %v", len(b.known), b.Out("kept"))
 	}
-	if _, err := b.Say(logic.ServerID(fmt.Sprint("s", 3*mostKnown-1)), true, 2); err != nil {
+	if _, err := b.Say(logic.ServerID(fmt.Sprint("s", 3*maxKnown-1)), true, 2); err != nil {
 		t.Fatal("the id that was listed last is forgotten: ", err)
 	}
 }
 
+// A change that names few nodes has none of a large list forgotten: operators can speak of each.
+func TestLargeList(t *testing.T) {
+	b := New()
+	var ids []logic.ServerID
+	for i := range 7700 {
+		ids = append(ids, logic.ServerID(fmt.Sprint("s", i)))
+	}
+	b.Listed(ids)
+	b.Listed([]logic.ServerID{"another"})
+	for _, id := range ids {
+		if _, err := b.Say(id, true, 1); err != nil {
+			t.Fatalf("%s is listed: %v", id, err)
+		}
+	}
+}
+
 // Of two words on one node the later counts, in whichever order they are heard.
 func TestLaterWordCounts(t *testing.T) {
 	early, late := []Word{{ID: "a", Out: true, At: 1}}, []Word{{ID: "a", Out: false, At: 2}}
