Status of hundreds of backends and budgets: larger answers, none cut, bounds said

`status` read 4 MiB of an answer and took the rest for no JSON, or printed the part (--json); it reads 64 MiB, and a larger answer is one error. `status budgets` stated 64 channels at most and did not say so: 1,024, with a line at the bound.

--- a/cmd/hitchspring/status.go
+++ b/cmd/hitchspring/status.go
@@ -32,10 +32,11 @@
 	JSON bool   `help:"As JSON."`
 }
 
-const (
-	askTimeout = 3 * time.Second
-	mostStatus = 4 << 20
-)
+// askTimeout bounds a whole call, answer and all.
+const askTimeout = 3 * time.Second
+
+// maxStatusBytes bounds an answer: 7,700 nodes on which 30 instances each have spoken are some 40 MB.
+const maxStatusBytes = 64 << 20
 
 // status asks a running ingress for what is at a path, and prints it.
 func status[T any](c asking, e *env, what string, print func(io.Writer, T) error) error {
@@ -61,10 +62,13 @@
 		return fmt.Errorf("status %s: %w", what, err)
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, mostStatus))
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxStatusBytes+1))
 	if err != nil {
 		return fmt.Errorf("status %s: %w", what, err)
 	}
+	if len(text) > maxStatusBytes {
+		return fmt.Errorf("status %s: the answer of %s is larger than %d bytes, and nothing of it is shown", what, at, maxStatusBytes)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %s: %s says %s: %s", what, at, resp.Status, strings.TrimSpace(string(text)))
 	}
@@ -123,7 +127,8 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(out, "lent %d times, borrowed %d, denied %d; messages that no instance of this fleet can mean %d, from members with another's number %d\n", s.Lent, s.Borrowed, s.Denied, s.Strange, s.Conflicts)
+	_, err := fmt.Fprintf(out, "lent %d times, borrowed %d, denied %d; messages that no instance of this fleet can mean %d, from members with another's number %d; "+
+		"budgets without room %d\n", s.Lent, s.Borrowed, s.Denied, s.Strange, s.Conflicts, s.Full)
 	return err
 }
 
@@ -138,7 +143,11 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.1f\t%.1f\t%s\t%.2f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%v\n", s.Customer, s.Plan, s.Mode, s.Ways, s.Demand, s.Others, heard, s.Part, s.Held, s.Untold, s.Room, s.Spend,
 			s.Uncounted, s.Overrun, s.For)
 	}
-	return w.Flush()
+	if err := w.Flush(); err != nil || len(all) < core.MaxBudgetsShown {
+		return err
+	}
+	_, err := fmt.Fprintf(out, "the %d channels with the most demand are shown; there may be more\n", len(all))
+	return err
 }
 
 func printWork(out io.Writer, s core.WorkStatus) error {
@@ -165,9 +174,11 @@
 		return err
 	}
 	_, err := fmt.Fprintf(out, "this instance: %s at %s, hall %s, life %d, incarnation %d; %d others are there\n%d facts in %d bytes; %d messages in, %d out (%d and %d bytes)\n"+
-		"left aside: %d that no key opens, %d malformed, %d of a later version, %d too late, %d of an ended life, %d stray\n", s.Name, s.Addr, s.Hall, s.Life, s.Inc, s.Alive, s.Facts,
+		"left aside: %d that no key opens, %d malformed, %d of a later version, %d too late, %d of an ended life, %d stray\n"+
+		"no room for: %d facts, %d updates on members; not sent: %d without a place in the queue, %d too large, %d by the system\n", s.Name, s.Addr, s.Hall, s.Life, s.Inc, s.Alive, s.Facts,
 		s.Bytes, s.Counts.In, s.Counts.Out, s.Counts.BytesIn, s.Counts.BytesOut, s.Counts.WrongKey, s.Counts.Malformed+s.Shared.Malformed, s.Counts.Newer, s.Shared.Late,
-		s.Swim.EndedLife+s.Shared.EndedLife, s.Swim.Stray+s.Counts.Strange)
+		s.Swim.EndedLife+s.Shared.EndedLife, s.Swim.Stray+s.Counts.Strange,
+		s.Shared.Full, s.Swim.Full, s.Unqueued, s.Counts.Oversized, s.Unsent)
 	if err == nil && s.Over != "" {
 		err = errors.New("takes no part any more: " + s.Over)
 	}
--- /dev/null
+++ b/cmd/hitchspring/status_test.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"hitchspring/internal/budget"
+	"hitchspring/internal/core"
+	"hitchspring/logic"
+)
+
+// printed runs a status command against a server that answers so, and returns what it prints.
+func printed(t *testing.T, answer http.HandlerFunc, args ...string) (string, error) {
+	t.Helper()
+	s := httptest.NewServer(answer)
+	defer s.Close()
+	var out strings.Builder
+	err := command(append(append([]string{"status"}, args...), "--at", strings.TrimPrefix(s.URL, "http://")), &out, slog.New(slog.DiscardHandler))
+	return out.String(), err
+}
+
+// What 60 instances say of each of 1,200 nodes, some 6 MB, is shown whole.
+func TestStatusOfManyNodes(t *testing.T) {
+	var s core.NodesStatus
+	for i := range 1200 {
+		n := core.NodeStatus{Node: logic.ServerID(fmt.Sprintf("node-%04d", i)), Told: 1}
+		for w := range 60 {
+			n.Words = append(n.Words, core.Word{Owner: fmt.Sprintf("instance-%03d", w), Hall: "zone-a", Cause: "slow", Bad: 1})
+		}
+		s.Nodes = append(s.Nodes, n)
+	}
+	text, err := json.Marshal(s)
+	if err != nil || len(text) < 5<<20 {
+		t.Fatal(len(text), err)
+	}
+	out, err := printed(t, func(w http.ResponseWriter, _ *http.Request) { w.Write(text) }, "nodes")
+	if err != nil || strings.Count(out, "instance-059") != 1200 {
+		t.Fatal(err, strings.Count(out, "instance-059"))
+	}
+}
+
+// An answer beyond the bound is one error that says so; a part of it is never printed, as JSON neither.
+func TestStatusAnswerTooLarge(t *testing.T) {
+	endless := func(w http.ResponseWriter, _ *http.Request) {
+		for range maxStatusBytes>>20 + 1 {
+			io.WriteString(w, strings.Repeat(" ", 1<<20))
+		}
+	}
+	for _, args := range [][]string{{"nodes"}, {"nodes", "--json"}} {
+		out, err := printed(t, endless, args...)
+		if out != "" || err == nil || !strings.Contains(err.Error(), "status nodes: the answer of 127.0.0.1:") ||
+			!strings.Contains(err.Error(), "larger than 67108864 bytes") || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %d bytes, %v", args, len(out), err)
+		}
+	}
+}
+
+// A list of budgets that is as long as it may be says that there may be more.
+func TestStatusBudgetsAtTheBound(t *testing.T) {
+	for _, n := range []int{core.MaxBudgetsShown - 1, core.MaxBudgetsShown} {
+		out, err := printed(t, func(w http.ResponseWriter, _ *http.Request) { json.NewEncoder(w).Encode(make([]budget.Statement, n)) }, "budgets")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if said := strings.Contains(out, "the 1024 channels with the most demand are shown"); said != (n == core.MaxBudgetsShown) {
+			t.Errorf("%d budgets: said is %v", n, said)
+		}
+	}
+}
--- a/internal/core/budgets.go
+++ b/internal/core/budgets.go
@@ -7,10 +7,11 @@
 	"hitchspring/internal/budget"
 )
 
-const (
-	budgetsFor  = time.Minute // that statements are for
-	mostBudgets = 64          // channels that are shown, those with the most demand
-)
+// budgetsFor is the time that statements are for where none is named.
+const budgetsFor = time.Minute
+
+// MaxBudgetsShown bounds the channels that Budgets states: those with the most demand. Others hold their quotas just as well.
+const MaxBudgetsShown = 1024
 
 // budgetsAsked asks for statements on the channels with the most demand.
 type budgetsAsked struct {
@@ -35,5 +36,5 @@
 	if ev.span <= 0 {
 		ev.span = budgetsFor
 	}
-	ev.reply <- budget.Top(g.now, budget.Books(g.mod.Learned(), g.mod.Standings(), g.cfg.Settings), ev.span, mostBudgets)
+	ev.reply <- budget.Top(g.now, budget.Books(g.mod.Learned(), g.mod.Standings(), g.cfg.Settings), ev.span, MaxBudgetsShown)
 }
--- /dev/null
+++ b/internal/core/budgets_test.go
@@ -0,0 +1,33 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hitchspring/internal/budget"
+	"hitchspring/logic"
+)
+
+// The quotas of hundreds of channels are all stated; beyond the bound, those with the most demand.
+func TestBudgetsOfManyChannels(t *testing.T) {
+	for channels, want := range map[int]int{300: 300, MaxBudgetsShown + 6: MaxBudgetsShown} {
+		cfg := testConfig("", fleetOf())
+		cfg.Settings.Plans = []logic.Plan{{Name: "p", Price: 1, Rate: 5, Burst: 9}}
+		g, err := New(cfg, quiet)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var l logic.Learned
+		for i := range channels {
+			l.Customers = append(l.Customers, logic.LearnedCustomer{ID: fmt.Sprintf("c%05d", i), Customer: fmt.Sprintf("c%05d", i), Plan: "p", Spread: 1, Demand: float64(i)})
+		}
+		g.mod.Learn(time.Second, l)
+		reply := make(chan []budget.Statement, 1)
+		g.budgets(budgetsAsked{reply: reply})
+		all := <-reply
+		if len(all) != want || all[0].Customer != fmt.Sprintf("c%05d", channels-1) || all[len(all)-1].Customer != fmt.Sprintf("c%05d", channels-want) {
+			t.Errorf("%d of %d channels are stated, from %q to %q", len(all), channels, all[0].Customer, all[len(all)-1].Customer)
+		}
+	}
+}
--- a/internal/core/rights.go
+++ b/internal/core/rights.go
@@ -17,6 +17,7 @@
 	stoppedAfter = 4 * rightsEvery       // a look so late says that this process did not run
 	passTau      = time.Second           // over which what is passed on is averaged
 	mostPassed   = 1024                  // channels of which that is known
+	fullLogged   = 10 * time.Second      // between two lines on budgets without room
 )
 
 // holding is this instance's parts of budgets, which move between instances. The loop's alone, but for shown.
@@ -27,8 +28,12 @@
 	members []rights.Member
 	passed  map[string]*passing
 	told    bool // a line was written on two members with one number
-	shown   atomic.Pointer[RightsStatus]
-	showAt  time.Duration
+
+	fullTold int           // budgets without room, in lines so far
+	fullAt   time.Duration // of the last of these lines
+
+	shown  atomic.Pointer[RightsStatus]
+	showAt time.Duration
 }
 
 // passing is the units a second that this instance passes on for a channel.
@@ -95,12 +100,24 @@
 		h.told = true
 		g.log.Warn("two members have one number among the ingresses: what the second says of budgets is left aside", "name", g.cfg.Settings.Me)
 	}
+	g.reportFullBook()
 	if g.now >= h.showAt {
 		h.showAt = g.now + statusEvery
 		h.shown.Store(&RightsStatus{Counts: h.book.Counts(), Budgets: h.book.Status(g.now)})
 	}
 }
 
+// reportFullBook logs that budgets found no room: at once, and then at most once in fullLogged while it goes on.
+func (g *Core) reportFullBook() {
+	h := g.holding
+	full := h.book.Counts().Full
+	if full == h.fullTold || h.fullTold > 0 && g.now-h.fullAt < fullLogged {
+		return
+	}
+	g.log.Warn("rights: no room for further budgets: their parts stay even at this instance", "refused", full-h.fullTold, "max_budgets", rights.MaxBudgets)
+	h.fullTold, h.fullAt = full, g.now
+}
+
 // holdParts lets the module know what this instance holds now.
 func (g *Core) holdParts(stopped bool) {
 	p := logic.Parts{Home: g.holding.book.Home(g.now), Of: map[string]logic.Part{}}
--- /dev/null
+++ b/internal/core/rights_test.go
@@ -0,0 +1,44 @@
+package core
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"hitchspring/internal/rights"
+)
+
+// Budgets that find no room again and again are one line at once, and one in ten seconds after that.
+func TestFullBookIsOneLine(t *testing.T) {
+	var out bytes.Buffer
+	cfg := testConfig("", fleetOf())
+	cfg.Settings.Gateways = 3
+	g, err := New(cfg, slog.New(slog.NewTextHandler(&out, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.now = time.Hour
+	g.holding = newHolding(cfg, g.now)
+	var needs []rights.Need
+	for i := range rights.MaxBudgets + 1 {
+		needs = append(needs, rights.Need{Key: fmt.Sprintf("channel-%03d", i), Spread: 2, Want: 0.1})
+	}
+	count := func() int { return strings.Count(out.String(), "no room for further budgets") }
+	for range 100 {
+		g.holding.book.Tick(g.now, needs, nil)
+		g.reportFullBook()
+		g.now += rightsEvery
+	}
+	if count() != 1 {
+		t.Fatal(out.String())
+	}
+	g.now += fullLogged
+	g.holding.book.Tick(g.now, needs, nil)
+	g.reportFullBook()
+	if count() != 2 || !strings.Contains(out.String(), "refused=100 max_budgets=256") {
+		t.Fatal(out.String())
+	}
+}
--- a/internal/rights/rights.go
+++ b/internal/rights/rights.go
@@ -26,26 +26,29 @@
 	"time"
 )
 
+// MaxBudgets bounds the budgets whose parts move at one instance; the others stay even. It is held low by what it costs to tell of
+// them: 349 fellows are told every 200 to 300 ms, and for each of them all names are sorted.
+const MaxBudgets = 256
+
 // Times and bounds.
 const (
-	Lease       = time.Second            // of a loan, by its lender's clock
-	leaseShare  = 0.8                    // of it, by its borrower's
-	keepShare   = 0.25                   // of its home, that a way never lends
-	renewEvery  = 250 * time.Millisecond // between two tries to have a loan go on
-	askEvery    = 200 * time.Millisecond // between two rounds of asking for more
-	givenUp     = 350 * time.Millisecond // a loan that nobody grants is asked for no longer
-	beatEvery   = 200 * time.Millisecond // between two messages to a fellow, at the most; by chance up to half as much more
-	helloEvery  = 2 * time.Second        // the same to a member whose number is not known
-	mostHellos  = 8                      // of these at one time
-	unheard     = time.Second            // a fellow that was not heard for so long may be spending without the counter
-	reserved    = time.Minute            // for which what such a one may spend is left to it
-	spare       = 1.2                    // of what is asked for here, that is kept or asked for
-	leastLoan   = 0.02                   // of a budget, below which nothing is lent
-	leastUse    = 0.02                   // of a budget, above what a fellow told, that it may use at any time
-	mostBudgets = 256
-	mostLoans   = 16 // of one budget, each way
-	mostUses    = 24 // budgets in one message
-	mostName    = 128
+	Lease      = time.Second            // of a loan, by its lender's clock
+	leaseShare = 0.8                    // of it, by its borrower's
+	keepShare  = 0.25                   // of its home, that a way never lends
+	renewEvery = 250 * time.Millisecond // between two tries to have a loan go on
+	askEvery   = 200 * time.Millisecond // between two rounds of asking for more
+	givenUp    = 350 * time.Millisecond // a loan that nobody grants is asked for no longer
+	beatEvery  = 200 * time.Millisecond // between two messages to a fellow, at the most; by chance up to half as much more
+	helloEvery = 2 * time.Second        // the same to a member whose number is not known
+	mostHellos = 8                      // of these at one time
+	unheard    = time.Second            // a fellow that was not heard for so long may be spending without the counter
+	reserved   = time.Minute            // for which what such a one may spend is left to it
+	spare      = 1.2                    // of what is asked for here, that is kept or asked for
+	leastLoan  = 0.02                   // of a budget, below which nothing is lent
+	leastUse   = 0.02                   // of a budget, above what a fellow told, that it may use at any time
+	mostLoans  = 16                     // of one budget, each way
+	mostUses   = 24                     // budgets in one message
+	mostName   = 128
 )
 
 // Member is another instance that is there.
@@ -119,6 +122,7 @@
 	Lent, Borrowed, Denied int // loans, and tries in vain
 	Strange                int // messages that no instance of this fleet can mean
 	Conflicts              int // members with the number of another
+	Full                   int // times that a budget found no room: its parts stay even
 }
 
 // loan is one, lent or borrowed.
@@ -296,7 +300,11 @@
 func (b *Book) entry(key string, spread, first, places int) *entry {
 	e := b.entries[key]
 	if e == nil {
-		if len(b.entries) >= mostBudgets || key == "" || len(key) > mostName || spread < 2 || first < 0 {
+		if key == "" || len(key) > mostName || spread < 2 || first < 0 {
+			return nil
+		}
+		if len(b.entries) >= MaxBudgets {
+			b.counts.Full++
 			return nil
 		}
 		e = &entry{key: key, spread: spread, first: first, places: places}
@@ -477,11 +485,11 @@
 			}
 		}
 	}
-	for _, g := range m.Grants[:min(len(m.Grants), mostBudgets)] {
+	for _, g := range m.Grants[:min(len(m.Grants), MaxBudgets)] {
 		b.granted(from, g)
 	}
 	var grants []Grant
-	for _, a := range m.Asks[:min(len(m.Asks), mostBudgets)] {
+	for _, a := range m.Asks[:min(len(m.Asks), MaxBudgets)] {
 		if g, ok := b.asked(from, m.Me, a); ok {
 			grants = append(grants, g)
 		}
