--- a/internal/config/bounds_test.go
+++ b/internal/config/bounds_test.go
@@ -34,7 +34,7 @@
 		t.Fatal(err)
 	}
 	for text, want := range map[string]string{
-		rules(maxRules + 1): "forward_auth.rule: 16385 rules are too many, 16384 at most",
+		rules(maxRules + 1):                            "forward_auth.rule: 16385 rules are too many, 16384 at most",
 		text + "#" + strings.Repeat("x", maxFileBytes): fmt.Sprintf("options f.toml: the file has %d bytes, 4194304 at most", len(text)+1+maxFileBytes),
 	} {
 		_, err := parse("f.toml", []byte(text))
--- a/internal/peers/bounds.go
+++ b/internal/peers/bounds.go
@@ -26,7 +26,7 @@
 
 // boundReports are those of a running instance's bounds. They belong to run's goroutine.
 type boundReports struct {
-	facts, members, queue, oversized boundReport
+	facts, members, queue, oversized, lines boundReport
 }
 
 // reportBounds logs which bounds were met since it was last called.
@@ -48,4 +48,7 @@
 	if n, due := p.bounds.oversized.due(now, oversized); due {
 		p.log.Warn("peers: messages are dropped before they are sent: they are too large", "dropped", n, "max_bytes", MostParcel)
 	}
+	if n, due := p.bounds.lines.due(now, p.lines.omittedSoFar("change")); due {
+		p.log.Info("peers: lines on members are left out: they are in the status", "omitted", n, "max_a_second", mostLines)
+	}
 }
--- a/internal/peers/bounds_test.go
+++ b/internal/peers/bounds_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hitchspring/internal/shared"
+	"hitchspring/internal/swim"
 )
 
 // 350 processes find one another, and what two of them have seen of hundreds of backends is known to all.
@@ -135,3 +136,20 @@
 		t.Fatal(log.b.String())
 	}
 }
+
+// Hundreds of members that come at once are a few lines, and one that says how many are left out.
+func TestOmittedLinesAreCounted(t *testing.T) {
+	log, now := &lines{}, time.Hour
+	p := unstarted(t, log, &now)
+	p.lines.since, p.lines.n = time.Now().Add(time.Hour), map[string]int{} // one second that does not end
+	for i := range 350 {
+		p.tellOf([]swim.Change{{Update: swim.Update{Name: fmt.Sprint("member", i)}, New: true}})
+		p.reportBounds(now)
+	}
+	now += lineSpan
+	p.reportBounds(now)
+	p.reportBounds(now)
+	if log.count("a member is there") != mostLines || log.count("lines on members are left out") != 2 || log.count("omitted=1 ") != 1 || log.count("omitted=329 ") != 1 {
+		t.Fatal(log.b.String())
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -487,16 +487,32 @@
 	since time.Time
 	n     map[string]int
 	said  map[string]bool
+
+	omitted map[string]int
 }
 
 func (l *limiter) ok(kind string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.omitted == nil {
+		l.omitted = map[string]int{}
+	}
 	if time.Since(l.since) > time.Second {
 		l.since, l.n = time.Now(), map[string]int{}
 	}
 	l.n[kind]++
-	return l.n[kind] <= mostLines
+	if l.n[kind] > mostLines {
+		l.omitted[kind]++
+		return false
+	}
+	return true
+}
+
+// omittedSoFar is how many lines of a kind were not let through.
+func (l *limiter) omittedSoFar(kind string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.omitted[kind]
 }
 
 func (l *limiter) once(kind string) bool {
