lab cost: what a request waits and costs, builds and a bare proxy side by side

Builds given by path and a bare forwarding proxy run in turns, one processor each, before 12 stand-in backends of 2 ms under open-loop load over 64 connections; latency counts from when a request was due.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -32,6 +32,8 @@
 	Halls      hallsCmd                  `cmd:"" help:"Lose halls and regain them, with [halls] off and on: figures and pictures."`
 	Trial      trialCmd                  `cmd:"" help:"Many processes under faults between them, with a part of the program off and on."`
 	Compare    compareCmd                `cmd:"" help:"CPU, memory and service of this ingress against another commit's."`
+	Cost       costCmd                   `cmd:"" help:"What a request waits and costs: builds and a bare proxy side by side."`
+	CostProxy  costProxyCmd              `cmd:"" hidden:"" help:"The bare proxy of 'cost', until a signal."`
 	FleetLogs  fleetLogsCmd              `cmd:"" help:"Add up, second by second, what many instances logged."`
 	Days       daysCmd                   `cmd:"" help:"List the days, or print one."`
 	Redis      redisCmd                  `cmd:"" help:"The Redis stand-in alone, until a signal."`
--- /dev/null
+++ b/internal/lab/cost/account.go
@@ -0,0 +1,77 @@
+package cost
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// account is what the kernel says that a process has used so far.
+type account struct {
+	cpu      time.Duration // user and system, of all its threads
+	switches int64         // voluntary context switches of the threads that it has: how often one went to sleep
+	peakKB   int64         // most resident memory
+}
+
+// readAccount reads the account of a running process.
+func readAccount(pid int) (a account, err error) {
+	if a.cpu, err = processCPU(pid); err != nil {
+		return a, err
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return a, fmt.Errorf("account of process %d: %w", pid, err)
+	}
+	if a.peakKB, err = statusField(string(status), "VmHWM:"); err != nil {
+		return a, fmt.Errorf("account of process %d: %w", pid, err)
+	}
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/status", pid))
+	if err != nil {
+		return a, err
+	}
+	for _, file := range threads {
+		text, err := os.ReadFile(file)
+		if err != nil { // the thread has ended since
+			continue
+		}
+		n, err := statusField(string(text), "voluntary_ctxt_switches:")
+		if err != nil {
+			return a, fmt.Errorf("account of process %d: %w", pid, err)
+		}
+		a.switches += n
+	}
+	return a, nil
+}
+
+// cpuClock is the part of a clock's number that says "CPU time of a whole process" (clock_getcpuclockid(3)).
+const cpuClock = 2
+
+// processCPU reads a process's own CPU clock, which counts nanoseconds; /proc/PID/stat has steps of 10 ms.
+func processCPU(pid int) (time.Duration, error) {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(int32(^pid)<<3|cpuClock, &ts); err != nil {
+		return 0, fmt.Errorf("CPU time of process %d: %w", pid, err)
+	}
+	return time.Duration(ts.Nano()), nil
+}
+
+// statusField is the number after a name in a /proc/PID/status.
+func statusField(text, name string) (int64, error) {
+	for line := range strings.Lines(text) {
+		rest, found := strings.CutPrefix(line, name)
+		if !found {
+			continue
+		}
+		words := strings.Fields(rest)
+		if len(words) == 0 {
+			break
+		}
+		return strconv.ParseInt(words[0], 10, 64)
+	}
+	return 0, fmt.Errorf("status has no %s", name)
+}
--- /dev/null
+++ b/internal/lab/cost/backends.go
@@ -0,0 +1,105 @@
+package cost
+
+import (
+	"fmt"
+	"time"
+
+	"hitchspring/internal/standin/discovery"
+	"hitchspring/internal/standin/fault"
+	"hitchspring/internal/standin/node"
+	"hitchspring/internal/standin/tally"
+)
+
+const (
+	loopback = "127.0.0.1"
+	zone     = "hall-a"
+	// cores and room are far more than a backend needs, so that none of the time is spent in its queue.
+	cores = 64
+	room  = 10000
+)
+
+// backends is what stands behind an ingress: the backends, the list of them, and the shared counter.
+type backends struct {
+	fleet    *node.Fleet
+	nodes    []*node.Node
+	registry *discovery.Registry
+	agent    string
+	counter  *tally.Server
+}
+
+// startBackends starts the stand-ins of one measurement.
+func startBackends(c *Config, build Build, seed uint64) (b *backends, err error) {
+	began := time.Now()
+	clock := func() time.Duration { return time.Since(began) }
+	b = &backends{fleet: node.NewFleet(node.Rules{Work: map[string]node.Work{class: {Least: c.Work, Most: c.Work}}}, seed, clock),
+		registry: discovery.New(seed, clock, 0, time.Millisecond)}
+	defer func() {
+		if err != nil {
+			b.close()
+		}
+	}()
+	if b.counter, err = tally.Start("", seed); err != nil {
+		return nil, err
+	}
+	if b.agent, err = b.registry.Agent(); err != nil {
+		return nil, err
+	}
+	for i := range c.Backends {
+		if err := b.add(i); err != nil {
+			return nil, err
+		}
+	}
+	if build.Name != Bare { // the bare proxy would answer all later requests of a connection with the ones before
+		b.answerTwice(c)
+	}
+	return b, nil
+}
+
+func (b *backends) add(i int) error {
+	spec := node.Spec{ID: fmt.Sprintf("backend-%03d", i), Zone: zone, Kind: "std", Rack: i, Cores: cores, Speed: 1, Room: room}
+	n, err := b.fleet.Add(spec, loopback, false, 1)
+	if err != nil {
+		return err
+	}
+	b.nodes = append(b.nodes, n)
+	b.registry.Set(discovery.Target{UID: spec.ID, Endpoint: n.Addr(0), Zone: spec.Zone, Model: spec.Kind, Group: spec.Rack, State: "SERVING", Capacity: 1}, true)
+	return nil
+}
+
+// answerTwice has the backends answer a share of the requests a second time.
+func (b *backends) answerTwice(c *Config) {
+	if c.SecondShare == 0 {
+		return
+	}
+	rule := fault.Rule{Kind: fault.RepeatLate, By: c.SecondLate, Share: c.SecondShare}
+	if c.SecondLate == 0 {
+		rule.Kind = fault.Repeat
+	}
+	for _, n := range b.nodes {
+		n.Fault(rule)
+	}
+}
+
+func (b *backends) close() {
+	b.fleet.Close()
+	b.registry.Close()
+	if b.counter != nil {
+		b.counter.Close()
+	}
+}
+
+// addrs are the backends' addresses.
+func (b *backends) addrs() (out []string) {
+	for _, n := range b.nodes {
+		out = append(out, n.Addr(0))
+	}
+	return out
+}
+
+// opened is how many connections the backends have accepted so far: each is a handshake.
+func (b *backends) opened() (sum int) {
+	for _, n := range b.nodes {
+		sum += n.Traffic(0).Opened
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/lab/cost/config.go
@@ -0,0 +1,133 @@
+// Package cost measures what an ingress adds to a request: the time that a request waits in it, and the CPU, memory and
+// connections that it takes. Builds given by path and a bare forwarding proxy, the floor, run as real processes on one
+// processor each, in turns before the same stand-in backends and under the same open-loop load on loopback.
+// In: a Config. Out: a Report. It must never know how an ingress decides.
+package cost
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Bare is the name of the forwarding proxy among the builds.
+const Bare = "bare"
+
+// Bounds of a run.
+const (
+	mostRate    = 20000
+	mostTime    = 5 * time.Minute
+	mostRepeats = 20
+	mostBuilds  = 12
+)
+
+// DefaultRates are requests a second: what one of 580 ingresses gets of 110,000, and a busy one.
+var DefaultRates = []int{190, 3000}
+
+// Build is one program that is measured.
+type Build struct {
+	Name    string `json:"name"`
+	Program string `json:"program"` // path of a hitchspring
+}
+
+// ParseBuild reads NAME=PATH, or a PATH whose name is that of its last element.
+func ParseBuild(text string) (Build, error) {
+	name, program, named := strings.Cut(text, "=")
+	if !named {
+		program = text
+		name = text[strings.LastIndexByte(text, '/')+1:]
+	}
+	if name == "" || program == "" {
+		return Build{}, fmt.Errorf("build %q: want NAME=PATH", text)
+	}
+	if name == Bare {
+		return Build{}, fmt.Errorf("build %q: %q is the name of the forwarding proxy", text, Bare)
+	}
+	return Build{Name: name, Program: program}, nil
+}
+
+// Config says what is measured.
+type Config struct {
+	Builds      []Build       // beside the bare proxy
+	Proxy       []string      // program and arguments that run ServeProxy, before its --listen and --backend flags
+	Rates       []int         // requests a second
+	Warm        time.Duration // of load before each measurement
+	Length      time.Duration // of each measurement
+	Repeats     int           // rounds; in each every build is measured once at every rate
+	Backends    int
+	Connections int           // of clients
+	Work        time.Duration // that a backend takes for a request
+	SecondLate  time.Duration // a backend's second answer comes so long after its first
+	SecondShare float64       // of the requests that are answered twice; 0: none is
+}
+
+// Default is the usual measurement, without builds and proxy.
+func Default() Config {
+	return Config{Rates: DefaultRates, Warm: time.Second, Length: 5 * time.Second, Repeats: 3, Backends: 12, Connections: 64, Work: 2 * time.Millisecond}
+}
+
+// Check returns an error that names the first field with a value that cannot be used.
+func (c *Config) Check() error {
+	if len(c.Builds) == 0 || len(c.Builds) > mostBuilds {
+		return fmt.Errorf("builds: %d is out of range, 1 to %d", len(c.Builds), mostBuilds)
+	}
+	seen := map[string]bool{}
+	for _, b := range c.Builds {
+		if seen[b.Name] {
+			return fmt.Errorf("build %q: named twice", b.Name)
+		}
+		seen[b.Name] = true
+	}
+	if len(c.Proxy) == 0 {
+		return fmt.Errorf("proxy: no program is named")
+	}
+	if len(c.Rates) == 0 {
+		return fmt.Errorf("rate: none is named")
+	}
+	for i, r := range c.Rates {
+		if r < 1 || r > mostRate {
+			return fmt.Errorf("rate: %d is out of range, 1 to %d", r, mostRate)
+		}
+		if slices.Contains(c.Rates[:i], r) {
+			return fmt.Errorf("rate: %d is named twice", r)
+		}
+	}
+	switch {
+	case c.Length <= 0 || c.Length > mostTime:
+		return fmt.Errorf("seconds: %v is out of range, up to %v", c.Length, mostTime)
+	case c.Warm < 0 || c.Warm > mostTime:
+		return fmt.Errorf("warm: %v is out of range, up to %v", c.Warm, mostTime)
+	case c.Repeats < 1 || c.Repeats > mostRepeats:
+		return fmt.Errorf("repeats: %d is out of range, 1 to %d", c.Repeats, mostRepeats)
+	case c.Backends < 1 || c.Backends > 300:
+		return fmt.Errorf("backends: %d is out of range, 1 to 300", c.Backends)
+	case c.Connections < 1 || c.Connections > 1000:
+		return fmt.Errorf("connections: %d is out of range, 1 to 1000", c.Connections)
+	case c.Work <= 0 || c.Work > time.Second:
+		return fmt.Errorf("work: %v is out of range, up to 1s", c.Work)
+	case c.SecondLate < 0 || c.SecondLate > time.Second:
+		return fmt.Errorf("second-answers: %v is out of range, up to 1s", c.SecondLate)
+	case !(c.SecondShare >= 0 && c.SecondShare <= 1):
+		return fmt.Errorf("second-share: %v is no share, 0 to 1", c.SecondShare)
+	}
+	return nil
+}
+
+// turn is one measurement that is due.
+type turn struct {
+	round, rate int
+	build       Build // without a program: the bare proxy
+}
+
+// turns is the order of a round: at each rate the bare proxy and the builds one after the other, begun by another one each
+// round, so that a machine that drifts hits all alike.
+func (c *Config) turns(round int) (out []turn) {
+	all := append([]Build{{Name: Bare}}, c.Builds...)
+	for _, rate := range c.Rates {
+		for i := range all {
+			out = append(out, turn{round, rate, all[(i+round)%len(all)]})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lab/cost/load.go
@@ -0,0 +1,332 @@
+package cost
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"hitchspring/internal/lab/measure"
+)
+
+const (
+	class     = "read"
+	plan      = "paced"
+	customers = 200
+	deadline  = time.Second
+	// answerTime is how long answers are waited for after a phase's last request.
+	answerTime = deadline + 500*time.Millisecond
+	// mostPending is the requests of one connection without an answer yet.
+	mostPending = 4096
+	mostAnswer  = 64 << 10
+
+	ping = "*1\r\n$4\r\nPING\r\n"
+	pong = "+PONG\r\n"
+)
+
+// schedule is when each request of a phase is due, fixed before the first is sent.
+type schedule struct {
+	rate  int // a second
+	count int
+}
+
+func newSchedule(rate int, length time.Duration) schedule {
+	return schedule{rate, int(length.Seconds() * float64(rate))}
+}
+
+// due is the intended start of a request, from the start of the phase.
+func (s schedule) due(i int) time.Duration {
+	return time.Duration(i) * time.Second / time.Duration(s.rate)
+}
+
+// clock is the time that a phase is paced by.
+type clock interface {
+	Now() time.Duration
+	SleepUntil(time.Duration)
+}
+
+// wallClock is the machine's. It sleeps in the kernel, since the runtime's timers can be a millisecond late in an idle program.
+type wallClock struct{ began time.Time }
+
+// Now is the time since the clock's start.
+func (c wallClock) Now() time.Duration { return time.Since(c.began) }
+
+// SleepUntil returns at that time or soon after.
+func (c wallClock) SleepUntil(at time.Duration) {
+	for left := at - c.Now(); left > 0; left = at - c.Now() {
+		ts := unix.NsecToTimespec(int64(left))
+		unix.Nanosleep(&ts, nil)
+	}
+}
+
+// pace calls send for each request when it is due. A send that comes late, or a pacer that was held, moves no later request.
+func pace(ctx context.Context, s schedule, c clock, send func(i int, due time.Duration)) {
+	began := c.Now()
+	for i := 0; i < s.count && ctx.Err() == nil; i++ {
+		due := began + s.due(i)
+		c.SleepUntil(due)
+		send(i, due)
+	}
+}
+
+// outcomes is how the requests of a phase ended. Each latency counts from when its request was due, not from when it was
+// sent, so that a wait hides no request that should have started during it.
+type outcomes struct {
+	mu      sync.Mutex
+	sent    int
+	ended   int
+	served  int
+	refused int
+	failed  int // errors, broken connections, and those without an answer
+	foreign int // served with the answer of another request
+	waits   *measure.Latencies
+	late    *measure.Latencies // from when requests were due to when they were sent: the load's own fault
+	all     chan struct{}      // closed when count have ended
+	count   int
+}
+
+func newOutcomes(count int) *outcomes {
+	t := &outcomes{waits: measure.NewLatencies(), late: measure.NewLatencies(), all: make(chan struct{}), count: count}
+	if count == 0 {
+		close(t.all)
+	}
+	return t
+}
+
+func (t *outcomes) sending(due, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sent++
+	t.late.Add(now - due)
+}
+
+// outcome is how one request ended.
+type outcome int
+
+const (
+	served outcome = iota
+	servedForeign
+	refused
+	failed
+)
+
+func (t *outcomes) end(how outcome, due, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch how {
+	case served, servedForeign:
+		t.served++
+		t.waits.Add(now - due)
+		if how == servedForeign {
+			t.foreign++
+		}
+	case refused:
+		t.refused++
+	case failed:
+		t.failed++
+	}
+	if t.ended++; t.ended == t.count {
+		close(t.all)
+	}
+}
+
+// pending is a request whose answer has not come.
+type pending struct {
+	id  string
+	due time.Duration
+	to  *outcomes
+}
+
+// client is one connection, on which requests are written when they are due and answers read as they come, in order.
+type client struct {
+	net.Conn
+	clock clock
+	mu    sync.Mutex
+	queue []pending
+	dead  bool
+}
+
+// load is the clients of one target.
+type load struct {
+	clients []*client
+	clock   clock
+	lastID  atomic.Uint64
+	wg      sync.WaitGroup
+}
+
+// dialLoad opens the clients' connections.
+func dialLoad(addr string, connections int, c clock) (*load, error) {
+	l := &load{clock: c}
+	for range connections {
+		nc, err := net.Dial("tcp", addr)
+		if err != nil {
+			l.close()
+			return nil, fmt.Errorf("client: %w", err)
+		}
+		x := &client{Conn: nc, clock: c}
+		l.clients = append(l.clients, x)
+		l.wg.Go(x.read)
+	}
+	return l, nil
+}
+
+// close ends the connections and waits for their readers.
+func (l *load) close() {
+	for _, c := range l.clients {
+		c.Close()
+	}
+	l.wg.Wait()
+}
+
+// play runs one phase and waits for its answers.
+func (l *load) play(ctx context.Context, s schedule) (*outcomes, error) {
+	t := newOutcomes(s.count)
+	pace(ctx, s, l.clock, func(i int, due time.Duration) {
+		id := fmt.Sprintf("%016x", l.lastID.Add(1))
+		customer := fmt.Sprintf("%016x", 1+i%customers)
+		l.clients[i%len(l.clients)].send(pending{id, due, t}, command(customer, id))
+	})
+	limit := time.NewTimer(answerTime)
+	defer limit.Stop()
+	select {
+	case <-t.all:
+	case <-limit.C:
+		for _, c := range l.clients {
+			c.giveUp()
+		}
+	case <-ctx.Done():
+	}
+	return t, ctx.Err()
+}
+
+// command is a request's bytes.
+func command(customer, id string) string {
+	fields := fmt.Sprintf("c=%s,t=%s,d=%d,units=1,spread=1,first=0", class, plan, deadline.Milliseconds())
+	var b strings.Builder
+	b.WriteString("*4\r\n")
+	for _, word := range []string{"Q.ASK", customer, id, fields} {
+		fmt.Fprintf(&b, "$%d\r\n%s\r\n", len(word), word)
+	}
+	return b.String()
+}
+
+func (c *client) send(p pending, text string) {
+	now := c.clock.Now()
+	p.to.sending(p.due, now)
+	c.mu.Lock()
+	if c.dead || len(c.queue) >= mostPending {
+		c.mu.Unlock()
+		p.to.end(failed, p.due, now)
+		return
+	}
+	c.queue = append(c.queue, p)
+	c.mu.Unlock()
+	if _, err := io.WriteString(c, text); err != nil {
+		c.giveUp()
+	}
+}
+
+// giveUp ends the connection; what had no answer has failed.
+func (c *client) giveUp() {
+	c.Close()
+	c.mu.Lock()
+	c.dead = true
+	left := c.queue
+	c.queue = nil
+	c.mu.Unlock()
+	for _, p := range left {
+		p.to.end(failed, p.due, c.clock.Now())
+	}
+}
+
+// read takes answers until the connection ends.
+func (c *client) read() {
+	defer c.giveUp()
+	in := bufio.NewReader(c)
+	for {
+		how, value, err := readAnswer(in)
+		if err != nil {
+			return
+		}
+		now := c.clock.Now()
+		c.mu.Lock()
+		if len(c.queue) == 0 { // an answer that nobody asked for: from here on none is anybody's
+			c.mu.Unlock()
+			return
+		}
+		p := c.queue[0]
+		c.queue = c.queue[1:]
+		c.mu.Unlock()
+		if how == served && value != "value of "+p.id {
+			how = servedForeign
+		}
+		p.to.end(how, p.due, now)
+	}
+}
+
+// readAnswer reads an ingress's answer, which is a value, or a backend's, which is an array that begins with one.
+func readAnswer(in *bufio.Reader) (how outcome, value string, err error) {
+	line, err := readLine(in)
+	if err != nil {
+		return failed, "", err
+	}
+	switch {
+	case strings.HasPrefix(line, "$"):
+		value, err = readBulk(in, line)
+		return served, value, err
+	case strings.HasPrefix(line, "*"):
+		return readArray(in, line)
+	case strings.HasPrefix(line, "-BUSY"):
+		return refused, "", nil
+	}
+	return failed, "", nil
+}
+
+func readArray(in *bufio.Reader, line string) (how outcome, value string, err error) {
+	count, err := strconv.Atoi(line[1:])
+	if err != nil || count < 1 || count > 16 {
+		return failed, "", fmt.Errorf("answer of %q elements", line[1:])
+	}
+	for i := range count {
+		if line, err = readLine(in); err != nil {
+			return failed, "", err
+		}
+		element, err := readBulk(in, line)
+		if err != nil {
+			return failed, "", err
+		}
+		if i == 0 {
+			value = element
+		}
+	}
+	return served, value, nil
+}
+
+func readLine(in *bufio.Reader) (string, error) {
+	line, err := in.ReadString('\n')
+	return strings.TrimRight(line, "\r\n"), err
+}
+
+// readBulk reads the value whose first line is given; a null one is empty.
+func readBulk(in *bufio.Reader, line string) (string, error) {
+	if line == "$-1" {
+		return "", nil
+	}
+	size, err := strconv.Atoi(strings.TrimPrefix(line, "$"))
+	if err != nil || size < 0 || size > mostAnswer {
+		return "", fmt.Errorf("answer of length %q", line)
+	}
+	b := make([]byte, size+2)
+	if _, err := io.ReadFull(in, b); err != nil {
+		return "", err
+	}
+	return string(b[:size]), nil
+}
--- /dev/null
+++ b/internal/lab/cost/report.go
@@ -0,0 +1,189 @@
+package cost
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// Report is all measurements of a run.
+type Report struct {
+	Config       Config        `json:"config"`
+	Measurements []Measurement `json:"measurements"`
+}
+
+// Spread is a figure over the rounds: the median, and between what it lay.
+type Spread struct {
+	Median float64 `json:"median"`
+	Least  float64 `json:"least"`
+	Most   float64 `json:"most"`
+}
+
+func spreadOf(values []float64) Spread {
+	if len(values) == 0 {
+		return Spread{}
+	}
+	values = slices.Sorted(slices.Values(values))
+	middle := len(values) / 2
+	median := values[middle]
+	if len(values)%2 == 0 {
+		median = (values[middle-1] + values[middle]) / 2
+	}
+	return Spread{median, values[0], values[len(values)-1]}
+}
+
+// Row is one build at one rate over all rounds that are not void. Added figures and ratios are each against the bare proxy
+// in the same round.
+type Row struct {
+	Build  string `json:"build"`
+	Rate   int    `json:"rate"`
+	Rounds int    `json:"rounds"`
+	Void   int    `json:"void"`
+
+	P50      Spread `json:"p50_ms"`
+	P90      Spread `json:"p90_ms"`
+	P99      Spread `json:"p99_ms"`
+	P999     Spread `json:"p99_9_ms"`
+	AddedP50 Spread `json:"added_p50_ms"`
+	AddedP99 Spread `json:"added_p99_ms"`
+
+	CPU        Spread `json:"cpu_us_a_request"`
+	CPURatio   Spread `json:"cpu_ratio_to_bare"`
+	PeakMB     Spread `json:"peak_mb"`
+	PeakRatio  Spread `json:"peak_ratio_to_first_build"`
+	Opened     Spread `json:"connections_opened"`
+	Handshakes Spread `json:"handshakes_a_request"`
+	Switches   Spread `json:"voluntary_switches_a_request"`
+	LoadLate   Spread `json:"load_late_p99_ms"`
+
+	Sent    int `json:"sent"`
+	Refused int `json:"refused"`
+	Failed  int `json:"failed"`
+	Foreign int `json:"answers_of_another_request"`
+}
+
+// Rows sums the report up: at each rate the bare proxy and then the builds, in their order.
+func (r *Report) Rows() (out []Row) {
+	for _, rate := range r.Config.Rates {
+		for _, b := range append([]Build{{Name: Bare}}, r.Config.Builds...) {
+			out = append(out, r.row(b.Name, rate))
+		}
+	}
+	return out
+}
+
+// find returns a measurement that is not void.
+func (r *Report) find(build string, rate, round int) (Measurement, bool) {
+	for _, m := range r.Measurements {
+		if m.Build == build && m.Rate == rate && m.Round == round && m.Void == "" {
+			return m, true
+		}
+	}
+	return Measurement{}, false
+}
+
+func (r *Report) row(build string, rate int) Row {
+	row := Row{Build: build, Rate: rate}
+	var valid []Measurement
+	var addedP50, addedP99, cpuRatio, peakRatio []float64
+	for _, m := range r.Measurements {
+		if m.Build != build || m.Rate != rate {
+			continue
+		}
+		row.Rounds++
+		row.Sent += m.Sent
+		row.Refused += m.Refused
+		row.Failed += m.Failed
+		row.Foreign += m.Foreign
+		if m.Void != "" {
+			row.Void++
+			continue
+		}
+		valid = append(valid, m)
+		if bare, ok := r.find(Bare, rate, m.Round); ok {
+			addedP50 = append(addedP50, m.P50-bare.P50)
+			addedP99 = append(addedP99, m.P99-bare.P99)
+			cpuRatio = append(cpuRatio, m.CPU/bare.CPU)
+		}
+		if first, ok := r.find(r.Config.Builds[0].Name, rate, m.Round); ok {
+			peakRatio = append(peakRatio, m.PeakMB/first.PeakMB)
+		}
+	}
+	of := func(figure func(Measurement) float64) Spread {
+		var values []float64
+		for _, m := range valid {
+			values = append(values, figure(m))
+		}
+		return spreadOf(values)
+	}
+	row.P50 = of(func(m Measurement) float64 { return m.P50 })
+	row.P90 = of(func(m Measurement) float64 { return m.P90 })
+	row.P99 = of(func(m Measurement) float64 { return m.P99 })
+	row.P999 = of(func(m Measurement) float64 { return m.P999 })
+	row.CPU = of(func(m Measurement) float64 { return m.CPU })
+	row.PeakMB = of(func(m Measurement) float64 { return m.PeakMB })
+	row.Opened = of(func(m Measurement) float64 { return float64(m.Opened) })
+	row.Handshakes = of(func(m Measurement) float64 { return m.Handshakes })
+	row.Switches = of(func(m Measurement) float64 { return m.Switches })
+	row.LoadLate = of(func(m Measurement) float64 { return m.LoadLate })
+	row.AddedP50, row.AddedP99 = spreadOf(addedP50), spreadOf(addedP99)
+	row.CPURatio, row.PeakRatio = spreadOf(cpuRatio), spreadOf(peakRatio)
+	return row
+}
+
+// Voids are the measurements that say nothing, a line each.
+func (r *Report) Voids() (out []string) {
+	for _, m := range r.Measurements {
+		if m.Void != "" {
+			out = append(out, fmt.Sprintf("VOID: %s at %d a second, round %d: %s of %d", m.Build, m.Rate, m.Round+1, m.Void, m.Sent))
+		}
+	}
+	return out
+}
+
+// Text is the report as tables in Markdown: the median of the rounds, and in brackets from the least to the most.
+func (r *Report) Text() string {
+	rows := r.Rows()
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d rounds of %v, %d backends of %v, %d client connections, GOMAXPROCS=1; milliseconds from when a request was due\n\n",
+		r.Config.Repeats, r.Config.Length, r.Config.Backends, r.Config.Work, r.Config.Connections)
+	table(&b, []string{"rate", "build", "p50", "p90", "p99", "p99.9", "added p50", "added p99"}, rows, func(x Row) []string {
+		cells := []string{x.P50.text(2), x.P90.text(2), x.P99.text(2), x.P999.text(2), "", ""}
+		if x.Build != Bare {
+			cells[4], cells[5] = x.AddedP50.text(2), x.AddedP99.text(2)
+		}
+		return cells
+	})
+	table(&b, []string{"rate", "build", "CPU us a request", "times bare", "peak MB", "times " + r.Config.Builds[0].Name, "connections", "handshakes a request", "sleeps a request"},
+		rows, func(x Row) []string {
+			return []string{x.CPU.text(0), x.CPURatio.text(2), x.PeakMB.text(1), x.PeakRatio.text(2), x.Opened.text(0), x.Handshakes.text(4), x.Switches.text(2)}
+		})
+	table(&b, []string{"rate", "build", "sent", "refused", "failed", "answers of another request", "void rounds", "load late p99"}, rows, func(x Row) []string {
+		return []string{fmt.Sprint(x.Sent), fmt.Sprint(x.Refused), fmt.Sprint(x.Failed), fmt.Sprint(x.Foreign), fmt.Sprintf("%d of %d", x.Void, x.Rounds), x.LoadLate.text(2)}
+	})
+	for _, line := range r.Voids() {
+		fmt.Fprintln(&b, line)
+	}
+	return b.String()
+}
+
+func (s Spread) text(digits int) string {
+	if s.Least == s.Most {
+		return fmt.Sprintf("%.*f", digits, s.Median)
+	}
+	return fmt.Sprintf("%.*f (%.*f to %.*f)", digits, s.Median, digits, s.Least, digits, s.Most)
+}
+
+// table writes the rows in Markdown; the first two cells are the rate and the build.
+func table(b *strings.Builder, head []string, rows []Row, cells func(Row) []string) {
+	w := tabwriter.NewWriter(b, 0, 0, 1, ' ', 0)
+	line := func(words []string) { fmt.Fprintln(w, "| "+strings.Join(words, "\t| ")+"\t|") }
+	line(head)
+	line(slices.Repeat([]string{"---"}, len(head)))
+	for _, x := range rows {
+		line(append([]string{fmt.Sprint(x.Rate), x.Build}, cells(x)...))
+	}
+	w.Flush()
+	b.WriteByte('\n')
+}
--- /dev/null
+++ b/internal/lab/cost/run.go
@@ -0,0 +1,142 @@
+package cost
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+)
+
+// Measurement is one build at one rate in one round. Times are milliseconds; those a request count the whole process.
+type Measurement struct {
+	Build string `json:"build"`
+	Rate  int    `json:"rate"`
+	Round int    `json:"round"`
+
+	Sent    int `json:"sent"`
+	Served  int `json:"served"`
+	Refused int `json:"refused"`
+	Failed  int `json:"failed"`
+	Foreign int `json:"answers_of_another_request"`
+
+	P50  float64 `json:"p50_ms"`
+	P90  float64 `json:"p90_ms"`
+	P99  float64 `json:"p99_ms"`
+	P999 float64 `json:"p99_9_ms"`
+
+	CPU        float64 `json:"cpu_us_a_request"`
+	Switches   float64 `json:"voluntary_switches_a_request"`
+	PeakMB     float64 `json:"peak_mb"` // since the process's start
+	Opened     int     `json:"connections_opened"`
+	Handshakes float64 `json:"handshakes_a_request"` // during the measurement, without the warm-up
+	LoadLate   float64 `json:"load_late_p99_ms"`     // how late the load itself sent
+
+	Void string `json:"void,omitempty"` // why the measurement says nothing; empty: it does
+}
+
+// Run measures everything, round by round. After each measurement it calls each, which may be nil.
+func Run(ctx context.Context, c Config, each func(Measurement)) (*Report, error) {
+	if err := c.Check(); err != nil {
+		return nil, err
+	}
+	r := &Report{Config: c}
+	for round := range c.Repeats {
+		done, err := playRound(ctx, &c, round, each)
+		r.Measurements = append(r.Measurements, done...)
+		if err != nil {
+			return r, err
+		}
+	}
+	return r, nil
+}
+
+func playRound(ctx context.Context, c *Config, round int, each func(Measurement)) (out []Measurement, err error) {
+	for _, t := range c.turns(round) {
+		m, err := measureTurn(ctx, c, t)
+		if err != nil {
+			return out, err
+		}
+		out = append(out, m)
+		if each != nil {
+			each(m)
+		}
+	}
+	return out, nil
+}
+
+// measureTurn starts fresh stand-ins and a fresh process, warms it, and measures it.
+func measureTurn(ctx context.Context, c *Config, t turn) (m Measurement, err error) {
+	m = Measurement{Build: t.build.Name, Rate: t.rate, Round: t.round}
+	dir, err := os.MkdirTemp("", "lab-cost-")
+	if err != nil {
+		return m, err
+	}
+	defer os.RemoveAll(dir)
+	b, err := startBackends(c, t.build, uint64(t.round+1))
+	if err != nil {
+		return m, err
+	}
+	defer b.close()
+	process, err := startTarget(ctx, c, t.build, b, dir)
+	if err != nil {
+		return m, err
+	}
+	defer process.stop()
+	l, err := dialLoad(process.addr.Addr(), c.Connections, wallClock{time.Now()})
+	if err != nil {
+		return m, err
+	}
+	defer l.close()
+	if _, err := l.play(ctx, newSchedule(t.rate, c.Warm)); err != nil {
+		return m, err
+	}
+	opened := b.opened()
+	before, err := readAccount(process.Pid())
+	if err != nil {
+		return m, err
+	}
+	ended, err := l.play(ctx, newSchedule(t.rate, c.Length))
+	if err != nil {
+		return m, err
+	}
+	after, err := readAccount(process.Pid())
+	if err != nil {
+		return m, fmt.Errorf("build %s: %w: %s", t.build.Name, err, process.LastLine())
+	}
+	m.Opened = b.opened()
+	m.Handshakes = perRequest(m.Opened-opened, ended.sent)
+	m.account(before, after, ended.sent)
+	m.ended(ended)
+	return m, nil
+}
+
+func perRequest(sum, requests int) float64 { return float64(sum) / float64(max(1, requests)) }
+
+// account fills in what the process used between two readings.
+func (m *Measurement) account(before, after account, requests int) {
+	m.CPU = float64((after.cpu - before.cpu).Nanoseconds()) / 1000 / float64(max(1, requests))
+	m.Switches = perRequest(int(after.switches-before.switches), requests)
+	m.PeakMB = float64(after.peakKB) / 1024
+}
+
+// ended fills in how the requests ended. One that was refused or failed took another way than the others, so that neither the
+// latencies nor the CPU are those of requests that were served.
+func (m *Measurement) ended(t *outcomes) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m.Sent, m.Served, m.Refused, m.Failed, m.Foreign = t.sent, t.served, t.refused, t.failed, t.foreign
+	m.P50, m.P90, m.P99, m.P999 = t.waits.MS(0.5), t.waits.MS(0.9), t.waits.MS(0.99), t.waits.MS(0.999)
+	m.LoadLate = t.late.MS(0.99)
+	var why []string
+	if m.Sent == 0 {
+		why = append(why, "nothing was sent")
+	}
+	if m.Refused > 0 {
+		why = append(why, fmt.Sprintf("%d refused", m.Refused))
+	}
+	if m.Failed > 0 {
+		why = append(why, fmt.Sprintf("%d failed", m.Failed))
+	}
+	m.Void = strings.Join(why, ", ")
+}
--- /dev/null
+++ b/internal/lab/cost/target.go
@@ -0,0 +1,110 @@
+package cost
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"hitchspring/internal/lab/proc"
+)
+
+const (
+	memoryMB = 64
+	sockets  = 8192
+	// quota is what each customer may use a second, and its burst: more than any load here.
+	quota = 1e5
+)
+
+// target is one program under measurement, a process of its own.
+type target struct {
+	proc.Process
+	addr *proc.Held
+}
+
+// startTarget starts a build, or the bare proxy, before the backends and waits until it serves.
+func startTarget(ctx context.Context, c *Config, build Build, b *backends, dir string) (*target, error) {
+	held, err := proc.Hold(loopback)
+	if err != nil {
+		return nil, err
+	}
+	t := &target{addr: held}
+	t.Process = proc.Process{Name: build.Name, Serves: func() bool { return answersPing(held.Addr()) }}
+	t.Env = append(os.Environ(), "GOMAXPROCS=1", "HITCHSPRING_OPTIONS=", "ROUTER_ADMIN_ADDR=", "ROUTER_SOCKET_FD=")
+	if build.Name == Bare {
+		t.Program = c.Proxy[0]
+		t.Args = append(append([]string{}, c.Proxy[1:]...), "--listen", held.Addr())
+		for _, addr := range b.addrs() {
+			t.Args = append(t.Args, "--backend", addr)
+		}
+	} else {
+		t.Program = build.Program
+		file, err := writeConfig(dir, c, b, held.Addr())
+		if err != nil {
+			held.Release()
+			return nil, err
+		}
+		t.Env = append(t.Env, "ROUTER_CONFIG="+file)
+	}
+	if err := t.Start(ctx); err != nil {
+		t.stop()
+		return nil, fmt.Errorf("build %s, program %s: %w", build.Name, t.Program, err)
+	}
+	return t, nil
+}
+
+// stop ends the process.
+func (t *target) stop() {
+	t.Signal(syscall.SIGKILL)
+	t.addr.Release()
+}
+
+func answersPing(addr string) bool {
+	nc, err := net.DialTimeout("tcp", addr, 200*time.Millisecond)
+	if err != nil {
+		return false
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(500 * time.Millisecond))
+	io.WriteString(nc, ping)
+	answer := make([]byte, len(pong))
+	_, err = io.ReadFull(nc, answer)
+	return err == nil && string(answer) == pong
+}
+
+// writeConfig writes an ingress's ROUTER_CONFIG.
+func writeConfig(dir string, c *Config, b *backends, listen string) (file string, err error) {
+	text, err := json.Marshal(map[string]any{
+		"name": "cost", "listen": listen, "discovery": b.agent, "counter": b.counter.Addr(), "seed": "1",
+		"limits":   map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": sockets},
+		"known":    map[string]any{"rev": 0, "all": true, "targets": []any{}},
+		"settings": settings(),
+	})
+	if err != nil {
+		return "", err
+	}
+	file = filepath.Join(dir, "router.json")
+	return file, os.WriteFile(file, text, 0o600)
+}
+
+// settings is the platform's object of settings, with quotas that no load here meets.
+func settings() map[string]any {
+	us := func(d time.Duration) int64 { return d.Microseconds() }
+	return map[string]any{
+		"me": 0, "replicasOfMe": 1, "myZone": zone, "registryMode": "push",
+		"classes": []any{map[string]any{"name": class, "value": 2, "objectiveUs": us(400 * time.Millisecond), "deadlineUs": us(deadline),
+			"lateShare": 0.1, "effect": "read_like", "group": "all", "windowUs": us(3 * time.Second)}},
+		"contracts":  []any{map[string]any{"name": plan, "price": 1, "refill": quota, "burst": quota, "excessCost": 1}},
+		"familyInfo": map[string]any{"counterTimeoutUs": us(80 * time.Millisecond), "maxUnits": 6, "sharedCounter": true},
+		"permissions": map[string]any{"connIdleUs": us(15 * time.Second), "connectTimeoutUs": us(250 * time.Millisecond), "maxOpen": 20000,
+			"maxAttempts": 6, "maxRetryAfterUs": us(500 * time.Millisecond), "mayCancel": true, "probing": true, "parallelTries": true, "retryAfter": true},
+		"prices": map[string]any{"crossZone": 0.01},
+		"invariants": map[string]any{"coldFrom": 0.25, "warmAfterUs": us(18 * time.Second), "fallMultiple": 4, "fallUs": us(time.Second),
+			"drainGraceUs": us(2 * time.Second)},
+	}
+}
--- a/internal/lab/proc/proc.go
+++ b/internal/lab/proc/proc.go
@@ -36,6 +36,7 @@
 type Process struct {
 	Name    string
 	Program string
+	Args    []string // beside the program's own name
 	Env     []string
 	Log     io.Writer   // what it writes goes there too; nil: nowhere
 	Serves  func() bool // asked until it says yes, or the process has ended
@@ -51,7 +52,7 @@
 // Start starts the process and waits until it serves. One that ends before is an error that has its last line.
 func (p *Process) Start(ctx context.Context) error {
 	p.mu.Lock()
-	cmd := exec.Command(p.Program)
+	cmd := exec.Command(p.Program, p.Args...)
 	cmd.Env = p.Env
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // the lab killed in the middle leaves none behind
 	out := io.Writer(&p.said)
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -26,6 +26,7 @@
 	DropBefore Kind = "drop-before" // the connection is reset before it takes effect
 	DropAfter  Kind = "drop-after"  // the connection is reset after it has
 	Repeat     Kind = "repeat"      // its answer comes twice
+	RepeatLate Kind = "repeat-late" // its answer comes again By after the first; later calls go on meanwhile
 	Swap       Kind = "swap"        // its answer comes after the next one's
 	Cut        Kind = "cut"         // half of its answer comes, then the connection ends
 	Fail       Kind = "fail"        // it is answered with Text and takes no effect
@@ -38,17 +39,17 @@
 	Caller string        // the caller's name; empty: all
 	After  int           // that many matching calls pass first
 	Times  int           // then so many are hit; 0: all
-	By     time.Duration // of Delay, Hold, Late
+	By     time.Duration // of Delay, Hold, Late, RepeatLate
 	For    time.Duration // from when it was set; 0: for good
 	Share  float64       // chance for a matching call; 0: all
 	Text   string        // of Fail
 }
 
 // kinds are all of them.
-var kinds = []Kind{Delay, Hold, Stall, Ignore, Swallow, Late, DropBefore, DropAfter, Repeat, Swap, Cut, Fail}
+var kinds = []Kind{Delay, Hold, Stall, Ignore, Swallow, Late, DropBefore, DropAfter, Repeat, RepeatLate, Swap, Cut, Fail}
 
 // timed kinds take their first duration as By, others as For.
-var timed = []Kind{Delay, Hold, Late}
+var timed = []Kind{Delay, Hold, Late, RepeatLate}
 
 // Parse reads a rule in the form
 //
--- a/internal/standin/node/node.go
+++ b/internal/standin/node/node.go
@@ -351,7 +351,7 @@
 			delete(n.conns, nc)
 			n.traffic[instance].Open--
 			n.traffic[instance].In += c.in
-			n.traffic[instance].Out += c.out
+			n.traffic[instance].Out += c.out.Load()
 			n.f.mu.Unlock()
 		})
 		n.f.mu.Unlock()
@@ -364,8 +364,10 @@
 	n        *Node
 	instance int
 	id       uint64
-	hello    *job // what the connection itself costs; its first command waits for it
-	in, out  int64
+	hello    *job          // what the connection itself costs; its first command waits for it
+	again    time.Duration // the answer in hand is said again so long after it; 0: it is not
+	in       int64
+	out      atomic.Int64
 }
 
 func (c *conn) Read(b []byte) (int, error) {
@@ -415,12 +417,10 @@
 				reset(c.Conn)
 				return
 			}
-			c.SetWriteDeadline(time.Now().Add(writeTime))
-			k, err := io.WriteString(c.Conn, answer)
-			c.out += int64(k)
-			if err != nil {
+			if err := c.write(answer); err != nil {
 				return
 			}
+			c.repeat(answer)
 		}
 		if !keep {
 			reset(c.Conn)
@@ -429,6 +429,27 @@
 	}
 }
 
+func (c *conn) write(answer string) error {
+	c.SetWriteDeadline(time.Now().Add(writeTime))
+	k, err := io.WriteString(c.Conn, answer)
+	c.out.Add(int64(k))
+	return err
+}
+
+// repeat says an answer again when it is due, while the connection goes on with further commands.
+func (c *conn) repeat(answer string) {
+	after := c.again
+	if after == 0 {
+		return
+	}
+	c.again = 0
+	c.n.f.wg.Go(func() {
+		if c.n.wait(after) {
+			c.write(answer) // to a connection that has ended it goes nowhere
+		}
+	})
+}
+
 // command runs one command and returns its answer when it is due; keep is false where the connection ends.
 func (c *conn) command(args [][]byte) (answer string, keep bool) {
 	n := c.n
@@ -511,6 +532,8 @@
 		n.wait(rule.By)
 	case fault.Repeat:
 		text += text
+	case fault.RepeatLate:
+		c.again = rule.By
 	}
 	n.ended(at, how)
 	return text, true
--- a/internal/standin/tally/control.go
+++ b/internal/standin/tally/control.go
@@ -10,7 +10,7 @@
 )
 
 // unknown are the kinds of rules that a counter has nothing to do for: its answers come in order.
-var unknown = []fault.Kind{fault.Late, fault.Swap}
+var unknown = []fault.Kind{fault.Late, fault.RepeatLate, fault.Swap}
 
 // Do carries out one line: stop DURATION, restart DURATION (which forgets everything), silent DURATION (it takes no effect and
 // answers nothing), or a fault rule for calls.
