--- a/cmd/lab/main_test.go
+++ b/cmd/lab/main_test.go
@@ -32,6 +32,11 @@
 		"no-such-file":                     {"redis", "--listen", "127.0.0.1:0", "--password-file", "no-such-file"},
 		"no defect is called nonsense":     {"prove", "nonsense"},
 		"experiment: open":                 {"experiment", "no-such-file"},
+		"rate: 0 is out of range":          {"cost", "--rate", "0"},
+		`build "=x": want NAME=PATH`:       {"cost", "--build", "=x"},
+		"seconds: -1s is out of range":     {"cost", "--seconds=-1"},
+		"second-share: 2 is no share":      {"cost", "--second-answers", "5ms", "--second-share", "2"},
+		"program /no/such/program":         {"cost", "--short", "--build", "x=/no/such/program"},
 	} {
 		if code, err := run(context.Background(), args, io.Discard); code != failed || err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%v: %d, %v, want %q", args, code, err, want)
@@ -42,13 +47,14 @@
 // Help names each flag with its default; days, defects, version and completion print what they are asked for.
 func TestPrints(t *testing.T) {
 	for want, args := range map[string][]string{
-		"--seed=1":      {"demo", "--help"},
-		"Exit codes: 0": {"--help"},
-		"evening":       {"days"},
-		"[must]":        {"days", "evening"},
-		"cold-no-care":  {"prove", "--list"},
-		"lab ":          {"version"},
-		" -C ":          {"completion", "-c", "bash"},
+		"--seed=1":       {"demo", "--help"},
+		"Exit codes: 0":  {"--help"},
+		"evening":        {"days"},
+		"[must]":         {"days", "evening"},
+		"cold-no-care":   {"prove", "--list"},
+		"lab ":           {"version"},
+		"--second-share": {"cost", "--help"},
+		" -C ":           {"completion", "-c", "bash"},
 	} {
 		var b bytes.Buffer
 		if code, err := run(context.Background(), args, &b); code != lab.Clean || err != nil || !strings.Contains(b.String(), want) {
--- /dev/null
+++ b/internal/lab/cost/cost_test.go
@@ -0,0 +1,223 @@
+package cost
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+// TestMain lets the tests' own program be the bare proxy, as the lab's is.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == "proxy" {
+		os.Exit(runProxy(os.Args[2:]))
+	}
+	goleak.VerifyTestMain(m)
+}
+
+func runProxy(args []string) int {
+	var listen string
+	var backends []string
+	for i := 0; i+1 < len(args); i += 2 {
+		switch args[i] {
+		case "--listen":
+			listen = args[i+1]
+		case "--backend":
+			backends = append(backends, args[i+1])
+		}
+	}
+	ln, err := net.Listen("tcp", listen)
+	if err != nil {
+		return 1
+	}
+	if ServeProxy(context.Background(), ln, backends) != nil {
+		return 1
+	}
+	return 0
+}
+
+func testConfig() Config {
+	c := Default()
+	c.Proxy = []string{os.Args[0], "proxy"}
+	c.Builds = []Build{{Name: "new", Program: "bin/new"}}
+	c.Backends, c.Connections = 3, 4
+	return c
+}
+
+// A field that cannot be used is one error that names it with its value.
+func TestConfigMistakes(t *testing.T) {
+	for want, change := range map[string]func(*Config){
+		"builds: 0 is out of range":          func(c *Config) { c.Builds = nil },
+		`build "new": named twice`:           func(c *Config) { c.Builds = append(c.Builds, c.Builds[0]) },
+		"proxy: no program":                  func(c *Config) { c.Proxy = nil },
+		"rate: none":                         func(c *Config) { c.Rates = nil },
+		"rate: 0 is out of range":            func(c *Config) { c.Rates = []int{0} },
+		"rate: 20001 is out of range":        func(c *Config) { c.Rates = []int{20001} },
+		"rate: 5 is named twice":             func(c *Config) { c.Rates = []int{5, 5} },
+		"seconds: 0s is out of range":        func(c *Config) { c.Length = 0 },
+		"warm: -1ns is out of range":         func(c *Config) { c.Warm = -1 },
+		"repeats: 0 is out of range":         func(c *Config) { c.Repeats = 0 },
+		"backends: 301 is out of range":      func(c *Config) { c.Backends = 301 },
+		"connections: 0 is out of range":     func(c *Config) { c.Connections = 0 },
+		"work: 2s is out of range":           func(c *Config) { c.Work = 2 * time.Second },
+		"second-answers: -1ns is out of ran": func(c *Config) { c.SecondLate = -1 },
+		"second-share: 1.5 is no share":      func(c *Config) { c.SecondShare = 1.5 },
+	} {
+		c := testConfig()
+		change(&c)
+		if err := c.Check(); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %q", err, want)
+		}
+	}
+	c := testConfig()
+	if err := c.Check(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestParseBuild(t *testing.T) {
+	for text, want := range map[string]Build{
+		"old=/x/hitchspring": {"old", "/x/hitchspring"},
+		"bin/hitchspring":    {"hitchspring", "bin/hitchspring"},
+	} {
+		if got, err := ParseBuild(text); err != nil || got != want {
+			t.Errorf("%q: %v, %v", text, got, err)
+		}
+	}
+	for _, text := range []string{"", "=x", "x=", "bare=x", "bin/"} {
+		if _, err := ParseBuild(text); err == nil || !strings.Contains(err.Error(), `"`+text+`"`) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
+
+// Every build has a turn at every rate in each round, and none is always the first.
+func TestTurnsAlternate(t *testing.T) {
+	c := testConfig()
+	c.Builds = append(c.Builds, Build{"old", "bin/old"})
+	var first []string
+	for round := range 3 {
+		turns := c.turns(round)
+		if len(turns) != 6 {
+			t.Fatalf("round %d: %d turns, want 6", round, len(turns))
+		}
+		first = append(first, turns[0].build.Name)
+		for _, rate := range c.Rates {
+			var names []string
+			for _, x := range turns {
+				if x.rate == rate {
+					names = append(names, x.build.Name)
+				}
+			}
+			slices.Sort(names)
+			if got := strings.Join(names, " "); got != "bare new old" {
+				t.Errorf("round %d at %d a second: %s", round, rate, got)
+			}
+		}
+	}
+	if got := strings.Join(first, " "); got != "bare new old" {
+		t.Errorf("the first of each round: %s", got)
+	}
+}
+
+// canned is a measurement of a median, without refusals.
+func canned(build string, round int, p50 float64) Measurement {
+	return Measurement{Build: build, Rate: ShortRate, Round: round, Sent: 100, Served: 100, P50: p50, P99: 2 * p50, CPU: 100 * p50, PeakMB: 10}
+}
+
+// The short check passes with its first good round, fails where all rounds are slow, and judges no void round.
+func TestShortVerdict(t *testing.T) {
+	void := canned("new", 0, 2.1)
+	void.Void = "1 refused"
+	type round = []Measurement
+	for name, x := range map[string]struct {
+		rounds []round
+		played int
+		want   error
+	}{
+		"good at once":         {[]round{{canned(Bare, 0, 2), canned("new", 0, 2.9)}}, 1, nil},
+		"at the limit":         {[]round{{canned(Bare, 0, 2), canned("new", 0, 3)}}, 1, nil},
+		"good at the third":    {[]round{{canned(Bare, 0, 2), canned("new", 0, 9)}, {canned(Bare, 1, 2), canned("new", 1, 3.1)}, {canned(Bare, 2, 2), canned("new", 2, 2.5)}}, 3, nil},
+		"slow in each":         {[]round{{canned(Bare, 0, 2), canned("new", 0, 9)}, {canned(Bare, 1, 2), canned("new", 1, 3.1)}, {canned(Bare, 2, 2), canned("new", 2, 12)}}, 3, ErrTooSlow},
+		"void, then good":      {[]round{{canned(Bare, 0, 2), void}, {canned(Bare, 1, 2), canned("new", 1, 2.1)}}, 2, nil},
+		"void in each":         {[]round{{canned(Bare, 0, 2), void}, {canned(Bare, 1, 2)}, {canned("new", 2, 2)}}, 3, ErrVoid},
+		"another round's bare": {[]round{{canned(Bare, 0, 8)}, {canned("new", 1, 8)}, {canned(Bare, 2, 2), canned("new", 2, 8)}}, 3, ErrTooSlow},
+	} {
+		c := testConfig()
+		c.Rates, c.Repeats = []int{ShortRate}, ShortRounds
+		played := 0
+		_, err := judgeRounds(c, io.Discard, func(i int) ([]Measurement, error) {
+			played++
+			return x.rounds[i], nil
+		})
+		if !errors.Is(err, x.want) || played != x.played {
+			t.Errorf("%s: %v after %d rounds, want %v after %d", name, err, played, x.want, x.played)
+		}
+	}
+}
+
+// One good build of two does not let the other pass.
+func TestShortJudgesEachBuild(t *testing.T) {
+	c := testConfig()
+	c.Builds = append(c.Builds, Build{"slow", "bin/slow"})
+	c.Rates, c.Repeats = []int{ShortRate}, ShortRounds
+	var out bytes.Buffer
+	_, err := judgeRounds(c, &out, func(i int) ([]Measurement, error) {
+		return []Measurement{canned(Bare, i, 2), canned("new", i, 2.5), canned("slow", i, 11)}, nil
+	})
+	if !errors.Is(err, ErrTooSlow) || !strings.Contains(err.Error(), "build slow") || !strings.Contains(err.Error(), "9.00 ms") {
+		t.Fatal(err)
+	}
+	if !strings.Contains(out.String(), "round 3: slow p50 11.00 ms, bare 2.00 ms: added 9.00 ms") {
+		t.Fatal(out.String())
+	}
+}
+
+// Added figures and ratios are each against the same round's bare proxy; void rounds count for nothing and are said.
+func TestRows(t *testing.T) {
+	r := &Report{Config: testConfig()}
+	r.Config.Rates = []int{ShortRate}
+	void := canned("new", 2, 50)
+	void.Refused, void.Void = 1, "1 refused"
+	r.Measurements = []Measurement{canned(Bare, 0, 2), canned("new", 0, 3), canned(Bare, 1, 4), canned("new", 1, 7), canned(Bare, 2, 2), void}
+	rows := r.Rows()
+	if len(rows) != 2 || rows[0].Build != Bare || rows[1].Build != "new" {
+		t.Fatalf("%+v", rows)
+	}
+	got := rows[1]
+	if got.P50 != (Spread{5, 3, 7}) || got.AddedP50 != (Spread{2, 1, 3}) || got.AddedP99 != (Spread{4, 2, 6}) || got.CPURatio != (Spread{1.625, 1.5, 1.75}) {
+		t.Errorf("%+v", got)
+	}
+	if got.Rounds != 3 || got.Void != 1 || got.Refused != 1 {
+		t.Errorf("%d of %d void, %d refused", got.Void, got.Rounds, got.Refused)
+	}
+	text := r.Text()
+	for _, want := range []string{"2.00 (1.00 to 3.00)", "VOID: new at 190 a second, round 3: 1 refused of 100", "| 1 of 3"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("the report has no %q:\n%s", want, text)
+		}
+	}
+	var svg bytes.Buffer
+	if err := r.Chart(&svg); err != nil || !strings.Contains(svg.String(), "new, 190/s") {
+		t.Errorf("chart: %v", err)
+	}
+}
+
+func TestSpread(t *testing.T) {
+	for _, x := range []struct {
+		values []float64
+		want   Spread
+	}{{nil, Spread{}}, {[]float64{3}, Spread{3, 3, 3}}, {[]float64{3, 1}, Spread{2, 1, 3}}, {[]float64{9, 1, 2}, Spread{2, 1, 9}}} {
+		if got := spreadOf(x.values); got != x.want {
+			t.Errorf("%v: %v, want %v", x.values, got, x.want)
+		}
+	}
+}
--- a/internal/lab/cost/run.go
+++ b/internal/lab/cost/run.go
@@ -4,10 +4,17 @@
 	"context"
 	"fmt"
 	"os"
+	"os/exec"
 	"strings"
 	"time"
 )
 
+// A load that sends a tenth of its requests so late says more of a busy machine than of what it measures.
+const (
+	lateQuantile = 0.9
+	mostLateMS   = 5
+)
+
 // Measurement is one build at one rate in one round. Times are milliseconds; those a request count the whole process.
 type Measurement struct {
 	Build string `json:"build"`
@@ -40,6 +47,9 @@
 	if err := c.Check(); err != nil {
 		return nil, err
 	}
+	if err := c.findPrograms(); err != nil {
+		return nil, err
+	}
 	r := &Report{Config: c}
 	for round := range c.Repeats {
 		done, err := playRound(ctx, &c, round, each)
@@ -51,6 +61,16 @@
 	return r, nil
 }
 
+// findPrograms returns an error that names the first build whose program is not there, before anything is started.
+func (c *Config) findPrograms() error {
+	for _, b := range c.Builds {
+		if _, err := exec.LookPath(b.Program); err != nil {
+			return fmt.Errorf("build %s, program %s: %w", b.Name, b.Program, err)
+		}
+	}
+	return nil
+}
+
 func playRound(ctx context.Context, c *Config, round int, each func(Measurement)) (out []Measurement, err error) {
 	for _, t := range c.turns(round) {
 		m, err := measureTurn(ctx, c, t)
@@ -138,5 +158,8 @@
 	if m.Failed > 0 {
 		why = append(why, fmt.Sprintf("%d failed", m.Failed))
 	}
+	if late := t.late.MS(lateQuantile); late > mostLateMS {
+		why = append(why, fmt.Sprintf("the load was late itself, a tenth of it by %.1f ms or more", late))
+	}
 	m.Void = strings.Join(why, ", ")
 }
--- a/internal/lab/cost/short.go
+++ b/internal/lab/cost/short.go
@@ -32,6 +32,9 @@
 	if err := c.Check(); err != nil {
 		return nil, err
 	}
+	if err := c.findPrograms(); err != nil {
+		return nil, err
+	}
 	return judgeRounds(c, out, func(round int) ([]Measurement, error) { return playRound(ctx, &c, round, nil) })
 }
 
--- a/internal/standin/node/node_test.go
+++ b/internal/standin/node/node_test.go
@@ -251,3 +251,63 @@
 		}
 	})
 }
+
+// A second answer comes late and names its own request, while the connection goes on with further commands.
+func TestRepeatLate(t *testing.T) {
+	f := fleet(t)
+	t.Cleanup(f.Close)
+	n := add(t, f, "one", 1, false)
+	rule, err := fault.Parse("repeat-late 60ms times 1")
+	if err != nil || rule.By != 60*time.Millisecond {
+		t.Fatal(rule, err)
+	}
+	n.Fault(rule)
+	nc, err := net.Dial("tcp", n.Addr(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(20 * time.Second))
+	in := bufio.NewReader(nc)
+	value := func() string {
+		t.Helper()
+		var lines [5]string
+		for i := range lines {
+			if lines[i], err = in.ReadString('\n'); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return strings.TrimSpace(lines[2])
+	}
+	write := func(id string) {
+		words := ask("read", id, "")
+		fmt.Fprintf(nc, "*%d\r\n", len(words))
+		for _, w := range words {
+			fmt.Fprintf(nc, "$%d\r\n%s\r\n", len(w), w)
+		}
+	}
+	write(idA)
+	first, began := value(), time.Now()
+	write(idB)
+	second, third := value(), value()
+	if first != "value of "+idA || second != "value of "+idB || third != "value of "+idA {
+		t.Fatal(first, second, third)
+	}
+	if late := time.Since(began); late < 50*time.Millisecond {
+		t.Errorf("the second answer came after %v", late)
+	}
+	if got := hows(f); got != "[ran ran]" {
+		t.Fatal(got)
+	}
+}
+
+// A second answer that is still due does not hold up the node's end.
+func TestRepeatLateAtTheEnd(t *testing.T) {
+	f := fleet(t)
+	n := add(t, f, "one", 1, false)
+	n.Fault(fault.Rule{Kind: fault.RepeatLate, By: time.Hour})
+	if got := say(t, n, ask("read", idA, "")...); got != "*3" {
+		t.Fatal(got)
+	}
+	f.Close()
+}
