--- a/cmd/hitchspring/kill_test.go
+++ b/cmd/hitchspring/kill_test.go
@@ -245,3 +245,26 @@
 		t.Error("the clients did not cross the shutdown: the test forces nothing")
 	}
 }
+
+// A SIGTERM during a start, which waits for discovery, ends the process at once and cleanly, with no client taken.
+func TestTermDuringAStart(t *testing.T) {
+	const atOnce = time.Second
+	i := newInstance(t, 0)
+	i.configure(t, 0, platform{discovery: registry(t, discovery.List{}, silent), instances: 1, mode: "push"})
+	for _, after := range []time.Duration{100 * time.Millisecond, 200 * time.Millisecond} { // it waits for 300 ms
+		if err := i.start(); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(after)
+		i.cmd.Process.Signal(syscall.SIGTERM)
+		select {
+		case <-i.ended:
+		case <-time.After(atOnce):
+			t.Errorf("the process does not end within %v of a SIGTERM %v after its start", atOnce, after)
+			i.kill()
+		}
+		if i.err != nil {
+			t.Errorf("SIGTERM %v after the start: the process ended with %v: %s", after, i.err, &i.stderr)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ingress/pieces_test.go
@@ -0,0 +1,202 @@
+package ingress
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// bytePause lies between two bytes of a command that comes in pieces.
+const bytePause = time.Millisecond
+
+// Commands that come byte by byte are served like others, in their order and once each.
+func TestCommandsInSingleBytes(t *testing.T) {
+	t.Parallel()
+	node := newObservedNode(t, nil)
+	list := fleetOf(node.addr)
+	addr, _ := startIngress(t, testConfig(registryOf(t, list), list))
+	nc, in := dial(t, addr)
+	text := ask(1, readFields) + command("PING") + ask(2, readFields) + command("HELLO") + ask(3, readFields)
+	for i := range len(text) {
+		if _, err := io.WriteString(nc, text[i:i+1]); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(bytePause)
+	}
+	for _, want := range []string{"$5", "value", "+PONG", "$5", "value", "-ERR unknown command", "$5", "value"} {
+		if got := line(t, in); got != want {
+			t.Fatalf("answer %q, want %q", got, want)
+		}
+	}
+	if n, _ := node.commands(); n != 3 {
+		t.Errorf("%d commands were sent on, want 3", n)
+	}
+}
+
+// A connection that ends within a command, wherever, ends with nothing sent on, no answer to what was no command, and no place kept. What was
+// answered before stays answered.
+func TestConnectionEndsWithinACommand(t *testing.T) {
+	t.Parallel()
+	for name, end := range map[string]func(*net.TCPConn) error{
+		"closed":      (*net.TCPConn).Close,
+		"half closed": (*net.TCPConn).CloseWrite,
+		"reset": func(nc *net.TCPConn) error {
+			if err := nc.SetLinger(0); err != nil {
+				return err
+			}
+			return nc.Close()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			node := newObservedNode(t, nil)
+			list := fleetOf(node.addr)
+			addr, g := startGateway(t, testConfig(registryOf(t, list), list))
+			text := ask(1<<20, readFields)
+			for cut := 1; cut < len(text); cut++ {
+				nc, in := dial(t, addr)
+				before := cut%5 == 0 // of some, a whole command comes first
+				if before {
+					io.WriteString(nc, ask(cut, readFields))
+					wantValue(t, in)
+				}
+				io.WriteString(nc, text[:cut])
+				if cut%3 == 0 { // of some, what is there is read before the end comes
+					time.Sleep(bytePause)
+				}
+				if err := end(nc.(*net.TCPConn)); err != nil {
+					t.Fatal(err)
+				}
+				if name != "half closed" {
+					continue
+				}
+				if rest, err := io.ReadAll(in); len(rest) > 0 || err != nil {
+					t.Fatalf("after %d of %d bytes and the end: %q, %v", cut, len(text), rest, err)
+				}
+			}
+			eventually(t, 5*time.Second, "no connection is kept", func() bool { return g.front.Load().Open() == 0 })
+			if n, _ := node.commands(); n != (len(text)-1)/5 {
+				t.Errorf("%d commands were sent on, want the %d whole ones", n, (len(text)-1)/5)
+			}
+			if n := g.core.Figures().Current(); n != 0 {
+				t.Errorf("%d requests are open", n)
+			}
+		})
+	}
+}
+
+// A half command at SIGTERM is owed its end: the rest is waited for. It is served while the ingress serves, then refused; one whose rest
+// doesn't come ends with its connection, and never keeps the process beyond its time.
+func TestHalfCommandAtShutdown(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name  string
+		after time.Duration // of SIGTERM, when the rest comes; 0: never
+		want  string        // the begin of its one answer; "": none, or an error
+	}{
+		{"the rest while it serves", 200 * time.Millisecond, "$5"},
+		{"the rest behind the close of the listener", graceOpen + 30*time.Millisecond, "$5"},
+		{"the rest too late", graceTake + 300*time.Millisecond, "-BUSY "},
+		{"no rest", 0, ""},
+	}
+	node := newObservedNode(t, nil)
+	list := fleetOf(node.addr)
+	addr, stop := startIngress(t, testConfig(registryOf(t, list), list))
+	type client struct {
+		nc  net.Conn
+		all chan string
+	}
+	clients := make([]client, len(cases))
+	text := func(n int) string { return ask(n+1, readFields) }
+	for n := range cases {
+		nc, in := dial(t, addr)
+		clients[n] = client{nc, make(chan string, 1)}
+		io.WriteString(nc, text(n)[:20+n])
+		go func() {
+			rest, _ := io.ReadAll(in)
+			clients[n].all <- string(rest)
+		}()
+	}
+	time.Sleep(20 * time.Millisecond) // they are read
+	began := time.Now()
+	ended := make(chan error, 1)
+	go func() { ended <- stop() }()
+	for n, c := range cases {
+		if c.after > 0 {
+			time.AfterFunc(time.Until(began.Add(c.after)), func() { io.WriteString(clients[n].nc, text(n)[20+n:]) })
+		}
+	}
+	for n, c := range cases {
+		got := <-clients[n].all
+		switch {
+		case c.want == "" && got != "" && !strings.HasPrefix(got, "-ERR "):
+			t.Errorf("%s: answered %q", c.name, got)
+		case c.want != "" && (!strings.HasPrefix(got, c.want) || strings.Count(got, "\r\n") > 2):
+			t.Errorf("%s: answered %q, want one answer %s", c.name, got, c.want)
+		}
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if took, most := time.Since(began), graceMost+graceTake; took > most {
+		t.Errorf("ended %v after SIGTERM, want %v at the most", took, most)
+	}
+	if n, _ := node.commands(); n != 2 {
+		t.Errorf("%d commands were sent on, want those of two", n)
+	}
+}
+
+// A backend that answers a part and falls silent, wherever, is waited for 0.2 s. The request has one end: the answer of another backend where
+// it may be repeated, else a failure; the connection with the part is closed, so that the rest is taken for nothing else.
+func TestBackendFallsSilentWithinAnAnswer(t *testing.T) {
+	t.Parallel()
+	const most = 2 * time.Second // the backend's 0.2 s, and room for a machine that is busy; the request has 50 s
+	for _, class := range []struct {
+		name, command, want string
+		attempts            int
+	}{
+		{"safe", ask(1, readFields), "$5", 2},
+		{"unsafe", command("Q.DO", "00000000b4d65521", fmt.Sprintf("%016x", 1), strings.Replace(readFields, "c=read", "c=write", 1)), "-ERR", 2},
+	} {
+		t.Run(class.name, func(t *testing.T) {
+			t.Parallel()
+			for cut := 1; cut < len(served); cut++ {
+				t.Run(fmt.Sprintf("after %d of %d bytes", cut, len(served)), func(t *testing.T) {
+					t.Parallel()
+					node := newObservedNode(t, func(n int) string {
+						if n == 1 {
+							return served[:cut]
+						}
+						return served
+					})
+					list := fleetOf(node.addr)
+					cfg := testConfig(registryOf(t, list), list)
+					cfg.Settings.MaxAttempts = class.attempts
+					addr, _ := startIngress(t, cfg)
+					nc, in := dial(t, addr)
+					began := time.Now()
+					io.WriteString(nc, class.command+command("PING"))
+					got := line(t, in)
+					if !strings.HasPrefix(got, class.want) {
+						t.Fatalf("answer %q, want %s", got, class.want)
+					}
+					if strings.HasPrefix(got, "$") {
+						line(t, in)
+					}
+					if took := time.Since(began); took > most {
+						t.Errorf("answered after %v", took)
+					}
+					if got := line(t, in); got != "+PONG" {
+						t.Fatalf("behind the answer %q", got)
+					}
+					if open := node.connections(); open > 1 {
+						t.Errorf("%d connections are open, the one with the part among them", open)
+					}
+				})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/ingress/reload_test.go
@@ -0,0 +1,367 @@
+package ingress
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"hitchspring/internal/discovery"
+)
+
+const (
+	toldWithin   = 2 * time.Second        // of the moment in which discovery could be reached and had the change: nothing new is sent then
+	toldAtLast   = 6 * time.Second        // the same for many instances that ask, where a call failed before
+	quietFor     = 500 * time.Millisecond // that is looked on after that
+	loadClients  = 6
+	loadPause    = 3 * time.Millisecond
+	agentRevives = 700 * time.Millisecond
+)
+
+// agent is a stand-in of discovery whose calls a test answers one by one: list is for a whole list, watch for the nth watch, from 1.
+type agent struct {
+	addr  string
+	mu    sync.Mutex
+	n     int
+	list  func(w http.ResponseWriter, r *http.Request)
+	watch func(n int, w http.ResponseWriter, r *http.Request)
+}
+
+func newAgent(t testing.TB, list func(http.ResponseWriter, *http.Request), watch func(int, http.ResponseWriter, *http.Request)) *agent {
+	t.Helper()
+	a := &agent{list: list, watch: watch}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("follow") == "" {
+			a.list(w, r)
+			return
+		}
+		a.mu.Lock()
+		a.n++
+		n := a.n
+		a.mu.Unlock()
+		a.watch(n, w, r)
+	}))
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	a.addr = s.Listener.Addr().String()
+	return a
+}
+
+// registryOf is an agent of one list whose watch stays open, and begins with the list where the caller holds another revision.
+func registryOf(t testing.TB, list discovery.List) (addr string) {
+	t.Helper()
+	return newAgent(t, tell(list), func(_ int, w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("since") != fmt.Sprint(list.Rev) {
+			tell(list)(w, r)
+		}
+		stay(w, r)
+	}).addr
+}
+
+// tell answers a call with a list.
+func tell(list discovery.List) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		json.NewEncoder(w).Encode(list)
+		w.(http.Flusher).Flush()
+	}
+}
+
+// stay keeps a watch open, with an empty line now and then.
+func stay(w http.ResponseWriter, r *http.Request) {
+	w.(http.Flusher).Flush()
+	for {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(time.Second):
+			io.WriteString(w, "\n")
+			w.(http.Flusher).Flush()
+		}
+	}
+}
+
+// with is a list with another revision and another state of its first node; "" leaves that out.
+func with(list discovery.List, rev int64, state string) discovery.List {
+	out := discovery.List{Rev: rev, All: true}
+	for n, target := range list.Targets {
+		if n == 0 {
+			target.State = state
+		}
+		if target.State != "" {
+			out.Targets = append(out.Targets, target)
+		}
+	}
+	return out
+}
+
+// load asks without a pause, from several clients, until the test ends; each request is to be served.
+func load(t *testing.T, addr string) {
+	t.Helper()
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for n := range loadClients {
+		nc, in := dial(t, addr)
+		clients.Go(func() {
+			for id := 1 + n<<20; ; id++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(loadPause):
+				}
+				io.WriteString(nc, ask(id, readFields))
+				head, err := in.ReadString('\n')
+				if err == nil && strings.HasPrefix(head, "$") {
+					_, err = in.ReadString('\n')
+				}
+				if err != nil || !strings.HasPrefix(head, "$") {
+					t.Errorf("a client was answered %q, %v", head, err)
+					return
+				}
+			}
+		})
+	}
+	t.Cleanup(func() {
+		close(stop)
+		clients.Wait()
+	})
+}
+
+// SIGHUP moves discovery while a backend drains, and lists come in the worst ways that the platform allows. From 2 s after the change could be
+// told nothing new reaches the backend that drains or is left out, though it still answers; its idle connections are closed; all clients are
+// served by the others, and those that wait at it too.
+func TestReloadWhileABackendDrains(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		state   string // of the first backend by the new list; "": left out
+		to      func(t *testing.T, list discovery.List, state string) (addr string)
+		reached time.Duration // after the move, when the new address answers first
+		failed  bool          // a call failed or was silent: many instances pace their next ones
+	}{
+		"a whole list says that it drains": {state: "DRAINING", to: listed},
+		"a whole list leaves it out":       {to: listed},
+		"a whole list on the watch alone": {to: func(t *testing.T, list discovery.List, state string) string {
+			return newAgent(t, unavailable, func(_ int, w http.ResponseWriter, r *http.Request) {
+				tell(with(list, 6, state))(w, r)
+				stay(w, r)
+			}).addr
+		}},
+		"the new watch ends, then a whole list": {failed: true, to: func(t *testing.T, list discovery.List, state string) string {
+			return newAgent(t, unavailable, func(n int, w http.ResponseWriter, r *http.Request) {
+				if n > 1 {
+					tell(with(list, 6, state))(w, r)
+					stay(w, r)
+				}
+			}).addr
+		}},
+		"the new address takes calls and says nothing at first": {reached: agentRevives, failed: true, to: func(t *testing.T, list discovery.List, state string) string {
+			began := time.Now()
+			hang := func(r *http.Request) bool { // a call of before the revival is never answered
+				if time.Since(began) < agentRevives {
+					<-r.Context().Done()
+					return true
+				}
+				return false
+			}
+			return newAgent(t, func(w http.ResponseWriter, r *http.Request) {
+				if !hang(r) {
+					tell(with(list, 6, state))(w, r)
+				}
+			}, func(_ int, w http.ResponseWriter, r *http.Request) {
+				if !hang(r) {
+					tell(with(list, 6, state))(w, r)
+					stay(w, r)
+				}
+			}).addr
+		}},
+	} {
+		for _, many := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, many %v", name, many), func(t *testing.T) {
+				t.Parallel()
+				drains, stays := newObservedNode(t, nil), newObservedNode(t, nil)
+				list := fleetOf(drains.addr, stays.addr)
+				list.Rev = 5
+				addr, g := startGateway(t, reloadConfig(registryOf(t, list), list, many))
+				load(t, addr)
+				awaitLoad(t, drains)
+				to := c.to(t, list, c.state)
+				moved := time.Now()
+				g.Move(to, "")
+				within := toldWithin
+				if many && c.failed {
+					within = toldAtLast
+				}
+				nothingMoreAt(t, drains, moved.Add(c.reached), within)
+			})
+		}
+	}
+}
+
+// reloadConfig is of an ingress alone, or of one of 24 that ask one discovery.
+func reloadConfig(disc string, known discovery.List, many bool) Config {
+	cfg := testConfig(disc, known)
+	cfg.Settings.MaxAttempts, cfg.Settings.MayProbe = 3, true
+	if many {
+		cfg.Settings.Gateways, cfg.Settings.AskForFleet = 24, true
+	}
+	return cfg
+}
+
+// A watch that ends is followed by a whole list that leaves a backend out, or by one that has it drain: it counts as told by that.
+func TestWholeListAfterAnEndedWatch(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct{ last, state string }{
+		{"", ""}, {"", "DRAINING"},
+		{`{"rev":6,"all":true,"tar`, ""}, // the watch ends within a list
+	} {
+		for _, many := range []bool{false, true} { // instances that share what discovery can do
+			t.Run(fmt.Sprintf("last word %q, state %q, many %v", c.last, c.state, many), func(t *testing.T) {
+				t.Parallel()
+				drains, stays := newObservedNode(t, nil), newObservedNode(t, nil)
+				list := fleetOf(drains.addr, stays.addr)
+				list.Rev = 5
+				end := make(chan struct{})
+				a := newAgent(t, tell(list), func(n int, w http.ResponseWriter, r *http.Request) {
+					w.(http.Flusher).Flush()
+					if n == 1 {
+						io.WriteString(w, "\n")
+						w.(http.Flusher).Flush()
+						<-end
+						io.WriteString(w, c.last)
+						return
+					}
+					tell(with(list, 6, c.state))(w, r)
+					stay(w, r)
+				})
+				addr, _ := startIngress(t, reloadConfig(a.addr, list, many))
+				load(t, addr)
+				awaitLoad(t, drains)
+				eventually(t, 5*time.Second, "the watch is open", func() bool {
+					a.mu.Lock()
+					defer a.mu.Unlock()
+					return a.n == 1
+				})
+				ended := time.Now()
+				close(end)
+				nothingMoreAt(t, drains, ended, toldWithin)
+			})
+		}
+	}
+}
+
+// A drain that was told holds over a move to an agent that is behind: an older list, whole, revives nobody.
+func TestReloadToAnOlderListRevivesNobody(t *testing.T) {
+	t.Parallel()
+	drains, stays := newObservedNode(t, nil), newObservedNode(t, nil)
+	list := fleetOf(drains.addr, stays.addr)
+	list.Rev = 5
+	from := newAgent(t, tell(with(list, 6, "DRAINING")), func(_ int, w http.ResponseWriter, r *http.Request) { stay(w, r) })
+	addr, g := startGateway(t, reloadConfig(from.addr, list, false))
+	told := time.Now()
+	load(t, addr)
+	time.Sleep(quietFor)
+	g.Move(registryOf(t, list), "") // revision 5, in which it serves
+	nothingMoreAt(t, drains, told, toldWithin)
+}
+
+// What runs at a backend that a whole list leaves out ends there, and reaches its client; then the connections to it are closed. One that is
+// listed again later is used again.
+func TestBackendLeftOutEndsItsWork(t *testing.T) {
+	t.Parallel()
+	const held, firstHeld = 3, 1 << 30 // requests that it works on
+	release := make(chan struct{})
+	leaves := newObservedNode(t, func(n int) string {
+		if n <= held {
+			<-release
+		}
+		return served
+	})
+	stays := newObservedNode(t, nil)
+	list := fleetOf(leaves.addr)
+	changes := make(chan discovery.List)
+	a := newAgent(t, tell(list), func(_ int, w http.ResponseWriter, r *http.Request) {
+		w.(http.Flusher).Flush()
+		for {
+			select {
+			case <-r.Context().Done():
+				return
+			case l := <-changes:
+				tell(l)(w, r)
+			}
+		}
+	})
+	addr, g := startGateway(t, reloadConfig(a.addr, list, false))
+	waiting, in := dial(t, addr)
+	for id := range held {
+		io.WriteString(waiting, ask(firstHeld+id, readFields))
+	}
+	eventually(t, 5*time.Second, "it works on them", func() bool {
+		n, _ := leaves.commands()
+		return n == held
+	})
+	both := fleetOf(leaves.addr, stays.addr)
+	changes <- with(both, 2, "")
+	load(t, addr)
+	awaitLoad(t, stays) // the change is known
+	before, _ := leaves.commands()
+	time.Sleep(quietFor)
+	if n, _ := leaves.commands(); n > before {
+		t.Errorf("%d commands came after the list", n-before)
+	}
+	close(release)
+	for range held {
+		wantValue(t, in)
+	}
+	eventually(t, 2*time.Second, "its connections are closed", func() bool { return leaves.connections() == 0 })
+	if n := g.core.Figures().Current(); n > loadClients {
+		t.Errorf("%d requests are open", n)
+	}
+	changes <- with(both, 3, "SERVING")
+	eventually(t, 5*time.Second, "it is used again", func() bool {
+		n, _ := leaves.commands()
+		return n > before
+	})
+}
+
+// listed is an agent that has the change and tells it on each call.
+func listed(t *testing.T, list discovery.List, state string) (addr string) {
+	return registryOf(t, with(list, 6, state))
+}
+
+// unavailable answers 503.
+func unavailable(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// awaitLoad waits until a backend is busy.
+func awaitLoad(t *testing.T, n *observedNode) {
+	t.Helper()
+	eventually(t, 10*time.Second, "the backend is used", func() bool {
+		number, _ := n.commands()
+		return number > 20
+	})
+}
+
+// nothingMoreAt waits until a change counts as told and a while on, and reports what still came at a backend after it, and connections that are
+// open there still.
+func nothingMoreAt(t *testing.T, n *observedNode, reachable time.Time, within time.Duration) {
+	t.Helper()
+	time.Sleep(time.Until(reachable.Add(within + quietFor)))
+	_, last := n.commands()
+	if last.IsZero() {
+		last = reachable
+	}
+	t.Logf("the last command came %v after the change could be told", last.Sub(reachable).Round(time.Millisecond))
+	if late := last.Sub(reachable); late > within {
+		t.Errorf("a command came %v after the change could be told, want %v at the most", late, within)
+	}
+	if open := n.connections(); open > 0 {
+		t.Errorf("%d connections to it are open still", open)
+	}
+}
