Discovery stand-in: one agent for many callers, with a capacity and failures

Needed to show what many instances that share discovery do after an outage. Registry.Limit gives an agent one service for all calls, which turns away with 503 what would wait for too long; Registry.Fail makes it silent, resetting or turning away; a watch that fell silent stays so; Busiest counts calls a second. Mute is as it was, but for a watch that wakes up muted by a change: it says nothing more.

--- a/internal/standin/discovery/discovery.go
+++ b/internal/standin/discovery/discovery.go
@@ -79,6 +79,7 @@
 	by    map[string]int64 // revision of what it last learned of each
 	news  chan struct{}    // closed and made anew with each change
 	mute  bool             // says nothing, and answers nothing
+	queue                  // of calls
 }
 
 const emptyLine = 2 * time.Second
@@ -247,6 +248,9 @@
 		<-req.Context().Done()
 		return
 	}
+	if !a.takeCall(req.Context(), w) {
+		return
+	}
 	if req.URL.Query().Get("follow") == "" {
 		if from := a.r.clock(); out.Encode(l) == nil {
 			a.note(list{}, l, from)
@@ -274,7 +278,7 @@
 			case <-req.Context().Done():
 				return
 			case <-tick.C:
-				if _, _, mute := a.look(); mute {
+				if a.muted() {
 					continue
 				}
 				if _, err := w.Write([]byte("\n")); err != nil || flush() != nil {
@@ -284,6 +288,11 @@
 				changed = true
 			}
 		}
-		l, news, _ = a.look()
+		l, news, mute = a.look()
+		a.breakIfFailing()
+		if mute { // a watch that fell silent stays so
+			<-req.Context().Done()
+			return
+		}
 	}
 }
--- a/internal/standin/discovery/discovery_test.go
+++ b/internal/standin/discovery/discovery_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -65,3 +66,44 @@
 		t.Fatalf("%+v", told)
 	}
 }
+
+// A failing agent breaks its watches and answers as it is told to; a limited one turns away what would wait for too long.
+func TestFailAndLimit(t *testing.T) {
+	r := New(1, func() time.Duration { return 0 }, 0, time.Millisecond)
+	t.Cleanup(r.Close)
+	addr, err := r.Agent()
+	if err != nil {
+		t.Fatal(err)
+	}
+	url := "http://" + addr + "/registry/instances"
+	status := func() int {
+		resp, err := http.Get(url)
+		if err != nil {
+			return 0
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	watch, err := http.Get(url + "?follow=1&since=0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer watch.Body.Close()
+	for failure, want := range map[Failure]int{TurningAway: 503, Resetting: 0, Answering: 200} {
+		r.Fail(0, failure)
+		if got := status(); got != want {
+			t.Errorf("failure %d: status %d, want %d", failure, got, want)
+		}
+	}
+	if _, err := io.Copy(io.Discard, watch.Body); err == nil {
+		t.Error("the watch ended as if it were whole")
+	}
+	r.Fail(0, Answering)
+	r.Limit(0, time.Minute, time.Second)
+	if got := status(); got != 503 {
+		t.Errorf("a call that would wait for a minute: status %d, want 503", got)
+	}
+	if r.Busiest(0) == 0 {
+		t.Error("no calls were counted")
+	}
+}
