nodes: pool, attempt, connection, dialling, events and replies in files of their own

No change in behaviour.

Measured: go test ./internal/nodes passes, go vet of internal/nodes and internal/lab is clean.

--- /dev/null
+++ b/internal/nodes/attempt.go
@@ -0,0 +1,170 @@
+package nodes
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"hitchspring/logic"
+)
+
+const still = logic.Failed // the zero outcome: an attempt that nobody has given up
+
+// Command is what an attempt writes to a node.
+type Command interface {
+	// Encode returns the command in the nodes' protocol, with the time that is left for its answer.
+	Encode(left time.Duration) []byte
+}
+
+// Attempt is one command on its way to a node: of a request, or a probe. Its exported fields are the owner's, set before Start.
+type Attempt struct {
+	Ref     any     // the owner's own: what it is an attempt of
+	N       int     // the owner's number for it
+	Command Command // nil: a probe
+	Began   time.Duration
+	Stop    time.Duration // when the owner gives it up
+	By      time.Duration // its last byte goes out by then, or it is never sent; 0: at any time before Stop
+	node    *node
+	conn    *conn         // carries it; nil while it waits for one
+	handed  time.Duration // when it was given to conn
+	why     logic.Outcome // given up by the owner: TimedOut or Cancelled; else still
+	stream  *Stream       // of a large value that has begun to come
+	ended   bool
+	unrun   bool // it has ended, and surely never ran
+}
+
+// NeverRan says whether it has ended as one that surely never ran.
+func (a *Attempt) NeverRan() bool { return a.unrun }
+
+// Ended says whether the owner has been told of its end.
+func (a *Attempt) Ended() bool { return a.ended }
+
+// Node is where it was sent; empty before Start.
+func (a *Attempt) Node() logic.ServerID {
+	if a.node == nil {
+		return ""
+	}
+	return a.node.ID
+}
+
+// command is what it writes: the client's own, with the time that is left for it, or a probe.
+func (a *Attempt) command(now time.Duration) []byte {
+	if a.Command == nil {
+		return redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(nil, 2), "INFO"), "load")
+	}
+	return a.Command.Encode(a.Stop - now)
+}
+
+// Start sends an attempt to a node, on the warmest idle connection or on the first that comes free. Where the node is not
+// one that serves, it ends at once as one that never ran.
+func (p *Pool) Start(a *Attempt, id logic.ServerID) {
+	n := p.nodes[id]
+	if n == nil { // gone and forgotten
+		n = &node{Server: logic.Server{ID: id, State: logic.Gone}}
+	}
+	a.node = n
+	if n.State != logic.Running && a.Command != nil {
+		p.end(a, logic.Moot, Reply{})
+		return
+	}
+	p.place(a)
+}
+
+// Moot ends an attempt that is not to be sent at all.
+func (p *Pool) Moot(a *Attempt, id logic.ServerID) {
+	a.node = &node{Server: logic.Server{ID: id}}
+	p.end(a, logic.Moot, Reply{})
+}
+
+// place gives an attempt the warmest idle connection, or lets it wait for one.
+func (p *Pool) place(a *Attempt) {
+	n := a.node
+	wait := p.cfg.ConnectTimeout
+	if a.By > 0 {
+		wait = min(wait, a.By-p.owner.Now())
+	}
+	if wait <= 0 {
+		p.end(a, logic.Moot, Reply{})
+		return
+	}
+	for k := len(n.idle); k > 0; k = len(n.idle) {
+		c := n.idle[k-1]
+		n.idle = n.idle[:k-1]
+		if p.owner.Now()-c.since <= p.retireAfter() && c.quiet() {
+			p.write(c, a)
+			return
+		}
+		c.nc.Close()
+	}
+	n.waiting = append(n.waiting, a)
+	p.dial(n)
+	// Whoever waits, for a dial or for one of the connections that are all busy, waits no longer than a dial
+	// may take: the module counts on a send being written at about its time. One that has to be out earlier
+	// says nothing of the node.
+	p.owner.After(wait, func() {
+		if !p.unwait(a) {
+			return
+		}
+		if wait < p.cfg.ConnectTimeout {
+			p.end(a, logic.Moot, Reply{})
+		} else {
+			p.end(a, logic.NoConnect, Reply{})
+		}
+	})
+}
+
+// unwait takes an attempt out of those that wait for a connection.
+func (p *Pool) unwait(a *Attempt) bool {
+	i := slices.Index(a.node.waiting, a)
+	if i >= 0 {
+		a.node.waiting = slices.Delete(a.node.waiting, i, i+1)
+	}
+	return i >= 0
+}
+
+// Withdraw ends an attempt that still waits for a connection, as one that was never sent: nothing goes out any more for a request that is
+// over. It leaves others as they are.
+func (p *Pool) Withdraw(a *Attempt) {
+	if !a.ended && a.node != nil && a.conn == nil && p.unwait(a) {
+		p.end(a, logic.Moot, Reply{})
+	}
+}
+
+// GiveUp ends an attempt from the owner's side, as TimedOut or Cancelled. One that waits was never sent, one that is written has its outcome at
+// once. Of one in between only the connection knows: it is closed, and its last event tells.
+func (p *Pool) GiveUp(a *Attempt, why logic.Outcome) {
+	switch {
+	case a.ended || a.why != still || a.stream != nil:
+	case a.conn == nil:
+		p.unwait(a)
+		p.end(a, logic.Moot, Reply{})
+	default:
+		a.why = why
+		a.conn.nc.Close()
+		if a.conn.whole.Load() == a {
+			a.conn.cur = nil
+			p.end(a, why, Reply{})
+		}
+		// A machine that has vanished says nothing on any connection. The idle ones are closed too, so that
+		// no further request waits on them for its whole time.
+		if a.node.heard <= a.handed && p.owner.Now()-a.handed >= p.cfg.ConnectTimeout {
+			for len(a.node.idle) > 0 {
+				p.closeIdle(a.node)
+			}
+		}
+	}
+}
+
+// end tells the owner how an attempt ended, once.
+func (p *Pool) end(a *Attempt, o logic.Outcome, rep Reply) {
+	if a.ended {
+		return
+	}
+	a.ended, a.unrun = true, o.NeverRan()
+	if o == logic.Done && a.Command != nil && rep.Value == nil && a.stream == nil { // PONG to a request
+		o = logic.Failed
+	}
+	p.owner.AttemptEnded(a, o, rep)
+	p.drop(a.node)
+}
--- /dev/null
+++ b/internal/nodes/pool.go
@@ -0,0 +1,153 @@
+// Package nodes is the connections to the playout nodes: a pool for each, dials within bounds, attempts and probes on them, and
+// what is known of each attempt's end. In: the list of nodes, attempts to start and to give up. Out: one outcome for each
+// attempt, which says whether it may have run. It decides neither where an attempt goes nor whether there is another, and
+// knows no client.
+package nodes
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"hitchspring/internal/resp"
+	"hitchspring/logic"
+)
+
+// Entry is a node of the list, with its address.
+type Entry struct {
+	logic.Server
+	Addr string
+}
+
+// Event is news of a connection; the owner hands it to Handle on its own goroutine.
+type Event interface{ event() }
+
+// Owner runs a pool. Its goroutine is the one that calls the pool; Post and Spawn alone are called by others too.
+type Owner interface {
+	// Now is the time by the owner's clock, which stands still while the pool is called.
+	Now() time.Duration
+	// After calls do on the owner's goroutine after a while.
+	After(d time.Duration, do func())
+	// Post hands an event to the owner's goroutine, which calls Handle with it, in order for each connection.
+	Post(Event)
+	// Spawn starts a goroutine whose context ends with the owner's life, and which is waited for.
+	Spawn(run func(context.Context))
+	// AttemptEnded tells how an attempt ended, once for each.
+	AttemptEnded(a *Attempt, o logic.Outcome, r Reply)
+	// AttemptBegan tells of an attempt whose value has begun to come and is passed on; its end is told later. From now on the
+	// time does not end it any more: want of progress does, or Close of the stream. False: the value is not wanted, the attempt ends
+	// as Cancelled.
+	AttemptBegan(a *Attempt, s *Stream) (wanted bool)
+}
+
+// Config is the bounds of a pool.
+type Config struct {
+	ConnectTimeout time.Duration
+	Idle           time.Duration // a node closes a connection that has been idle for so long
+	MostConns      int           // to all nodes together
+	Frames         *resp.Budget  // memory of answers that are coming in
+	Sent           func()        // told of each attempt that was written to its last byte, from any goroutine
+}
+
+// Pool is the connections to all nodes. It is not safe for many goroutines: its owner's alone calls it.
+type Pool struct {
+	cfg     Config
+	owner   Owner
+	nodes   map[logic.ServerID]*node
+	conns   int  // to all of them
+	starved bool // an attempt waits because of MostConns
+	dials   int
+	begin   func(*conn) // runs a connection; tests play it by themselves
+}
+
+// Dials is how many connections were begun.
+func (p *Pool) Dials() int { return p.dials }
+
+// New returns a pool that knows no node.
+func New(owner Owner, cfg Config) *Pool {
+	if cfg.Sent == nil {
+		cfg.Sent = func() {}
+	}
+	return &Pool{cfg: cfg, owner: owner, nodes: map[logic.ServerID]*node{}, begin: func(c *conn) {
+		owner.Spawn(func(ctx context.Context) { c.run(ctx, cfg.ConnectTimeout, owner.Post) })
+	}}
+}
+
+// node is what is kept of a node: its entry, its connections, and the attempts that wait for one. A connection carries one
+// attempt at a time, so that giving one up hurts no other.
+type node struct {
+	logic.Server
+	addr    string
+	idle    []*conn // the last is the warmest
+	waiting []*Attempt
+	dialing int
+	resting int
+	conns   int           // all: dialing, idle and busy
+	heard   time.Duration // last time that it answered or took a connection
+}
+
+// Set brings the list of nodes, whole or its changes. A drain counts from here on: what waits for a connection to a node that
+// does not serve any more ends now, as never sent, so that it can go elsewhere.
+func (p *Pool) Set(list []Entry, whole bool) {
+	if whole {
+		for _, n := range p.nodes {
+			n.State = logic.Gone
+		}
+	}
+	for _, e := range list {
+		n := p.nodes[e.ID]
+		if n == nil {
+			n = &node{}
+			p.nodes[e.ID] = n
+		}
+		n.Server = e.Server
+		if e.Addr != "" && e.State != logic.Gone {
+			n.addr = e.Addr
+		}
+	}
+	p.RetireIdle()
+	for _, n := range p.nodes {
+		if n.State != logic.Running {
+			p.turnAway(n)
+		}
+		p.drop(n)
+	}
+}
+
+// turnAway ends what waits for a connection to a node that does not serve any more, but for probes.
+func (p *Pool) turnAway(n *node) {
+	for _, a := range slices.Clone(n.waiting) {
+		if a.Command != nil && p.unwait(a) {
+			p.end(a, logic.Moot, Reply{})
+		}
+	}
+}
+
+// Servers are the nodes that are not gone.
+func (p *Pool) Servers() (out []logic.Server) {
+	for _, n := range p.nodes {
+		if n.State != logic.Gone {
+			out = append(out, n.Server)
+		}
+	}
+	return out
+}
+
+// Knows says whether a node is on the list, or has not been forgotten yet.
+func (p *Pool) Knows(id logic.ServerID) bool { return p.nodes[id] != nil }
+
+// Addr is where a node listens, and whether it serves by the list.
+func (p *Pool) Addr(id logic.ServerID) (addr string, serves bool) {
+	n := p.nodes[id]
+	if n == nil {
+		return "", false
+	}
+	return n.addr, n.State == logic.Running
+}
+
+// drop forgets a node that is gone for good once nothing is out or open there: ids are ever new.
+func (p *Pool) drop(n *node) {
+	if n.State == logic.Gone && n.conns == 0 && len(n.waiting) == 0 && p.nodes[n.ID] == n {
+		delete(p.nodes, n.ID)
+	}
+}
