Requests no longer wait for connections to rest: another one is dialled

Cause: since a connection to a backend rests 15 ms after an answer, and dial counted it as coming free. An attempt that waited brought no dial, and the router, which sends to a backend with nothing out, kept each backend at one connection: 17 ms a command.

Change: an attempt takes the connection that has rested longest; where none has, it waits for the first of one that has rested and one that is dialled (if that saves more than 2 ms or a dial's time, within the caps, not within 1 s of a dial that failed or was slower than a rest). Where connections are scarce, one that has not rested is used only at a backend that 1,000 rests have shown to send no second answers, none within 5 minutes. Second answers are noted by backend. Half of what was not needed for 10 s is closed. What is idle at a backend that drains is closed at once; a probe to one ends as never sent without a dial.

TestConnectionIsReused and TestIdleConnectionsOfSilentBackendAreDropped pause 50 ms where a request is meant to find a connection that was used before: sooner, another one is now right; they want the same counts. TestNobodyWaitsForANodeThatStopsServing hears the end of the connection that was begun meanwhile; resting no longer outlives a connection.

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -127,7 +127,11 @@
 	}
 }
 
-// An answered attempt must free its connection: once all of them were taken for given up.
+// rested is longer than a connection to a node is left alone after its answer.
+const rested = 50 * time.Millisecond
+
+// An answered attempt must free its connection: once all of them were taken for given up. Requests that follow sooner than it has rested may
+// have others.
 func TestConnectionIsReused(t *testing.T) {
 	be := scripted.NewNode(t, func(int, []string, net.Conn) string { return served })
 	list := fleetOf(be.Addr)
@@ -136,6 +140,7 @@
 	for i := range 5 {
 		io.WriteString(nc, ask(i, readFields))
 		wantValue(t, in)
+		time.Sleep(rested)
 	}
 	if n := be.Conns.Load(); n != 1 {
 		t.Fatalf("%d connections for requests one after another, want 1", n)
@@ -431,6 +436,7 @@
 	for range 3 {
 		wantValue(t, in)
 	}
+	time.Sleep(rested) // the fourth goes out on one of the three
 	io.WriteString(nc, ask(4, "c=read,t=p,d=1000,units=1,spread=1,first=0"))
 	if got := line(t, in); !strings.HasPrefix(got, "-BUSY") {
 		t.Fatalf("answer %q", got)
--- a/internal/nodes/attempt.go
+++ b/internal/nodes/attempt.go
@@ -48,6 +48,14 @@
 	return a.node.ID
 }
 
+// fits says whether a reply is of the form that its command asks for. An error line fits any.
+func (a *Attempt) fits(r Reply) bool {
+	if r.outcome != logic.Done || a.stream != nil {
+		return true
+	}
+	return (a.Command == nil) == (r.Value == nil)
+}
+
 // command is what it writes: the client's own, with the time that is left for it, or a probe.
 func (a *Attempt) command(now time.Duration) []byte {
 	if a.Command == nil {
@@ -56,7 +64,7 @@
 	return a.Command.Encode(a.Stop - now)
 }
 
-// Start sends an attempt to a node, on the warmest idle connection or on the first that comes free. Where the node is not
+// Start sends an attempt to a node, on an idle connection or on the first that comes free. Where the node is not
 // one that serves, it ends at once as one that never ran.
 func (p *Pool) Start(a *Attempt, id logic.ServerID) {
 	n := p.nodes[id]
@@ -77,7 +85,7 @@
 	p.end(a, logic.Moot, Reply{})
 }
 
-// place gives an attempt the warmest idle connection, or lets it wait for one.
+// place gives an attempt an idle connection that has rested, or lets it wait for whichever comes first: one that has rested, or a new one.
 func (p *Pool) place(a *Attempt) {
 	n := a.node
 	wait := p.cfg.ConnectTimeout
@@ -88,17 +96,11 @@
 		p.end(a, logic.Moot, Reply{})
 		return
 	}
-	for k := len(n.idle); k > 0; k = len(n.idle) {
-		c := n.idle[k-1]
-		n.idle = n.idle[:k-1]
-		if p.owner.Now()-c.since <= p.retireAfter() && c.quiet() {
-			p.write(c, a)
-			return
-		}
-		c.nc.Close()
-	}
 	n.waiting = append(n.waiting, a)
-	p.dial(n)
+	p.serve(n)
+	if a.conn != nil || a.ended {
+		return
+	}
 	// Whoever waits, for a dial or for one of the connections that are all busy, waits no longer than a dial
 	// may take: the module counts on a send being written at about its time. One that has to be out earlier
 	// says nothing of the node.
@@ -141,7 +143,7 @@
 		p.end(a, logic.Moot, Reply{})
 	default:
 		a.why = why
-		a.conn.nc.Close()
+		p.close(a.conn)
 		if a.conn.whole.Load() == a {
 			a.conn.cur = nil
 			p.end(a, why, Reply{})
--- a/internal/nodes/conn.go
+++ b/internal/nodes/conn.go
@@ -14,23 +14,27 @@
 
 const answerTime = 200 * time.Millisecond // for the rest of an answer that has begun: one that never ends is spoilt
 
-// conn is a connection to a node, owned by its goroutine run; cur, since and down are the pool's.
+// conn is a connection to a node, owned by its goroutine run; the fields from begun on are the pool's.
 type conn struct {
-	node    *node
-	addr    string
-	nc      net.Conn // set before connUp is posted
-	raw     syscall.RawConn
-	frames  *resp.Budget
-	sent    func()
-	work    chan job
-	dead    chan struct{}
-	writing sync.Mutex              // held from before a command's first byte until whole tells of it
-	whole   atomic.Pointer[Attempt] // the last one that was written to its last byte: it may have run
-	passing atomic.Pointer[Stream]  // the last value that it began to pass on
-	until   atomic.Int64            // when its client gives that up, in nanoseconds of Unix time; 0: nobody does
-	cur     *Attempt
-	since   time.Duration // idle since
-	down    bool
+	node     *node
+	addr     string
+	nc       net.Conn // set before connUp is posted
+	raw      syscall.RawConn
+	frames   *resp.Budget
+	sent     func()
+	work     chan job
+	dead     chan struct{}
+	writing  sync.Mutex              // held from before a command's first byte until whole tells of it
+	whole    atomic.Pointer[Attempt] // the last one that was written to its last byte: it may have run
+	passing  atomic.Pointer[Stream]  // the last value that it began to pass on
+	until    atomic.Int64            // when its client gives that up, in nanoseconds of Unix time; 0: nobody does
+	begun    time.Duration           // when it was dialled
+	cur      *Attempt
+	since    time.Duration // idle since
+	used     bool          // it was given a command
+	answered bool          // it has brought an answer to one
+	closed   bool          // by the pool
+	down     bool
 }
 
 type job struct {
@@ -86,7 +90,8 @@
 			if err != nil {
 				return
 			}
-			rep.keep = !in.Partial()
+			rep.extra = in.Partial()
+			rep.keep = !rep.extra
 			post(replied{c, c.whole.Load(), rep})
 			if !rep.keep {
 				return
@@ -103,7 +108,8 @@
 			return
 		case f != nil:
 			rep := parseReply(f)
-			rep.keep = rep.keep && !in.Partial()
+			rep.extra = in.Partial()
+			rep.keep = rep.keep && !rep.extra
 			c.writing.Lock()
 			to := c.whole.Load()
 			c.writing.Unlock()
@@ -125,17 +131,35 @@
 	}
 }
 
-// quiet says whether the connection is open and nothing has come on it that was not read.
-func (c *conn) quiet() bool {
+// look is what a look at a connection's socket shows.
+type look int
+
+const (
+	quiet look = iota // open, and nothing has come that was not read
+	spoke             // something has come that was not read
+	over              // it has ended
+)
+
+// look looks at the socket and takes nothing from it.
+func (c *conn) look() look {
 	if c.raw == nil {
-		return true
+		return quiet
 	}
 	var b [1]byte
+	var count int
 	var peeked error
 	err := c.raw.Control(func(fd uintptr) {
-		_, _, peeked = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		count, _, peeked = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && errors.Is(peeked, syscall.EAGAIN)
+	switch {
+	case err != nil:
+		return over
+	case errors.Is(peeked, syscall.EAGAIN):
+		return quiet
+	case peeked == nil && count > 0:
+		return spoke
+	}
+	return over
 }
 
 // write writes what it is given until the connection is dead or broken.
--- a/internal/nodes/dial.go
+++ b/internal/nodes/dial.go
@@ -1,19 +1,68 @@
 package nodes
 
 import (
+	"slices"
 	"time"
 
 	"hitchspring/logic"
 )
 
-const (
-	mostPerNode  = 48 // connections to one node
-	writeTimeout = 5 * time.Second
-)
+const writeTimeout = 5 * time.Second
+
+// serve hands connections to the attempts that wait, first come, first served. For those that are left it dials, and comes back
+// when the next connection has rested, whichever is first.
+func (p *Pool) serve(n *node) {
+	for len(n.waiting) > 0 {
+		// The list may have changed since the attempt began to wait: a drain counts from then on.
+		if n.State != logic.Running {
+			a := n.waiting[0]
+			n.waiting = n.waiting[1:]
+			p.end(a, logic.Moot, Reply{})
+			continue
+		}
+		c := p.take(n)
+		if c == nil {
+			break
+		}
+		a := n.waiting[0]
+		n.waiting = n.waiting[1:]
+		p.write(c, a)
+	}
+	p.dial(n)
+	p.wake(n)
+}
+
+// take takes an idle connection that may carry a command now; nil: none. One that has not rested may where the node is known to
+// send no second answers and there can't be more connections.
+func (p *Pool) take(n *node) *conn {
+	now := p.owner.Now()
+	for {
+		i := n.choose(now, !p.mayGrow(n, now) && n.second.none(now))
+		if i < 0 {
+			n.spare = 0
+			return nil
+		}
+		c := n.idle[i]
+		n.idle = slices.Delete(n.idle, i, i+1)
+		seen := c.look()
+		if seen == spoke {
+			p.unasked(c)
+		}
+		if seen != quiet || now-c.since > p.retireAfter() {
+			p.close(c)
+			continue
+		}
+		if c.used && c.rested(now) {
+			n.second.passed()
+		}
+		n.spare = min(n.spare, n.rested(now))
+		return c
+	}
+}
 
 // write hands an attempt to a free connection.
 func (p *Pool) write(c *conn, a *Attempt) {
-	a.conn, c.cur, a.handed = c, a, p.owner.Now()
+	a.conn, c.cur, c.used, a.handed = c, a, true, p.owner.Now()
 	left := writeTimeout
 	if a.By > 0 {
 		left = min(left, a.By-a.handed)
@@ -22,46 +71,63 @@
 	select {
 	case c.work <- job{a, a.command(a.handed), now.Add(a.Stop - a.handed), now.Add(left)}:
 	default: // it has answered what was not written yet: the order is lost, and this goroutine must not wait
-		c.nc.Close()
+		p.close(c)
 	}
 }
 
-// dial opens connections for those that wait, within the caps.
+// mayGrow says whether there may be a further connection that is not needed, but saves the wait for one to rest.
+func (p *Pool) mayGrow(n *node, now time.Duration) bool {
+	return n.conns < mostPerNode && p.conns < p.cfg.MostConns && now >= n.noGrowth
+}
+
+// dial opens connections for those that wait, within the caps: one for each for whom none is idle or begun, and one for each who
+// would wait for longer than a dial takes until one of them has rested.
 func (p *Pool) dial(n *node) {
-	for n.dialing+n.resting < len(n.waiting) && n.conns < mostPerNode {
-		if p.conns >= p.cfg.MostConns && !p.closeOldestIdle() {
+	for n.dialing+len(n.idle) < len(n.waiting) && n.conns < mostPerNode {
+		if p.conns >= p.cfg.MostConns && !p.closeOldestIdle(n) {
 			p.starved = true
 			return
 		}
-		c := &conn{node: n, addr: n.addr, frames: p.cfg.Frames, sent: p.cfg.Sent, work: make(chan job, 1), dead: make(chan struct{})}
-		n.dialing++
-		n.conns++
-		p.conns++
-		p.dials++
-		p.begin(c)
+		p.open(n)
+	}
+	now := p.owner.Now()
+	for n.dialing+n.soon(now) < len(n.waiting) && p.mayGrow(n, now) {
+		p.open(n)
 	}
 }
 
+// open begins a connection.
+func (p *Pool) open(n *node) {
+	c := &conn{node: n, addr: n.addr, begun: p.owner.Now(), frames: p.cfg.Frames, sent: p.cfg.Sent, work: make(chan job, 1), dead: make(chan struct{})}
+	n.dialing++
+	n.conns++
+	p.conns++
+	p.dials++
+	p.begin(c)
+}
+
+// wake serves those that wait once the next connection has rested.
+func (p *Pool) wake(n *node) {
+	if n.waking || len(n.waiting) == 0 || len(n.idle) == 0 {
+		return
+	}
+	n.waking = true
+	p.owner.After(n.idle[0].since+restTime-p.owner.Now(), func() {
+		n.waking = false
+		p.serve(n)
+	})
+}
+
 // free takes a connection that has nothing to do: for the first that waits, or to the idle ones.
 func (p *Pool) free(c *conn) {
 	n := c.node
-	if c.down || c.addr != n.addr || n.State == logic.Gone || !c.quiet() {
-		c.nc.Close()
-		return
-	}
-	for len(n.waiting) > 0 {
-		a := n.waiting[0]
-		n.waiting = n.waiting[1:]
-		// The list may have changed since the attempt began to wait: a drain counts from then on.
-		if n.State != logic.Running {
-			p.end(a, logic.Moot, Reply{})
-			continue
-		}
-		p.write(c, a)
+	if c.down || c.closed || c.addr != n.addr || n.State != logic.Running {
+		p.close(c)
 		return
 	}
 	c.since = p.owner.Now()
 	n.idle = append(n.idle, c)
+	p.serve(n)
 	p.feed()
 }
 
@@ -80,50 +146,8 @@
 // followed by others.
 func (p *Pool) SetMost(n int) {
 	p.cfg.MostConns = n
-	for over := p.conns - n; over > 0 && p.closeOldestIdle(); over-- {
+	for over := p.conns - n; over > 0 && p.closeOldestIdle(nil); over-- {
 	}
 	p.starved = true
 	p.feed()
 }
-
-// RetireIdle closes connections that the node is about to close: a command that crossed that would be a
-// reset, and may not be sent again.
-func (p *Pool) RetireIdle() {
-	for _, n := range p.nodes {
-		for len(n.idle) > 0 && (n.State != logic.Running || n.idle[0].addr != n.addr ||
-			p.owner.Now()-n.idle[0].since > p.retireAfter()) {
-			p.closeIdle(n)
-		}
-	}
-}
-
-// retireAfter is for how long a connection may be idle and still be used.
-func (p *Pool) retireAfter() time.Duration { return p.cfg.Idle * 2 / 3 }
-
-// CloseIdle closes all idle connections to a node.
-func (p *Pool) CloseIdle(id logic.ServerID) {
-	n := p.nodes[id]
-	for n != nil && len(n.idle) > 0 {
-		p.closeIdle(n)
-	}
-}
-
-// closeIdle closes the node's coldest idle connection; connDown does the books.
-func (p *Pool) closeIdle(n *node) {
-	n.idle[0].nc.Close()
-	n.idle = n.idle[1:]
-}
-
-// closeOldestIdle makes room for a new connection.
-func (p *Pool) closeOldestIdle() bool {
-	var oldest *node
-	for _, n := range p.nodes {
-		if len(n.idle) > 0 && (oldest == nil || n.idle[0].since < oldest.idle[0].since) {
-			oldest = n
-		}
-	}
-	if oldest != nil {
-		p.closeIdle(oldest)
-	}
-	return oldest != nil
-}
--- a/internal/nodes/events.go
+++ b/internal/nodes/events.go
@@ -2,13 +2,10 @@
 
 import (
 	"slices"
-	"time"
 
 	"hitchspring/logic"
 )
 
-const restTime = 15 * time.Millisecond // of a connection between two commands: what stands behind an answer shows, some milliseconds late
-
 // The events of a connection.
 type (
 	connUp   struct{ c *conn }
@@ -44,8 +41,10 @@
 }
 
 func (p *Pool) connUp(ev connUp) {
-	ev.c.node.dialing--
-	ev.c.node.heard = p.owner.Now()
+	n, now := ev.c.node, p.owner.Now()
+	n.dialing--
+	n.heard = now
+	n.connected(now, now-ev.c.begun)
 	p.free(ev.c)
 }
 
@@ -55,14 +54,17 @@
 	c.node.heard = p.owner.Now()
 	if a == nil || ev.to != a || a.Command == nil || a.why != still {
 		ev.s.Close()
-		c.nc.Close()
+		if a == nil || ev.to != a {
+			p.unasked(c)
+		}
+		p.close(c)
 		return
 	}
-	a.stream = ev.s
+	a.stream, c.answered = ev.s, true
 	if !p.owner.AttemptBegan(a, ev.s) {
 		a.why = logic.Cancelled
 		ev.s.Close()
-		c.nc.Close()
+		p.close(c)
 	}
 }
 
@@ -70,54 +72,80 @@
 	c, a := ev.c, ev.c.cur
 	c.node.heard = p.owner.Now()
 	if a == nil || ev.to != a { // nobody asked for it, or it came before its command was out: the order is lost
-		c.nc.Close()
+		p.unasked(c)
+		p.close(c)
 		return
 	}
-	c.cur = nil
-	closing := a.why != still
-	p.end(a, ev.outcome, ev.Reply)
+	c.cur, c.answered = nil, true
+	if ev.extra || !a.fits(ev.Reply) {
+		c.node.second.saw(p.owner.Now())
+	}
+	if !a.fits(ev.Reply) { // it is another command's
+		ev.Reply = Reply{outcome: logic.Failed}
+	}
 	switch {
-	case closing:
+	case a.why != still: // it is closed
 	case ev.keep:
-		c.node.resting++
-		p.owner.After(restTime, func() {
-			c.node.resting--
-			p.free(c)
-			p.dial(c.node)
-		})
+		p.free(c)
 	default:
-		c.nc.Close()
+		p.close(c)
+	}
+	p.end(a, ev.outcome, ev.Reply)
+}
+
+// unasked takes in that something came on a connection where no command was out: a second answer, or, before there was any
+// command, a node that does not want the connection.
+func (p *Pool) unasked(c *conn) {
+	switch {
+	case c.closed: // an answer that was not waited for any more
+	case c.used:
+		c.node.second.saw(p.owner.Now())
+	default:
+		c.node.refused(p.owner.Now())
 	}
 }
 
 func (p *Pool) connDown(ev connDown) {
-	n := ev.c.node
-	ev.c.down = true
+	c, n := ev.c, ev.c.node
+	c.down = true
 	n.conns--
 	p.conns--
-	a := ev.c.cur
-	if i := slices.Index(n.idle, ev.c); i >= 0 {
+	if i := slices.Index(n.idle, c); i >= 0 {
 		n.idle = slices.Delete(n.idle, i, i+1)
 	}
-	switch {
-	case !ev.up:
+	if !ev.up || !c.answered && !c.closed {
+		n.refused(p.owner.Now())
+	}
+	if !ev.up {
 		n.dialing--
-		if len(n.waiting) > n.dialing+n.resting { // else one that was freed has taken this one's attempt
-			a = n.waiting[0]
-			n.waiting = n.waiting[1:]
-			p.end(a, logic.NoConnect, Reply{})
-		}
-	case a == nil:
-	case ev.c.whole.Load() != a && a.why != still:
-		p.end(a, logic.Moot, Reply{})
-	case ev.c.whole.Load() != a:
-		p.end(a, logic.NoConnect, Reply{})
-	case a.why != still:
-		p.end(a, a.why, Reply{})
-	default:
-		p.end(a, logic.Reset, Reply{})
+		p.notConnected(n)
+	} else if c.cur != nil {
+		p.end(c.cur, c.outcome(), Reply{})
 	}
-	p.dial(n)
+	p.serve(n)
 	p.feed()
 	p.drop(n)
 }
+
+// notConnected ends the first attempt that waits, unless other connections are there or on their way for all of them.
+func (p *Pool) notConnected(n *node) {
+	if len(n.waiting) > n.dialing+len(n.idle) {
+		a := n.waiting[0]
+		n.waiting = n.waiting[1:]
+		p.end(a, logic.NoConnect, Reply{})
+	}
+}
+
+// outcome is how the attempt that a connection carries has ended with it.
+func (c *conn) outcome() logic.Outcome {
+	a := c.cur
+	switch {
+	case c.whole.Load() != a && a.why != still:
+		return logic.Moot
+	case c.whole.Load() != a:
+		return logic.NoConnect
+	case a.why != still:
+		return a.why
+	}
+	return logic.Reset
+}
--- a/internal/nodes/explore_test.go
+++ b/internal/nodes/explore_test.go
@@ -26,6 +26,8 @@
 
 	plantUntold = "a connection does not tell that it wrote a command whole"
 	plantTwice  = "a connection tells its end twice"
+	plantRest   = "a node that is not known counts as one that sends no second answers, and has one connection"
+	scarce      = "a node is known to send no second answers, and has one connection" // no defect
 )
 
 // playedConn is a connection's own side.
@@ -37,6 +39,8 @@
 	copies int     // further answers to the same command
 	said   *Attempt
 	line   closing
+	heard  bool          // an answer on it
+	at     time.Duration // when the last one was heard
 }
 
 // closing is the socket: all that matters is whether the pool has closed it.
@@ -142,6 +146,9 @@
 			add(func() {
 				ev := pc.onWay[0]
 				pc.onWay = pc.onWay[1:]
+				if _, is := ev.(replied); is {
+					pc.heard, pc.at = true, o.now
+				}
 				o.p.Handle(ev)
 			}, "conn %d is heard", k)
 		}
@@ -240,12 +247,19 @@
 // check looks at what has to hold at every moment.
 func (o *orders) check() {
 	busy := 0
+	ending := map[*node]int{} // closed by the pool, which serves again when it hears of the end
 	for k, pc := range o.conns {
 		if len(pc.c.work) > 0 && !pc.line.closed && pc.c.cur == nil && !pc.c.down {
 			o.breaks("conn %d is to write, and the pool knows of nothing on it", k)
 		}
 		if !pc.c.down {
 			busy++
+			if pc.c.closed {
+				ending[pc.c.node]++
+			}
+		}
+		if a := pc.c.cur; a != nil && pc.heard && a.handed-pc.at < restTime && o.plant != scarce {
+			o.breaks("conn %d is given attempt %d before it has rested", k, a.N)
 		}
 	}
 	if busy != o.p.conns {
@@ -257,6 +271,12 @@
 				o.breaks("attempt %d has ended and waits", a.N)
 			}
 		}
+		if len(n.waiting) > 0 && len(n.idle) > 0 && !n.waking {
+			o.breaks("%d attempts wait for idle connections, and nothing will serve them", len(n.waiting))
+		}
+		if len(n.waiting) > n.dialing+len(n.idle)+ending[n] && n.conns < mostPerNode && o.p.conns < o.p.cfg.MostConns {
+			o.breaks("%d attempts wait, with %d connections begun and %d idle", len(n.waiting), n.dialing, len(n.idle))
+		}
 		for _, c := range n.idle {
 			if c.cur != nil {
 				o.breaks("a connection is idle with attempt %d on it", c.cur.N)
@@ -312,8 +332,8 @@
 		o.breaks("the pool counts %d connections where there are none", o.p.conns)
 	}
 	for id, n := range o.p.nodes {
-		if n.conns != 0 || n.dialing != 0 || n.resting != 0 || len(n.waiting) != 0 || len(n.idle) != 0 {
-			o.breaks("%s: %d connections, %d begun, %d resting, %d wait, %d idle, and all is over", id, n.conns, n.dialing, n.resting, len(n.waiting), len(n.idle))
+		if n.conns != 0 || n.dialing != 0 || n.waking || len(n.waiting) != 0 || len(n.idle) != 0 {
+			o.breaks("%s: %d connections, %d begun, waking %v, %d wait, %d idle, and all is over", id, n.conns, n.dialing, n.waking, len(n.waiting), len(n.idle))
 		}
 		if n.State == logic.Gone {
 			o.breaks("%s is gone and is not forgotten", id)
@@ -345,6 +365,7 @@
 		}
 	}
 	for _, pc := range o.conns {
+		put(yes(pc.c.used), yes(pc.c.answered), yes(pc.c.closed), yes(pc.c.rested(o.now)), yes(pc.heard && o.now-pc.at < restTime))
 		put(yes(pc.up), yes(pc.ended), pc.copies, try(pc.said), yes(pc.line.closed), len(pc.c.work), try(pc.c.whole.Load()), try(pc.c.cur),
 			yes(pc.c.down), int(pc.c.addr[len(pc.c.addr)-1]), yes(o.now-pc.c.since > o.p.retireAfter()), len(pc.onWay))
 		for _, ev := range pc.onWay {
@@ -359,7 +380,8 @@
 		}
 	}
 	if n := o.p.nodes["s0"]; n != nil {
-		put(int(n.State), int(n.addr[len(n.addr)-1]), n.dialing, n.resting, n.conns, len(n.waiting), len(n.idle))
+		put(int(n.State), int(n.addr[len(n.addr)-1]), n.dialing, yes(n.waking), n.conns, len(n.waiting), len(n.idle),
+			yes(n.second.none(o.now)), yes(n.second.seen), yes(o.now < n.noGrowth), yes(n.connect > dialWorth))
 		for _, a := range n.waiting {
 			put(try(a))
 		}
@@ -378,6 +400,10 @@
 func play(plant string, order []uint8) (*orders, []step) {
 	o := newOrders()
 	o.plant = plant
+	if plant == scarce || plant == plantRest {
+		o.p.cfg.MostConns = 1
+		o.p.nodes["s0"].second.clean = cleanRests
+	}
 	var played []step
 	for _, i := range order {
 		s := o.steps()[i]
@@ -454,7 +480,12 @@
 	if x.settled < leastSettled {
 		t.Errorf("%d states were settled, %d at least are wanted", x.settled, leastSettled)
 	}
-	for _, plant := range []string{plantUntold, plantTwice} {
+	if x := explore(scarce, steps, time.Now().Add(within)); x.broken != "" {
+		t.Fatalf("%s: %s, after:\n%v", scarce, x.broken, x.order)
+	} else {
+		t.Logf("%s: %d states, whole: %v", scarce, x.states, x.whole)
+	}
+	for _, plant := range []string{plantUntold, plantTwice, plantRest} {
 		x := explore(plant, steps, time.Now().Add(within))
 		if x.broken == "" {
 			t.Errorf("planted, and not found in %d states: %s", x.states, plant)
--- a/internal/nodes/nodes_test.go
+++ b/internal/nodes/nodes_test.go
@@ -357,7 +357,7 @@
 }
 
 // What waits for a connection to a node is not kept waiting when the node stops serving, and a node that is gone is forgotten with the last that
-// waited for it, also while a connection that has died still counts as resting.
+// waited for it or was begun for them.
 func TestNobodyWaitsForANodeThatStopsServing(t *testing.T) {
 	for name, list := range map[string][]Entry{"gone": nil, "drains": {{logic.Server{ID: "s0", Zone: "a", State: logic.Draining}, ""}}} {
 		be := scripted.NewNode(t, func(_ int, _ []string, nc net.Conn) string {
@@ -368,17 +368,20 @@
 		g := newOwner(t, be.Addr)
 		first, second := waitingAttempt(g, "s0"), waitingAttempt(g, "s0")
 		g.p.place(first)
-		for !first.ended || g.p.conns > 0 { // served, and its connection has ended: it rests
+		for !first.ended || g.p.conns > 0 { // served, and its connection has ended
 			g.p.Handle(<-g.events)
 		}
 		g.p.place(second)
-		if second.ended || second.conn != nil {
+		if second.ended || second.conn != nil { // its own is only begun
 			t.Fatalf("%s: the second attempt does not wait", name)
 		}
 		g.p.Set(list, true)
 		if !second.ended || g.ends[1].o != logic.Moot {
 			t.Errorf("%s: the second attempt waits for a node that does not serve", name)
 		}
+		for g.p.conns > 0 { // the end of what was begun for the second attempt
+			g.p.Handle(<-g.events)
+		}
 		g.now += restTime
 		g.ring()
 		if _, known := g.p.nodes["s0"]; known != (name == "drains") {
--- a/internal/nodes/pool.go
+++ b/internal/nodes/pool.go
@@ -73,19 +73,6 @@
 	}}
 }
 
-// node is what is kept of a node: its entry, its connections, and the attempts that wait for one. A connection carries one
-// attempt at a time, so that giving one up hurts no other.
-type node struct {
-	logic.Server
-	addr    string
-	idle    []*conn // the last is the warmest
-	waiting []*Attempt
-	dialing int
-	resting int
-	conns   int           // all: dialing, idle and busy
-	heard   time.Duration // last time that it answered or took a connection
-}
-
 // Set brings the list of nodes, whole or its changes. A drain counts from here on: what waits for a connection to a node that
 // does not serve any more ends now, as never sent, so that it can go elsewhere.
 func (p *Pool) Set(list []Entry, whole bool) {
--- a/internal/nodes/reply.go
+++ b/internal/nodes/reply.go
@@ -17,6 +17,7 @@
 	Load    logic.Load // the load report that came with it; nil: none that can be read
 	outcome logic.Outcome
 	keep    bool // it is of a known form and nothing stands behind it: the connection is in order
+	extra   bool // something stands behind it
 }
 
 // parseReply reads a whole frame from a node. Whatever is not of a known form has failed and may have run, and
