--- a/internal/nodes/traffic_test.go
+++ b/internal/nodes/traffic_test.go
@@ -335,6 +335,9 @@
 	}
 }
 
+// safeUpTo is how late a second answer may be and is never taken for another command's, whatever restTime says.
+const safeUpTo = 15 * ms
+
 // Second answers, at 1 answer in 100, are never taken for another command's up to 15 ms late. Beyond, the chance is what a connection's rest
 // leaves, and it is logged.
 func TestSecondAnswersAreNotTakenForOthers(t *testing.T) {
@@ -348,7 +351,7 @@
 			if m.seconds < s.requests/200 {
 				t.Errorf("%v/s, %v late: only %d second answers came", rate, late, m.seconds)
 			}
-			if late < restTime && m.taken > 0 {
+			if late < safeUpTo && m.taken > 0 {
 				t.Errorf("%v/s: %d of %d second answers %v late were taken for another command's", rate, m.taken, m.seconds, late)
 			}
 		}
