--- /dev/null
+++ b/internal/front/resp/connection.go
@@ -0,0 +1,119 @@
+package resp
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hitchspring/internal/core"
+	"hitchspring/internal/resp"
+	"hitchspring/internal/socket"
+)
+
+// client is one connection: a goroutine that reads, one that writes. Answers go out in the order of commands.
+type client struct {
+	f       *Front
+	nc      net.Conn
+	room    chan struct{} // taken by each command until its answer is written
+	wake    chan struct{}
+	written chan struct{} // closed when nothing is written any more
+	faults  atomic.Int32  // pieces of nonsense that came
+	mu      sync.Mutex
+	waiting []*slot // commands whose answers are not in out yet
+	out     []byte
+	ready   int         // answers in out
+	unsent  int         // bytes of answers that are not written
+	used    time.Time   // when it was opened, the last command came or the last answer left
+	spoken  bool        // a whole command has come
+	partial atomic.Bool // a command has begun and not ended
+	closing bool        // it will end when nothing waits for an answer
+	asked   bool        // the reader is asked to end it, if nothing has come that it has not taken
+	until   time.Time   // when reading is to stop, if it is not asked
+	deaf    bool        // the reader takes nothing any more
+	ended   bool        // it has: nothing is taken any more
+	gone    bool        // it is over: no answer is kept any more
+
+	in     resp.Inbox // the reader's alone
+	hungUp bool       // the client has left while the reader could take no more; the reader's alone
+}
+
+func newClient(f *Front, nc net.Conn) *client {
+	return &client{f: f, nc: nc, room: make(chan struct{}, mostPipelined), wake: make(chan struct{}, 1),
+		written: make(chan struct{}), used: time.Now()}
+}
+
+// serve runs a connection to its end.
+func (c *client) serve() {
+	defer c.f.wg.Done()
+	done := make(chan struct{})
+	go func() {
+		defer close(c.written)
+		c.write(done)
+	}()
+	switch c.read() {
+	case lost:
+		// What came before is answered, then the fault, then the connection ends. Little more is read until then, for its end: a flood
+		// costs its sender's time only.
+		c.mu.Lock()
+		c.deaf = true
+		c.mu.Unlock()
+		c.close()
+		if c.await() {
+			c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+			socket.CloseWrite(c.nc)
+			io.CopyN(io.Discard, c.nc, lingerBytes)
+		}
+	case over:
+		c.linger()
+	}
+	c.nc.Close()
+	close(done)
+	c.unpass()
+	<-c.written
+	c.mu.Lock()
+	var left []*core.Request
+	for _, s := range c.waiting {
+		if s.reply == nil {
+			left = append(left, s.req)
+		}
+	}
+	c.gone = true
+	c.f.unsent.Add(-int64(c.unsent))
+	c.mu.Unlock()
+	c.unpass() // that came meanwhile
+	if len(left) > 0 {
+		c.f.core.Abandon(left)
+	}
+	c.f.mu.Lock()
+	delete(c.f.clients, c)
+	c.f.mu.Unlock()
+	<-c.f.slots
+}
+
+// unpass ends the attempts whose values are passed on: the client has gone.
+func (c *client) unpass() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.waiting {
+		if s != nil && s.value != nil {
+			s.value.Close()
+		}
+	}
+}
+
+// close asks for the end of the connection at the next moment between requests.
+func (c *client) close() {
+	c.mu.Lock()
+	c.closing = true
+	c.mu.Unlock()
+	c.signal()
+}
+
+func (c *client) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/front/resp/listener.go
@@ -0,0 +1,36 @@
+package resp
+
+import (
+	"errors"
+	"net"
+	"time"
+)
+
+// accept takes connections until the listener closes.
+func (f *Front) accept() {
+	for {
+		f.takeSlot()
+		nc, err := f.ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // out of descriptors, say: a pause, then on
+			<-f.slots
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		c := newClient(f, nc)
+		f.mu.Lock()
+		f.clients[c] = true
+		f.wg.Add(1)
+		closing := f.draining
+		f.mu.Unlock()
+		if closing {
+			c.close()
+		}
+		go c.serve()
+	}
+}
+
+// Close closes the listener: this process's use of it, where others have it too.
+func (f *Front) Close() { f.ln.Close() }
