--- a/internal/front/resp/connection.go
+++ b/internal/front/resp/connection.go
@@ -12,8 +12,8 @@
 	"hitchspring/internal/socket"
 )
 
-// client is one connection: a goroutine that reads, one that writes. Answers go out in the order of commands.
-type client struct {
+// connection is one client's connection: a goroutine that reads, one that writes. Answers go out in the order of commands.
+type connection struct {
 	f       *Front
 	nc      net.Conn
 	room    chan struct{} // taken by each command until its answer is written
@@ -21,7 +21,7 @@
 	written chan struct{} // closed when nothing is written any more
 	faults  atomic.Int32  // pieces of nonsense that came
 	mu      sync.Mutex
-	waiting []*slot // commands whose answers are not in out yet
+	waiting []*pendingReply // commands whose answers are not in out yet
 	out     []byte
 	ready   int         // answers in out
 	unsent  int         // bytes of answers that are not written
@@ -39,13 +39,13 @@
 	hungUp bool       // the client has left while the reader could take no more; the reader's alone
 }
 
-func newClient(f *Front, nc net.Conn) *client {
-	return &client{f: f, nc: nc, room: make(chan struct{}, mostPipelined), wake: make(chan struct{}, 1),
+func newConnection(f *Front, nc net.Conn) *connection {
+	return &connection{f: f, nc: nc, room: make(chan struct{}, mostPipelined), wake: make(chan struct{}, 1),
 		written: make(chan struct{}), used: time.Now()}
 }
 
 // serve runs a connection to its end.
-func (c *client) serve() {
+func (c *connection) serve() {
 	defer c.f.wg.Done()
 	done := make(chan struct{})
 	go func() {
@@ -87,13 +87,13 @@
 		c.f.core.Abandon(left)
 	}
 	c.f.mu.Lock()
-	delete(c.f.clients, c)
+	delete(c.f.connections, c)
 	c.f.mu.Unlock()
 	<-c.f.slots
 }
 
 // unpass ends the attempts whose values are passed on: the client has gone.
-func (c *client) unpass() {
+func (c *connection) unpass() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range c.waiting {
@@ -104,14 +104,14 @@
 }
 
 // close asks for the end of the connection at the next moment between requests.
-func (c *client) close() {
+func (c *connection) close() {
 	c.mu.Lock()
 	c.closing = true
 	c.mu.Unlock()
 	c.signal()
 }
 
-func (c *client) signal() {
+func (c *connection) signal() {
 	select {
 	case c.wake <- struct{}{}:
 	default:
--- a/internal/front/resp/client_test.go
+++ b/internal/front/resp/connection_test.go
@@ -25,7 +25,7 @@
 // What comes on a connection that is closing is dropped, however much: a reader that waited there for room
 // kept a shutdown from ending.
 func TestClosingConnectionTakesNothing(t *testing.T) {
-	c := newClient(nil, nil)
+	c := newConnection(nil, nil)
 	c.ended = true
 	for range mostPipelined + 1 {
 		if c.open(nil) != nil {
@@ -49,7 +49,7 @@
 // commands a client may be silent.
 func TestOnlyPartialCommandsHaveALimit(t *testing.T) {
 	near, far := net.Pipe()
-	c := newClient(New(nil, nil, 1, 1<<20), &limits{Conn: near})
+	c := newConnection(New(nil, nil, 1, 1<<20), &limits{Conn: near})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -70,11 +70,11 @@
 func TestSlowReaderIsCutOff(t *testing.T) {
 	f := New(nil, nil, 2, 1000)
 	var ends [2]net.Conn
-	var clients [2]*client
+	var clients [2]*connection
 	for i := range ends {
 		near, far := net.Pipe()
-		ends[i], clients[i] = far, newClient(f, near)
-		f.clients[clients[i]] = true
+		ends[i], clients[i] = far, newConnection(f, near)
+		f.connections[clients[i]] = true
 	}
 	clients[0].open(nil).answer(make([]byte, 900))
 	clients[1].open(nil).answer(make([]byte, 200))
@@ -92,7 +92,7 @@
 	g := &fakeCore{}
 	f := New(nil, g, 1, 1<<20)
 	near, far := net.Pipe()
-	c := newClient(f, near)
+	c := newConnection(f, near)
 	f.slots <- struct{}{}
 	f.wg.Add(1)
 	first, second := c.open(&core.Request{}), c.open(nil)
--- a/internal/front/resp/drain.go
+++ b/internal/front/resp/drain.go
@@ -42,7 +42,7 @@
 	f.ending.Store(true)
 	f.mu.Lock()
 	f.draining = true
-	for c := range f.clients {
+	for c := range f.connections {
 		c.close()
 	}
 	f.mu.Unlock()
@@ -55,7 +55,7 @@
 	case <-done:
 	case <-ctx.Done():
 		f.mu.Lock()
-		for c := range f.clients {
+		for c := range f.connections {
 			c.nc.Close()
 		}
 		f.mu.Unlock()
--- a/internal/front/resp/ends_test.go
+++ b/internal/front/resp/ends_test.go
@@ -59,7 +59,7 @@
 type bench struct {
 	deskCore
 	f    *Front
-	c    *client
+	c    *connection
 	held *heldConn
 	far  *net.TCPConn
 	in   *bufio.Reader
@@ -88,9 +88,9 @@
 	}
 	far.SetReadDeadline(time.Now().Add(20 * time.Second))
 	b.f = New(ln, b.deskCore, 4, 1<<20)
-	b.c = newClient(b.f, b.held)
+	b.c = newConnection(b.f, b.held)
 	b.f.slots <- struct{}{}
-	b.f.clients[b.c] = true
+	b.f.connections[b.c] = true
 	b.f.wg.Add(1)
 	go func() {
 		defer close(b.done)
--- a/internal/front/resp/front.go
+++ b/internal/front/resp/front.go
@@ -26,31 +26,31 @@
 
 // Front is the server side: it accepts clients on one address.
 type Front struct {
-	ln         net.Listener
-	core       Core
-	slots      chan struct{} // one for each connection that may be open
-	frames     *resp.Budget  // memory of commands that are coming in
-	unsent     atomic.Int64
-	mostUnsent int64 // bytes of answers that clients have not read, all together
-	mu         sync.Mutex
-	clients    map[*client]bool
-	draining   bool           // the listener is closed for good
-	ending     atomic.Bool    // and the process is about to end
-	leaving    atomic.Int64   // since when, in nanoseconds of Unix time; 0: it serves
-	turned     chan struct{}  // room for one: leaving or unused has changed
-	unused     atomic.Int64   // places that are to be left to another process
-	balancing  sync.Mutex     // of ballast
-	ballast    int            // those of them that nobody can take any more
-	wg         sync.WaitGroup // of clients
-	stop       context.CancelFunc
-	own        sync.WaitGroup // of the goroutines that accept and tidy
+	ln          net.Listener
+	core        Core
+	slots       chan struct{} // one for each connection that may be open
+	frames      *resp.Budget  // memory of commands that are coming in
+	unsent      atomic.Int64
+	mostUnsent  int64 // bytes of answers that clients have not read, all together
+	mu          sync.Mutex
+	connections map[*connection]bool
+	draining    bool           // the listener is closed for good
+	ending      atomic.Bool    // and the process is about to end
+	leaving     atomic.Int64   // since when, in nanoseconds of Unix time; 0: it serves
+	turned      chan struct{}  // room for one: leaving or unused has changed
+	unused      atomic.Int64   // places that are to be left to another process
+	balancing   sync.Mutex     // of ballast
+	ballast     int            // those of them that nobody can take any more
+	wg          sync.WaitGroup // of clients
+	stop        context.CancelFunc
+	own         sync.WaitGroup // of the goroutines that accept and tidy
 }
 
 // New returns a front on ln for at most so many connections, and so many bytes each of commands that come in and of
 // answers that are unread. It does not serve yet.
 func New(ln net.Listener, c Core, most, memory int) *Front {
 	return &Front{ln: ln, core: c, slots: make(chan struct{}, most), frames: resp.NewBudget(memory),
-		mostUnsent: int64(memory), clients: map[*client]bool{}, turned: make(chan struct{}, 1)}
+		mostUnsent: int64(memory), connections: map[*connection]bool{}, turned: make(chan struct{}, 1)}
 }
 
 // Start serves until Drain.
@@ -74,7 +74,7 @@
 func (f *Front) Open() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.clients)
+	return len(f.connections)
 }
 
 func (f *Front) turn() {
--- a/internal/front/resp/idle.go
+++ b/internal/front/resp/idle.go
@@ -25,7 +25,7 @@
 			left := f.left()
 			f.balance(now)
 			f.mu.Lock()
-			for c := range f.clients {
+			for c := range f.connections {
 				c.mu.Lock()
 				idle := now.Sub(c.used)
 				// A command that has begun has a time limit of its own, by its reader.
--- a/internal/front/resp/listener.go
+++ b/internal/front/resp/listener.go
@@ -19,9 +19,9 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
-		c := newClient(f, nc)
+		c := newConnection(f, nc)
 		f.mu.Lock()
-		f.clients[c] = true
+		f.connections[c] = true
 		f.wg.Add(1)
 		closing := f.draining
 		f.mu.Unlock()
--- a/internal/front/resp/pending.go
+++ b/internal/front/resp/pending.go
@@ -11,16 +11,16 @@
 	"hitchspring/internal/socket"
 )
 
-// slot keeps the place of one command's answer.
-type slot struct {
-	c     *client
+// pendingReply is one command's answer, in its place in the order of commands, until it is written.
+type pendingReply struct {
+	c     *connection
 	reply []byte        // nil until answered; of a value that is passed on: its head
 	value *nodes.Stream // that value; nil: reply is all
 	req   *core.Request
 }
 
-// open keeps a place for an answer; nil when the connection takes no more.
-func (c *client) open(r *core.Request) *slot {
+// open adds a pending reply at the end of the order; nil when the connection takes no more.
+func (c *connection) open(r *core.Request) *pendingReply {
 	if !c.enter() {
 		return nil
 	}
@@ -30,7 +30,7 @@
 		<-c.room
 		return nil
 	}
-	s := &slot{c: c, req: r}
+	s := &pendingReply{c: c, req: r}
 	c.used, c.spoken = time.Now(), true
 	c.waiting = append(c.waiting, s)
 	return s
@@ -38,7 +38,7 @@
 
 // enter waits for room for a further command; false when the connection ends first. Room comes as answers are written, and each
 // request has a time limit.
-func (c *client) enter() (entered bool) {
+func (c *connection) enter() (entered bool) {
 	over := false
 	c.stall(func(most time.Duration) bool {
 		select {
@@ -65,46 +65,46 @@
 }
 
 // reply answers a command without the gateway.
-func (c *client) reply(b []byte) {
+func (c *connection) reply(b []byte) {
 	if s := c.open(nil); s != nil {
 		s.answer(b)
 	}
 }
 
 // Answer words the final answer of a request.
-func (s *slot) Answer(a core.Answer) {
+func (p *pendingReply) Answer(a core.Answer) {
 	switch a.Kind {
 	case core.Served:
 		if v := a.Stream; v != nil {
-			s.pass(v)
+			p.pass(v)
 			return
 		}
-		s.answer(redcon.AppendBulk(make([]byte, 0, len(a.Value)+16), a.Value))
+		p.answer(redcon.AppendBulk(make([]byte, 0, len(a.Value)+16), a.Value))
 	case core.Refused:
 		b := refusal(a)
-		s.answer(b)
+		p.answer(b)
 	case core.Repeated:
-		s.c.faults.Add(1)
-		s.answer([]byte("-ERR a request of this id is being served\r\n"))
+		p.c.faults.Add(1)
+		p.answer([]byte("-ERR a request of this id is being served\r\n"))
 	default:
-		s.answer([]byte("-ERR failed\r\n"))
+		p.answer([]byte("-ERR failed\r\n"))
 	}
 }
 
 // Gone reports whether the client has closed its connection, whether or not the reader has come to that: the command and the end of the
 // connection may have come together, and the reader may be held up. It asks the kernel and never waits.
-func (s *slot) Gone() bool { return socket.HungUp(s.c.nc) }
+func (p *pendingReply) Gone() bool { return socket.HungUp(p.c.nc) }
 
-// answer fills the slot and never blocks. Clients that leave their answers unread lose their connections before they
+// answer completes the reply and never blocks. Clients that leave their answers unread lose their connections before they
 // can fill the memory.
-func (s *slot) answer(b []byte) {
-	c := s.c
+func (p *pendingReply) answer(b []byte) {
+	c := p.c
 	c.mu.Lock()
 	if c.gone {
 		c.mu.Unlock()
 		return
 	}
-	s.reply = b
+	p.reply = b
 	c.unsent += len(b)
 	c.f.unsent.Add(int64(len(b)))
 	c.collect()
@@ -124,24 +124,24 @@
 	return append(strconv.AppendInt([]byte("-BUSY "), max(1, a.RetryAfter.Milliseconds()), 10), '\r', '\n')
 }
 
-// pass fills the slot with a value that is passed on as it comes. The goroutine that writes reads it when its turn has come.
-func (s *slot) pass(v *nodes.Stream) {
-	c := s.c
+// pass completes the reply with a value that is passed on as it comes. The goroutine that writes reads it when its turn has come.
+func (p *pendingReply) pass(v *nodes.Stream) {
+	c := p.c
 	c.mu.Lock()
 	if c.gone {
 		c.mu.Unlock()
 		v.Close()
 		return
 	}
-	s.value = v
-	s.reply = append(strconv.AppendInt([]byte{'$'}, int64(v.Size), 10), '\r', '\n')
+	p.value = v
+	p.reply = append(strconv.AppendInt([]byte{'$'}, int64(v.Size), 10), '\r', '\n')
 	c.used = time.Now()
 	c.mu.Unlock()
 	c.signal()
 }
 
 // collect moves the answers that are due to out, up to one that is passed on; c.mu is held.
-func (c *client) collect() {
+func (c *connection) collect() {
 	for len(c.waiting) > 0 && c.waiting[0].reply != nil && c.waiting[0].value == nil {
 		c.out = append(c.out, c.waiting[0].reply...)
 		c.ready++
--- a/internal/front/resp/places.go
+++ b/internal/front/resp/places.go
@@ -31,7 +31,7 @@
 func (f *Front) closing() (n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for c := range f.clients {
+	for c := range f.connections {
 		c.mu.Lock()
 		if c.closing {
 			n++
@@ -68,10 +68,10 @@
 func (f *Front) closeIdlest(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var idlest *client
+	var idlest *connection
 	var since time.Time
 	var spoken bool
-	for c := range f.clients {
+	for c := range f.connections {
 		c.mu.Lock()
 		free := !c.closing && len(c.waiting) == 0 && (c.spoken || now.Sub(c.used) > newcomer) &&
 			!(c.partial.Load() && now.Sub(c.used) < firstCommand)
@@ -89,9 +89,9 @@
 func (f *Front) closeFullest() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var fullest *client
+	var fullest *connection
 	most := 0
-	for c := range f.clients {
+	for c := range f.connections {
 		c.mu.Lock()
 		if c.unsent > most {
 			fullest, most = c, c.unsent
--- a/internal/front/resp/reader.go
+++ b/internal/front/resp/reader.go
@@ -22,7 +22,7 @@
 )
 
 // read takes commands until the connection ends.
-func (c *client) read() end {
+func (c *connection) read() end {
 	in := &c.in
 	in.Budget, in.Most = c.f.frames, resp.MaxLarge
 	defer in.Close()
@@ -90,7 +90,7 @@
 }
 
 // limit sets when reading is to stop, unless the reader is asked to look up at once.
-func (c *client) limit(t time.Time) {
+func (c *connection) limit(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.until = t; !c.asked {
@@ -100,7 +100,7 @@
 
 // stall lets the reader wait until done says so, which looks for so long (0: at once), and notices meanwhile when the client leaves: for
 // what that has asked must not go out any more. It reads a bounded part of what comes next.
-func (c *client) stall(done func(time.Duration) bool) {
+func (c *connection) stall(done func(time.Duration) bool) {
 	if done(0) {
 		return
 	}
@@ -151,14 +151,14 @@
 
 // fault answers nonsense, after a pause: a client that repeats it as soon as it has been turned away takes no CPU from
 // the others.
-func (c *client) fault(text string) {
+func (c *connection) fault(text string) {
 	c.faults.Add(1)
 	c.pause()
 	c.reply(redcon.AppendError(nil, "ERR "+text))
 }
 
 // pause waits, longer with each fault, and returns their number.
-func (c *client) pause() int32 {
+func (c *connection) pause() int32 {
 	n := c.faults.Load()
 	end := time.Now().Add(time.Duration(n) * faultPause)
 	c.stall(func(most time.Duration) bool {
@@ -168,7 +168,7 @@
 }
 
 // take takes one whole command.
-func (c *client) take(f []byte, at time.Time) {
+func (c *connection) take(f []byte, at time.Time) {
 	whole, args, _, _, err := redcon.ReadNextCommand(f, nil)
 	if err != nil || !whole || len(args) == 0 {
 		c.fault("a command is an array of bulk strings")
--- a/internal/front/resp/writer.go
+++ b/internal/front/resp/writer.go
@@ -10,9 +10,9 @@
 	"hitchspring/internal/socket"
 )
 
-// relay writes a value as it comes, in the place of its slot, which is the first that waits. A value that breaks off ends the
+// relay writes a value as it comes, in its place, as the first reply that waits. A value that breaks off ends the
 // connection, so that the client sees that it is cut.
-func (c *client) relay(s *slot) error {
+func (c *connection) relay(s *pendingReply) error {
 	defer s.value.Close()
 	if err := c.send(s.reply); err != nil {
 		return err
@@ -47,7 +47,7 @@
 
 // send writes all of b. The client's time-out is for want of progress: one that reads slowly gets it all. Where nothing more can be written,
 // what the client has taken of what was shows that it reads: the kernel lets more be written only when a third of its buffer is free.
-func (c *client) send(b []byte) error {
+func (c *connection) send(b []byte) error {
 	owed := socket.Unknown // what the client had not taken when half of its time had passed
 	for len(b) > 0 {
 		c.nc.SetWriteDeadline(time.Now().Add(writeStall / 2))
@@ -73,7 +73,7 @@
 }
 
 // write sends answers as they come due, and ends the connection between requests once it is closing.
-func (c *client) write(done <-chan struct{}) {
+func (c *connection) write(done <-chan struct{}) {
 	var buf []byte
 	for {
 		select {
@@ -85,7 +85,7 @@
 		buf, c.out = c.out, buf[:0]
 		ready := c.ready
 		c.ready = 0
-		var passes *slot
+		var passes *pendingReply
 		if len(c.waiting) > 0 && c.waiting[0].value != nil {
 			passes = c.waiting[0]
 		}
