RESP2 front: standard names for places, drain and the idle reaper

balance/ballast/unused are reserved places, tidy is the reaper of idle connections, leaving, left and turned are the drain, ending is terminating. No change in behaviour.

--- a/internal/front/resp/connection.go
+++ b/internal/front/resp/connection.go
@@ -46,7 +46,7 @@
 
 // serve runs a connection to its end.
 func (c *connection) serve() {
-	defer c.f.wg.Done()
+	defer c.f.serving.Done()
 	done := make(chan struct{})
 	go func() {
 		defer close(c.written)
@@ -89,7 +89,7 @@
 	c.f.mu.Lock()
 	delete(c.f.connections, c)
 	c.f.mu.Unlock()
-	<-c.f.slots
+	<-c.f.places
 }
 
 // unpass ends the attempts whose values are passed on: the client has gone.
--- a/internal/front/resp/connection_test.go
+++ b/internal/front/resp/connection_test.go
@@ -93,8 +93,8 @@
 	f := New(nil, g, 1, 1<<20)
 	near, far := net.Pipe()
 	c := newConnection(f, near)
-	f.slots <- struct{}{}
-	f.wg.Add(1)
+	f.places <- struct{}{}
+	f.serving.Add(1)
 	first, second := c.open(&core.Request{}), c.open(nil)
 	second.answer([]byte("+PONG\r\n"))
 	far.Close()
--- a/internal/front/resp/drain.go
+++ b/internal/front/resp/drain.go
@@ -5,26 +5,32 @@
 	"time"
 )
 
-// Leave begins to let the clients go, once: PING says no, each connection is closed after its next answer, after 0.6 s also
+const (
+	drainReapEvery   = 50 * time.Millisecond  // between two looks for idle connections of a draining front
+	drainIdleAfter   = 600 * time.Millisecond // of draining: new connections still come; then those without an open request are closed
+	drainRefuseAfter = 700 * time.Millisecond // of draining for good: what comes later on a connection that is still open is refused at once
+)
+
+// Leave begins a graceful drain, once: PING is answered by an error, each connection is closed after its next answer, after 0.6 s also
 // those without an open request. New ones are served in the same way. The listener stays.
 func (f *Front) Leave() {
-	if f.leaving.CompareAndSwap(0, time.Now().UnixNano()) {
-		f.turn()
+	if f.drainingSince.CompareAndSwap(0, time.Now().UnixNano()) {
+		f.notify()
 	}
 }
 
-// Return ends what Leave has begun; a connection that is about to be closed is closed all the same.
+// Return ends the drain that Leave has begun; a connection that is about to be closed is closed all the same.
 func (f *Front) Return() {
-	f.leaving.Store(0)
-	f.turn()
+	f.drainingSince.Store(0)
+	f.notify()
 }
 
-// Leaving reports whether Leave holds.
-func (f *Front) Leaving() bool { return f.leaving.Load() != 0 }
+// Leaving reports whether the front is draining.
+func (f *Front) Leaving() bool { return f.drainingSince.Load() != 0 }
 
-// left is for how long the front has been leaving; below 0 where it is not.
-func (f *Front) left() time.Duration {
-	if since := f.leaving.Load(); since != 0 {
+// drainingFor is for how long the front has been draining; below 0 where it is not.
+func (f *Front) drainingFor() time.Duration {
+	if since := f.drainingSince.Load(); since != 0 {
 		return time.Duration(time.Now().UnixNano() - since)
 	}
 	return -1
@@ -37,18 +43,18 @@
 	f.ln.Close()
 	defer func() {
 		f.stop()
-		f.own.Wait()
+		f.background.Wait()
 	}()
-	f.ending.Store(true)
+	f.terminating.Store(true)
 	f.mu.Lock()
-	f.draining = true
+	f.listenerClosed = true
 	for c := range f.connections {
 		c.close()
 	}
 	f.mu.Unlock()
 	done := make(chan struct{})
 	go func() {
-		f.wg.Wait()
+		f.serving.Wait()
 		close(done)
 	}()
 	select {
--- a/internal/front/resp/ends_test.go
+++ b/internal/front/resp/ends_test.go
@@ -89,9 +89,9 @@
 	far.SetReadDeadline(time.Now().Add(20 * time.Second))
 	b.f = New(ln, b.deskCore, 4, 1<<20)
 	b.c = newConnection(b.f, b.held)
-	b.f.slots <- struct{}{}
+	b.f.places <- struct{}{}
 	b.f.connections[b.c] = true
-	b.f.wg.Add(1)
+	b.f.serving.Add(1)
 	go func() {
 		defer close(b.done)
 		b.c.serve()
@@ -179,7 +179,7 @@
 		for who, end := range map[string]func(*bench){
 			"idle": func(b *bench) { b.c.close() },
 			"leaves": func(b *bench) {
-				b.f.leaving.Store(time.Now().UnixNano())
+				b.f.drainingSince.Store(time.Now().UnixNano())
 				b.c.close()
 			},
 		} {
@@ -213,8 +213,8 @@
 	b := newBench(t, nil)
 	b.say(t, question(1))
 	first := b.next(t)
-	b.f.leaving.Store(time.Now().Add(-leaveTake - time.Second).UnixNano())
-	b.f.ending.Store(true)
+	b.f.drainingSince.Store(time.Now().Add(-drainRefuseAfter - time.Second).UnixNano())
+	b.f.terminating.Store(true)
 	b.c.close()
 	b.say(t, question(2)+question(3))
 	b.say(t, question(4)[:40])
@@ -285,7 +285,7 @@
 // A front that leaves and does not end serves what comes, on each connection until its next answer.
 func TestLeavingFrontServes(t *testing.T) {
 	b := newBench(t, nil)
-	b.f.leaving.Store(time.Now().Add(-leaveTake - time.Second).UnixNano())
+	b.f.drainingSince.Store(time.Now().Add(-drainRefuseAfter - time.Second).UnixNano())
 	b.say(t, question(1))
 	b.next(t).Place.Answer(core.Answer{Kind: core.Served, Value: []byte("value")})
 	b.wantLine(t, "$5")
--- a/internal/front/resp/front.go
+++ b/internal/front/resp/front.go
@@ -24,51 +24,62 @@
 	GiveUpAt(c logic.Class, at time.Time, d time.Duration) time.Duration
 }
 
-// Front is the server side: it accepts clients on one address.
+// Front accepts clients on one address. Its methods may be called from any goroutine. Locks are taken in the order reserving, mu, and the
+// mu of one connection.
 type Front struct {
-	ln          net.Listener
-	core        Core
-	slots       chan struct{} // one for each connection that may be open
-	frames      *resp.Budget  // memory of commands that are coming in
-	unsent      atomic.Int64
-	mostUnsent  int64 // bytes of answers that clients have not read, all together
-	mu          sync.Mutex
-	connections map[*connection]bool
-	draining    bool           // the listener is closed for good
-	ending      atomic.Bool    // and the process is about to end
-	leaving     atomic.Int64   // since when, in nanoseconds of Unix time; 0: it serves
-	turned      chan struct{}  // room for one: leaving or unused has changed
-	unused      atomic.Int64   // places that are to be left to another process
-	balancing   sync.Mutex     // of ballast
-	ballast     int            // those of them that nobody can take any more
-	wg          sync.WaitGroup // of clients
-	stop        context.CancelFunc
-	own         sync.WaitGroup // of the goroutines that accept and tidy
+	ln            net.Listener
+	core          Core
+	requestMemory *resp.Budget // bytes of commands that are being read
+	mostUnsent    int64        // bytes of answers that clients have not read, all together
+	unsent        atomic.Int64
+
+	places         chan struct{} // one is taken by each connection, and by each place that is reserved
+	toReserve      atomic.Int64  // places that are to be left to another process
+	reserving      sync.Mutex    // of reserved
+	reserved       int           // those of them that no connection can take any more
+	mu             sync.Mutex
+	connections    map[*connection]bool
+	listenerClosed bool           // for good, by Drain
+	serving        sync.WaitGroup // of connections
+
+	drainingSince atomic.Int64  // nanoseconds of Unix time; 0: the front is not draining
+	terminating   atomic.Bool   // draining, and the process is about to end
+	changed       chan struct{} // room for one: drainingSince or toReserve has changed
+
+	stop       context.CancelFunc
+	background sync.WaitGroup // of the goroutines that accept and that reap idle connections
 }
 
 // New returns a front on ln for at most so many connections, and so many bytes each of commands that come in and of
 // answers that are unread. It does not serve yet.
 func New(ln net.Listener, c Core, most, memory int) *Front {
-	return &Front{ln: ln, core: c, slots: make(chan struct{}, most), frames: resp.NewBudget(memory),
-		mostUnsent: int64(memory), connections: map[*connection]bool{}, turned: make(chan struct{}, 1)}
+	return &Front{
+		ln:            ln,
+		core:          c,
+		requestMemory: resp.NewBudget(memory),
+		mostUnsent:    int64(memory),
+		places:        make(chan struct{}, most),
+		connections:   map[*connection]bool{},
+		changed:       make(chan struct{}, 1),
+	}
 }
 
 // Start serves until Drain.
 func (f *Front) Start() {
 	ctx, stop := context.WithCancel(context.Background())
 	f.stop = stop
-	f.own.Go(f.accept)
-	f.own.Go(func() { f.tidy(ctx) })
+	f.background.Go(f.accept)
+	f.background.Go(func() { f.reapIdle(ctx) })
 }
 
 // SetMost changes how many connections there may be, up to what New was told; where there are more, the idlest are closed.
 func (f *Front) SetMost(n int) {
-	f.unused.Store(int64(max(0, cap(f.slots)-n)))
-	f.turn()
+	f.toReserve.Store(int64(max(0, cap(f.places)-n)))
+	f.notify()
 }
 
 // Most is how many connections there may be at the most, as New was told.
-func (f *Front) Most() int { return cap(f.slots) }
+func (f *Front) Most() int { return cap(f.places) }
 
 // Open is how many connections there are.
 func (f *Front) Open() int {
@@ -77,9 +88,10 @@
 	return len(f.connections)
 }
 
-func (f *Front) turn() {
+// notify tells the goroutine that reaps idle connections that drainingSince or toReserve has changed; it never blocks.
+func (f *Front) notify() {
 	select {
-	case f.turned <- struct{}{}:
+	case f.changed <- struct{}{}:
 	default:
 	}
 }
--- a/internal/front/resp/listener.go
+++ b/internal/front/resp/listener.go
@@ -6,24 +6,26 @@
 	"time"
 )
 
+const acceptPause = 5 * time.Millisecond // after an accept that failed
+
 // accept takes connections until the listener closes.
 func (f *Front) accept() {
 	for {
-		f.takeSlot()
+		f.acquirePlace()
 		nc, err := f.ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil { // out of descriptors, say: a pause, then on
-			<-f.slots
-			time.Sleep(5 * time.Millisecond)
+			<-f.places
+			time.Sleep(acceptPause)
 			continue
 		}
 		c := newConnection(f, nc)
 		f.mu.Lock()
 		f.connections[c] = true
-		f.wg.Add(1)
-		closing := f.draining
+		f.serving.Add(1)
+		closing := f.listenerClosed
 		f.mu.Unlock()
 		if closing {
 			c.close()
--- a/internal/front/resp/pending.go
+++ b/internal/front/resp/pending.go
@@ -111,7 +111,7 @@
 	c.used = time.Now()
 	c.mu.Unlock()
 	if c.f.unsent.Load() > c.f.mostUnsent {
-		c.f.closeFullest()
+		c.f.closeSlowestReader()
 	}
 	c.signal()
 }
--- a/internal/front/resp/places.go
+++ b/internal/front/resp/places.go
@@ -4,22 +4,28 @@
 	"time"
 )
 
-// balance takes and gives back the places that are to stay free, and says whether that is done; nobody is accepted before.
-func (f *Front) balance(now time.Time) bool {
-	f.balancing.Lock()
-	defer f.balancing.Unlock()
-	for want := int(f.unused.Load()); f.ballast != want; {
-		if f.ballast > want {
-			<-f.slots
-			f.ballast--
+const (
+	evictionPause = 5 * time.Millisecond  // before a further connection is closed for want of a place
+	newcomerGrace = 50 * time.Millisecond // in which a new connection that has sent nothing is not closed for want of a place
+)
+
+// reservePlaces takes and gives back the places that are to be left to another process, and reports whether that is done; no connection is
+// accepted before.
+func (f *Front) reservePlaces(now time.Time) bool {
+	f.reserving.Lock()
+	defer f.reserving.Unlock()
+	for want := int(f.toReserve.Load()); f.reserved != want; {
+		if f.reserved > want {
+			<-f.places
+			f.reserved--
 			continue
 		}
 		select {
-		case f.slots <- struct{}{}:
-			f.ballast++
-		default: // a later look finds the places of those that are closed now
-			for range want - f.ballast - f.closing() {
-				f.closeIdlest(now)
+		case f.places <- struct{}{}:
+			f.reserved++
+		default: // a later call finds the places of the connections that are closed now
+			for range want - f.reserved - f.closingCount() {
+				f.evictIdlest(now)
 			}
 			return false
 		}
@@ -27,8 +33,8 @@
 	return true
 }
 
-// closing is how many connections are about to end.
-func (f *Front) closing() (n int) {
+// closingCount is how many connections are about to end.
+func (f *Front) closingCount() (n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c := range f.connections {
@@ -41,31 +47,31 @@
 	return n
 }
 
-// takeSlot waits for the place of a further connection. Clients keep idle ones for good and hundreds may say nothing at
+// acquirePlace waits for the place of a further connection. Clients keep idle ones for good and hundreds may say nothing at
 // all, so where all places are taken one of these is closed.
-func (f *Front) takeSlot() {
+func (f *Front) acquirePlace() {
 	for {
-		if !f.balance(time.Now()) {
-			time.Sleep(slotPause)
+		if !f.reservePlaces(time.Now()) {
+			time.Sleep(evictionPause)
 			continue
 		}
 		select {
-		case f.slots <- struct{}{}:
+		case f.places <- struct{}{}:
 			return
-		default:
+		default: // all are taken
 		}
-		f.closeIdlest(time.Now())
+		f.evictIdlest(time.Now())
 		select {
-		case f.slots <- struct{}{}:
+		case f.places <- struct{}{}:
 			return
-		case <-time.After(slotPause):
+		case <-time.After(evictionPause):
 		}
 	}
 }
 
-// closeIdlest closes the oldest connection that has said nothing yet, or else the one that has been between requests
+// evictIdlest closes the oldest connection that has asked nothing yet, or else the one that has been between requests
 // for the longest.
-func (f *Front) closeIdlest(now time.Time) {
+func (f *Front) evictIdlest(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var idlest *connection
@@ -73,7 +79,7 @@
 	var spoken bool
 	for c := range f.connections {
 		c.mu.Lock()
-		free := !c.closing && len(c.waiting) == 0 && (c.spoken || now.Sub(c.used) > newcomer) &&
+		free := !c.closing && len(c.waiting) == 0 && (c.spoken || now.Sub(c.used) > newcomerGrace) &&
 			!(c.partial.Load() && now.Sub(c.used) < firstCommand)
 		if free && (idlest == nil || spoken && !c.spoken || spoken == c.spoken && c.used.Before(since)) {
 			idlest, since, spoken = c, c.used, c.spoken
@@ -85,20 +91,20 @@
 	}
 }
 
-// closeFullest closes the connection of the slowest reader.
-func (f *Front) closeFullest() {
+// closeSlowestReader closes the connection with the most bytes of answers unsent.
+func (f *Front) closeSlowestReader() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var fullest *connection
+	var slowest *connection
 	most := 0
 	for c := range f.connections {
 		c.mu.Lock()
 		if c.unsent > most {
-			fullest, most = c, c.unsent
+			slowest, most = c, c.unsent
 		}
 		c.mu.Unlock()
 	}
-	if fullest != nil {
-		fullest.nc.Close()
+	if slowest != nil {
+		slowest.nc.Close()
 	}
 }
--- a/internal/front/resp/reader.go
+++ b/internal/front/resp/reader.go
@@ -24,7 +24,7 @@
 // read takes commands until the connection ends.
 func (c *connection) read() end {
 	in := &c.in
-	in.Budget, in.Most = c.f.frames, resp.MaxLarge
+	in.Budget, in.Most = c.f.requestMemory, resp.MaxLarge
 	defer in.Close()
 	paused := int32(0)
 	var began time.Time // of a command that has not ended; since then c.partial holds
@@ -187,7 +187,7 @@
 			c.fault(err.Error())
 			return
 		}
-		if c.f.ending.Load() && c.f.left() > leaveTake { // something else is owed on this connection
+		if c.f.terminating.Load() && c.f.drainingFor() > drainRefuseAfter { // something else is owed on this connection
 			c.reply(refusal(core.Answer{RetryAfter: core.FullRetry}))
 			return
 		}
