RESP2 front: standard names within a connection

Pipeline window, pending reply, protocol error, half-closed read side, request for the end, back-off: for room, slot, nonsense and fault, deaf, asked, pause. Names and comments only; tests follow the names.

--- a/internal/front/resp/connection.go
+++ b/internal/front/resp/connection.go
@@ -14,34 +14,42 @@
 
 // connection is one client's connection: a goroutine that reads, one that writes. Answers go out in the order of commands.
 type connection struct {
-	f       *Front
-	nc      net.Conn
-	room    chan struct{} // taken by each command until its answer is written
-	wake    chan struct{}
-	written chan struct{} // closed when nothing is written any more
-	faults  atomic.Int32  // pieces of nonsense that came
-	mu      sync.Mutex
-	waiting []*pendingReply // commands whose answers are not in out yet
-	out     []byte
-	ready   int         // answers in out
-	unsent  int         // bytes of answers that are not written
-	used    time.Time   // when it was opened, the last command came or the last answer left
-	spoken  bool        // a whole command has come
-	partial atomic.Bool // a command has begun and not ended
-	closing bool        // it will end when nothing waits for an answer
-	asked   bool        // the reader is asked to end it, if nothing has come that it has not taken
-	until   time.Time   // when reading is to stop, if it is not asked
-	deaf    bool        // the reader takes nothing any more
-	ended   bool        // it has: nothing is taken any more
-	gone    bool        // it is over: no answer is kept any more
+	f              *Front
+	nc             net.Conn
+	window         chan struct{} // the pipeline's: taken by each command until its answer is written
+	wake           chan struct{} // room for one: the writer has something to look at
+	written        chan struct{} // closed when nothing is written any more
+	protocolErrors atomic.Int32  // that the client has made
+	partial        atomic.Bool   // a command has begun and not ended
 
-	in     resp.Inbox // the reader's alone
-	hungUp bool       // the client has left while the reader could take no more; the reader's alone
+	mu           sync.Mutex
+	waiting      []*pendingReply // commands whose answers are not in out yet
+	out          []byte          // answers that the writer has not taken
+	ready        int             // answers in out
+	unsent       int             // bytes of answers that are not written
+	used         time.Time       // when it was opened, the last command came or the last answer left
+	hasAsked     bool            // a whole command has come
+	closing      bool            // it will end when nothing waits for an answer
+	endRequested bool            // the reader is asked to end it, if nothing has come that it has not taken
+	readUntil    time.Time       // when reading is to stop, if no end is requested
+	readClosed   bool            // the reader takes nothing any more
+	finished     bool            // it has ended: nothing is taken any more
+	released     bool            // it is over: no answer is kept any more
+
+	// The reader's alone:
+	in         resp.Inbox
+	peerClosed bool // the client has left while the reader could take no more
 }
 
 func newConnection(f *Front, nc net.Conn) *connection {
-	return &connection{f: f, nc: nc, room: make(chan struct{}, mostPipelined), wake: make(chan struct{}, 1),
-		written: make(chan struct{}), used: time.Now()}
+	return &connection{
+		f:       f,
+		nc:      nc,
+		window:  make(chan struct{}, mostPipelined),
+		wake:    make(chan struct{}, 1),
+		written: make(chan struct{}),
+		used:    time.Now(),
+	}
 }
 
 // serve runs a connection to its end.
@@ -53,24 +61,24 @@
 		c.write(done)
 	}()
 	switch c.read() {
-	case lost:
-		// What came before is answered, then the fault, then the connection ends. Little more is read until then, for its end: a flood
+	case protocolFailed:
+		// What came before is answered, then the protocol error, then the connection ends. Little more is read until then, for its end: a flood
 		// costs its sender's time only.
 		c.mu.Lock()
-		c.deaf = true
+		c.readClosed = true
 		c.mu.Unlock()
 		c.close()
-		if c.await() {
+		if c.discardUntilWritten() {
 			c.nc.SetReadDeadline(time.Now().Add(lingerTime))
 			socket.CloseWrite(c.nc)
 			io.CopyN(io.Discard, c.nc, lingerBytes)
 		}
-	case over:
+	case endedByServer:
 		c.linger()
 	}
 	c.nc.Close()
 	close(done)
-	c.unpass()
+	c.closeStreams()
 	<-c.written
 	c.mu.Lock()
 	var left []*core.Request
@@ -79,10 +87,10 @@
 			left = append(left, s.req)
 		}
 	}
-	c.gone = true
+	c.released = true
 	c.f.unsent.Add(-int64(c.unsent))
 	c.mu.Unlock()
-	c.unpass() // that came meanwhile
+	c.closeStreams() // that came meanwhile
 	if len(left) > 0 {
 		c.f.core.Abandon(left)
 	}
@@ -92,8 +100,8 @@
 	<-c.f.places
 }
 
-// unpass ends the attempts whose values are passed on: the client has gone.
-func (c *connection) unpass() {
+// closeStreams ends the attempts whose values are passed on: the client has gone.
+func (c *connection) closeStreams() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range c.waiting {
@@ -108,10 +116,11 @@
 	c.mu.Lock()
 	c.closing = true
 	c.mu.Unlock()
-	c.signal()
+	c.wakeWriter()
 }
 
-func (c *connection) signal() {
+// wakeWriter has the writer look at the connection; it never blocks.
+func (c *connection) wakeWriter() {
 	select {
 	case c.wake <- struct{}{}:
 	default:
--- a/internal/front/resp/connection_test.go
+++ b/internal/front/resp/connection_test.go
@@ -26,9 +26,9 @@
 // kept a shutdown from ending.
 func TestClosingConnectionTakesNothing(t *testing.T) {
 	c := newConnection(nil, nil)
-	c.ended = true
+	c.finished = true
 	for range mostPipelined + 1 {
-		if c.open(nil) != nil {
+		if c.addPending(nil) != nil {
 			t.Fatal("a command was taken")
 		}
 	}
@@ -76,8 +76,8 @@
 		ends[i], clients[i] = far, newConnection(f, near)
 		f.connections[clients[i]] = true
 	}
-	clients[0].open(nil).answer(make([]byte, 900))
-	clients[1].open(nil).answer(make([]byte, 200))
+	clients[0].addPending(nil).answer(make([]byte, 900))
+	clients[1].addPending(nil).answer(make([]byte, 200))
 	ends[1].SetWriteDeadline(time.Now()) // nobody reads it: a write waits for ever
 	if _, err := ends[0].Write([]byte("x")); !errors.Is(err, io.ErrClosedPipe) {
 		t.Fatalf("the slow reader's connection was kept: %v", err)
@@ -95,7 +95,7 @@
 	c := newConnection(f, near)
 	f.places <- struct{}{}
 	f.serving.Add(1)
-	first, second := c.open(&core.Request{}), c.open(nil)
+	first, second := c.addPending(&core.Request{}), c.addPending(nil)
 	second.answer([]byte("+PONG\r\n"))
 	far.Close()
 	c.serve()
--- a/internal/front/resp/ending.go
+++ b/internal/front/resp/ending.go
@@ -8,36 +8,36 @@
 	"hitchspring/internal/socket"
 )
 
-// askEnd asks the reader to end the connection, if nothing has come; c.mu is held. The reader alone can tell: what it has read and not
+// requestEnd asks the reader to end the connection, if nothing has come; c.mu is held. The reader alone can tell: what it has read and not
 // taken yet, and what lies in the kernel, was written before the end of the connection and is owed an answer.
-func (c *connection) askEnd() {
-	c.asked = true
+func (c *connection) requestEnd() {
+	c.endRequested = true
 	c.nc.SetReadDeadline(time.Unix(1, 0))
 }
 
-// look takes a question for the end back, and says whether there was one; c.mu is held.
-func (c *connection) look() bool {
-	if !c.asked {
+// takeEndRequest takes a request for the end back, and reports whether there was one; c.mu is held.
+func (c *connection) takeEndRequest() bool {
+	if !c.endRequested {
 		return false
 	}
-	c.asked = false
-	c.nc.SetReadDeadline(c.until)
+	c.endRequested = false
+	c.nc.SetReadDeadline(c.readUntil)
 	return true
 }
 
-// over says whether the reader was asked to end the connection, and whether that is done: nothing waits for an answer, and nothing has
+// tryEnd reports whether the reader was asked to end the connection, and whether that is done: nothing waits for an answer, and nothing has
 // come. From then on nothing is read or taken any more. Where it isn't, the next answer asks again.
-func (c *connection) over() (asked, ended bool) {
+func (c *connection) tryEnd() (asked, ended bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.look() {
+	if !c.takeEndRequest() {
 		return false, false
 	}
 	if came, gone := socket.Peek(c.nc); len(c.waiting) > 0 || c.in.Partial() || came || gone {
 		return true, false
 	}
-	c.ended = true
-	c.signal()
+	c.finished = true
+	c.wakeWriter()
 	return true, true
 }
 
@@ -53,8 +53,9 @@
 	}
 }
 
-// await waits for the last answer, and throws away a bounded part of what comes meanwhile, so that a client's leaving shows: false.
-func (c *connection) await() (written bool) {
+// discardUntilWritten waits for the last answer, and discards a bounded part of what comes meanwhile, so that a client that
+// leaves is noticed: false.
+func (c *connection) discardUntilWritten() (written bool) {
 	b := make([]byte, relaySize)
 	for n := 0; ; {
 		select {
@@ -62,8 +63,8 @@
 			return true
 		default:
 		}
-		if n < lostBytes {
-			c.nc.SetReadDeadline(time.Now().Add(aheadLook))
+		if n < discardedBytes {
+			c.nc.SetReadDeadline(time.Now().Add(peerClosedLook))
 			k, err := c.nc.Read(b)
 			n += k
 			if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -74,6 +75,6 @@
 		if socket.HungUp(c.nc) {
 			return false
 		}
-		wait(c.written, aheadLook)
+		wait(c.written, peerClosedLook)
 	}
 }
--- a/internal/front/resp/ends_test.go
+++ b/internal/front/resp/ends_test.go
@@ -158,7 +158,7 @@
 	t.Helper()
 	for until := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
 		b.c.mu.Lock()
-		asked := b.c.asked || b.c.ended
+		asked := b.c.endRequested || b.c.finished
 		b.c.mu.Unlock()
 		if asked {
 			return
@@ -253,7 +253,7 @@
 		"and for much more":               many.String() + strings.Repeat(question(500), 800),
 		"nonsense behind a command":       question(1) + "nonsense\r\n",
 		"much nonsense behind a command":  question(1) + strings.Repeat("nonsense\r\n", 100000),
-		"faults behind a command":         question(1) + strings.Repeat(words("HELLO"), mostFaults-1),
+		"faults behind a command":         question(1) + strings.Repeat(words("HELLO"), mostProtocolErrors-1),
 		"a command of many, not finished": many.String() + question(400)[:30],
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/front/resp/idle.go
+++ b/internal/front/resp/idle.go
@@ -52,12 +52,12 @@
 	defer c.mu.Unlock()
 	idle := now.Sub(c.used)
 	most := idleTime
-	if !c.spoken {
+	if !c.hasAsked {
 		most = firstCommand - reapEvery
 	}
 	// A command that has begun has a time limit of its own, by its reader.
 	if len(c.waiting) == 0 && !c.partial.Load() && idle > most {
 		return true
 	}
-	return draining > drainRefuseAfter || draining > drainIdleAfter && (c.spoken || idle > drainIdleAfter)
+	return draining > drainRefuseAfter || draining > drainIdleAfter && (c.hasAsked || idle > drainIdleAfter)
 }
--- a/internal/front/resp/pending.go
+++ b/internal/front/resp/pending.go
@@ -19,30 +19,30 @@
 	req   *core.Request
 }
 
-// open adds a pending reply at the end of the order; nil when the connection takes no more.
-func (c *connection) open(r *core.Request) *pendingReply {
-	if !c.enter() {
+// addPending adds a pending reply at the end of the order; nil when the connection takes no more.
+func (c *connection) addPending(r *core.Request) *pendingReply {
+	if !c.acquireWindow() {
 		return nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended {
-		<-c.room
+	if c.finished {
+		<-c.window
 		return nil
 	}
 	s := &pendingReply{c: c, req: r}
-	c.used, c.spoken = time.Now(), true
+	c.used, c.hasAsked = time.Now(), true
 	c.waiting = append(c.waiting, s)
 	return s
 }
 
-// enter waits for room for a further command; false when the connection ends first. Room comes as answers are written, and each
+// acquireWindow waits for room in the pipeline's window for a further command; false when the connection ends first. Room comes as answers are written, and each
 // request has a time limit.
-func (c *connection) enter() (entered bool) {
+func (c *connection) acquireWindow() (entered bool) {
 	over := false
-	c.stall(func(most time.Duration) bool {
+	c.waitReading(func(most time.Duration) bool {
 		select {
-		case c.room <- struct{}{}:
+		case c.window <- struct{}{}:
 			entered = true
 		case <-c.written:
 			over = true
@@ -51,7 +51,7 @@
 				t := time.NewTimer(most)
 				defer t.Stop()
 				select {
-				case c.room <- struct{}{}:
+				case c.window <- struct{}{}:
 					entered = true
 				case <-c.written:
 					over = true
@@ -64,19 +64,19 @@
 	return entered
 }
 
-// reply answers a command without the gateway.
-func (c *connection) reply(b []byte) {
-	if s := c.open(nil); s != nil {
+// replyNow answers a command without the core.
+func (c *connection) replyNow(b []byte) {
+	if s := c.addPending(nil); s != nil {
 		s.answer(b)
 	}
 }
 
-// Answer words the final answer of a request.
+// Answer encodes the final answer of a request; the core calls it once.
 func (p *pendingReply) Answer(a core.Answer) {
 	switch a.Kind {
 	case core.Served:
 		if v := a.Stream; v != nil {
-			p.pass(v)
+			p.stream(v)
 			return
 		}
 		p.answer(redcon.AppendBulk(make([]byte, 0, len(a.Value)+16), a.Value))
@@ -84,7 +84,7 @@
 		b := refusal(a)
 		p.answer(b)
 	case core.Repeated:
-		p.c.faults.Add(1)
+		p.c.protocolErrors.Add(1)
 		p.answer([]byte("-ERR a request of this id is being served\r\n"))
 	default:
 		p.answer([]byte("-ERR failed\r\n"))
@@ -100,7 +100,7 @@
 func (p *pendingReply) answer(b []byte) {
 	c := p.c
 	c.mu.Lock()
-	if c.gone {
+	if c.released {
 		c.mu.Unlock()
 		return
 	}
@@ -113,10 +113,10 @@
 	if c.f.unsent.Load() > c.f.mostUnsent {
 		c.f.closeSlowestReader()
 	}
-	c.signal()
+	c.wakeWriter()
 }
 
-// refusal words a refusal, with when to come back.
+// refusal encodes a refusal, with when to come back.
 func refusal(a core.Answer) []byte {
 	if a.RetryAfter <= 0 {
 		return []byte("-BUSY\r\n")
@@ -124,11 +124,11 @@
 	return append(strconv.AppendInt([]byte("-BUSY "), max(1, a.RetryAfter.Milliseconds()), 10), '\r', '\n')
 }
 
-// pass completes the reply with a value that is passed on as it comes. The goroutine that writes reads it when its turn has come.
-func (p *pendingReply) pass(v *nodes.Stream) {
+// stream completes the reply with a value that is passed on as it comes. The goroutine that writes reads it when its turn has come.
+func (p *pendingReply) stream(v *nodes.Stream) {
 	c := p.c
 	c.mu.Lock()
-	if c.gone {
+	if c.released {
 		c.mu.Unlock()
 		v.Close()
 		return
@@ -137,7 +137,7 @@
 	p.reply = append(strconv.AppendInt([]byte{'$'}, int64(v.Size), 10), '\r', '\n')
 	c.used = time.Now()
 	c.mu.Unlock()
-	c.signal()
+	c.wakeWriter()
 }
 
 // collect moves the answers that are due to out, up to one that is passed on; c.mu is held.
--- a/internal/front/resp/places.go
+++ b/internal/front/resp/places.go
@@ -79,10 +79,10 @@
 	var spoken bool
 	for c := range f.connections {
 		c.mu.Lock()
-		free := !c.closing && len(c.waiting) == 0 && (c.spoken || now.Sub(c.used) > newcomerGrace) &&
+		free := !c.closing && len(c.waiting) == 0 && (c.hasAsked || now.Sub(c.used) > newcomerGrace) &&
 			!(c.partial.Load() && now.Sub(c.used) < firstCommand)
-		if free && (idlest == nil || spoken && !c.spoken || spoken == c.spoken && c.used.Before(since)) {
-			idlest, since, spoken = c, c.used, c.spoken
+		if free && (idlest == nil || spoken && !c.hasAsked || spoken == c.hasAsked && c.used.Before(since)) {
+			idlest, since, spoken = c, c.used, c.hasAsked
 		}
 		c.mu.Unlock()
 	}
--- a/internal/front/resp/reader.go
+++ b/internal/front/resp/reader.go
@@ -12,17 +12,17 @@
 	"hitchspring/internal/socket"
 )
 
-// end says how reading came to its end.
-type end uint8
+// readResult is how reading came to its end.
+type readResult uint8
 
 const (
-	left end = iota // the client has left, or the connection is broken
-	lost            // the framing is lost, or the client's patience with nonsense ours
-	over            // by us, between two requests: the last answer is on its way
+	clientLeft     readResult = iota // the client has left, or the connection is broken
+	protocolFailed                   // the framing is lost, or the client has made too many protocol errors
+	endedByServer                    // between two requests: the last answer is on its way
 )
 
 // read takes commands until the connection ends.
-func (c *connection) read() end {
+func (c *connection) read() readResult {
 	in := &c.in
 	in.Budget, in.Most = c.f.requestMemory, resp.MaxLarge
 	defer in.Close()
@@ -34,19 +34,19 @@
 		switch {
 		case f != nil:
 			began, cameBy = time.Time{}, 0
-			c.take(f, time.Now())
-			if n := c.faults.Load(); c.hungUp {
-				return left
-			} else if n >= mostFaults {
-				return lost
-			} else if n > paused { // of a fault that the gateway found
-				paused = c.pause()
+			c.handle(f, time.Now())
+			if n := c.protocolErrors.Load(); c.peerClosed {
+				return clientLeft
+			} else if n >= mostProtocolErrors {
+				return protocolFailed
+			} else if n > paused { // of one that the core found
+				paused = c.backOff()
 			}
 			continue
 		case err == nil:
 			// Only the rest of a command has a time limit; setting one for each read would cost CPU.
 			if partial := in.Partial(); !partial && c.partial.Load() {
-				c.limit(time.Time{})
+				c.setReadLimit(time.Time{})
 				c.partial.Store(false)
 			} else if partial && (began.IsZero() || in.Came()-cameBy >= leastProgress) {
 				now := time.Now()
@@ -55,11 +55,11 @@
 				}
 				cameBy = in.Came()
 				c.partial.Store(true)
-				c.limit(earlier(now.Add(firstCommand), began.Add(wholeCommand)))
+				c.setReadLimit(earlier(now.Add(firstCommand), began.Add(wholeCommand)))
 			}
 			if err = in.Fill(c.nc.Read); errors.Is(err, os.ErrDeadlineExceeded) {
-				if asked, ended := c.over(); ended {
-					return over
+				if asked, ended := c.tryEnd(); ended {
+					return endedByServer
 				} else if asked {
 					continue
 				}
@@ -69,7 +69,7 @@
 			var skipped bool
 			c.nc.SetReadDeadline(time.Now().Add(wholeCommand))
 			if skipped, err = in.Skip(c.nc.Read); skipped {
-				c.reply(refusal(core.Answer{RetryAfter: core.FullRetry}))
+				c.replyNow(refusal(core.Answer{RetryAfter: core.FullRetry}))
 				continue
 			} else if err == nil {
 				err = resp.ErrMemory
@@ -78,53 +78,53 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, resp.ErrFraming) || errors.Is(err, resp.ErrTooLong) || errors.Is(err, resp.ErrMemory):
-			c.fault(err.Error())
-			return lost
+			c.protocolError(err.Error())
+			return protocolFailed
 		case errors.Is(err, os.ErrDeadlineExceeded) && c.partial.Load():
-			c.fault("the command does not end")
-			return lost
+			c.protocolError("the command does not end")
+			return protocolFailed
 		default:
-			return left
+			return clientLeft
 		}
 	}
 }
 
-// limit sets when reading is to stop, unless the reader is asked to look up at once.
-func (c *connection) limit(t time.Time) {
+// setReadLimit sets when reading is to stop, unless an end is requested, for which it stops at once.
+func (c *connection) setReadLimit(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.until = t; !c.asked {
+	if c.readUntil = t; !c.endRequested {
 		c.nc.SetReadDeadline(t)
 	}
 }
 
-// stall lets the reader wait until done says so, which looks for so long (0: at once), and notices meanwhile when the client leaves: for
-// what that has asked must not go out any more. It reads a bounded part of what comes next.
-func (c *connection) stall(done func(time.Duration) bool) {
+// waitReading waits until done returns true, which itself waits for so long at the most (0: not at all), and notices meanwhile when the
+// client leaves, since what it has asked must not be sent any more: peerClosed holds then. It reads a bounded part of what comes next.
+func (c *connection) waitReading(done func(time.Duration) bool) {
 	if done(0) {
 		return
 	}
-	defer c.limit(time.Time{})
+	defer c.setReadLimit(time.Time{})
 	for ahead := true; !done(0); {
 		c.mu.Lock()
-		c.look() // what is in hand comes first
+		c.takeEndRequest() // what has been read comes first
 		c.mu.Unlock()
-		if ahead = ahead && c.in.Came() < aheadBytes; !ahead {
-			if done(aheadLook) {
+		if ahead = ahead && c.in.Came() < readAheadBytes; !ahead {
+			if done(peerClosedLook) {
 				return
 			}
-			if c.hungUp = socket.HungUp(c.nc); c.hungUp {
+			if c.peerClosed = socket.HungUp(c.nc); c.peerClosed {
 				return
 			}
 			continue
 		}
-		c.limit(time.Now().Add(aheadLook))
+		c.setReadLimit(time.Now().Add(peerClosedLook))
 		switch err := c.in.Fill(c.nc.Read); {
 		case err == nil || errors.Is(err, os.ErrDeadlineExceeded):
 		case errors.Is(err, resp.ErrMemory) || errors.Is(err, resp.ErrTooLong):
 			ahead = false
 		default:
-			c.hungUp = true
+			c.peerClosed = true
 			return
 		}
 	}
@@ -149,53 +149,53 @@
 	return a
 }
 
-// fault answers nonsense, after a pause: a client that repeats it as soon as it has been turned away takes no CPU from
-// the others.
-func (c *connection) fault(text string) {
-	c.faults.Add(1)
-	c.pause()
-	c.reply(redcon.AppendError(nil, "ERR "+text))
+// protocolError answers a protocol error, after a pause: a client that repeats it as soon as it has been answered takes no CPU
+// from the others.
+func (c *connection) protocolError(text string) {
+	c.protocolErrors.Add(1)
+	c.backOff()
+	c.replyNow(redcon.AppendError(nil, "ERR "+text))
 }
 
-// pause waits, longer with each fault, and returns their number.
-func (c *connection) pause() int32 {
-	n := c.faults.Load()
-	end := time.Now().Add(time.Duration(n) * faultPause)
-	c.stall(func(most time.Duration) bool {
+// backOff waits, longer with each protocol error, and returns their number.
+func (c *connection) backOff() int32 {
+	n := c.protocolErrors.Load()
+	end := time.Now().Add(time.Duration(n) * protocolErrorPause)
+	c.waitReading(func(most time.Duration) bool {
 		return wait(c.written, min(most, time.Until(end))) || !time.Now().Before(end)
 	})
 	return n
 }
 
-// take takes one whole command.
-func (c *connection) take(f []byte, at time.Time) {
+// handle serves one whole command, which came at a time.
+func (c *connection) handle(f []byte, at time.Time) {
 	whole, args, _, _, err := redcon.ReadNextCommand(f, nil)
 	if err != nil || !whole || len(args) == 0 {
-		c.fault("a command is an array of bulk strings")
+		c.protocolError("a command is an array of bulk strings")
 		return
 	}
 	switch string(args[0]) {
 	case "PING":
 		if c.f.Leaving() {
-			c.reply(redcon.AppendError(nil, "ERR draining"))
+			c.replyNow(redcon.AppendError(nil, "ERR draining"))
 		} else {
-			c.reply(redcon.AppendString(nil, "PONG"))
+			c.replyNow(redcon.AppendString(nil, "PONG"))
 		}
 	case "Q.ASK", "Q.DO":
 		r, err := c.f.parse(args, at)
 		if err != nil {
-			c.fault(err.Error())
+			c.protocolError(err.Error())
 			return
 		}
 		if c.f.terminating.Load() && c.f.drainingFor() > drainRefuseAfter { // something else is owed on this connection
-			c.reply(refusal(core.Answer{RetryAfter: core.FullRetry}))
+			c.replyNow(refusal(core.Answer{RetryAfter: core.FullRetry}))
 			return
 		}
-		if s := c.open(r); s != nil {
+		if s := c.addPending(r); s != nil {
 			r.Place = s
 			c.f.core.Submit(r)
 		}
 	default:
-		c.fault("unknown command")
+		c.protocolError("unknown command")
 	}
 }
--- a/internal/front/resp/writer.go
+++ b/internal/front/resp/writer.go
@@ -41,7 +41,7 @@
 	c.collect()
 	c.used = time.Now()
 	c.mu.Unlock()
-	<-c.room
+	<-c.window
 	return nil
 }
 
@@ -85,13 +85,13 @@
 		buf, c.out = c.out, buf[:0]
 		ready := c.ready
 		c.ready = 0
-		var passes *pendingReply
+		var streaming *pendingReply
 		if len(c.waiting) > 0 && c.waiting[0].value != nil {
-			passes = c.waiting[0]
+			streaming = c.waiting[0]
 		}
 		ends := (c.closing || ready > 0 && c.f.Leaving()) && len(c.waiting) == 0
-		c.ended = c.ended || ends && c.deaf
-		last := c.ended
+		c.finished = c.finished || ends && c.readClosed
+		last := c.finished
 		c.mu.Unlock()
 		if len(buf) > 0 {
 			err := c.send(buf)
@@ -104,15 +104,15 @@
 				return
 			}
 			for range ready {
-				<-c.room
+				<-c.window
 			}
 		}
-		if passes != nil {
-			if c.relay(passes) != nil {
+		if streaming != nil {
+			if c.relay(streaming) != nil {
 				c.nc.Close()
 				return
 			}
-			c.signal() // for what came due behind it
+			c.wakeWriter() // for what came due behind it
 		}
 		if cap(buf) > resp.SmallBuffer {
 			buf = nil
@@ -122,7 +122,7 @@
 		}
 		if ends && !c.partial.Load() { // the rest of a command comes first, or its time runs out
 			c.mu.Lock()
-			c.askEnd()
+			c.requestEnd()
 			c.mu.Unlock()
 		}
 	}
