--- a/internal/ingress/descriptors_test.go
+++ b/internal/ingress/descriptors_test.go
@@ -296,8 +296,7 @@
 // The descriptors' limit is reached by idle clients that come on and on while discovery is down and the counter's connections are cut.
 // Requests of usual clients are answered in time, those of newcomers too; the counter goes on being asked; a list that discovery has after
 // its outage is taken over, and a backend that is new in it is connected to.
-func TestIdleClientsLeaveDescriptorsForTheRest(t *testing.T) {
-	t.Parallel()
+func TestIdleClientsLeaveDescriptorsForTheRest(t *testing.T) { // not beside others: it measures times and loads the machine
 	for _, silent := range []bool{false, true} {
 		t.Run(fmt.Sprintf("discovery silent %v", silent), func(t *testing.T) {
 			t.Parallel()
