RESP2 front: a connection's end is one phase, the front's end one flag

Half-closed, finished and released were three flags that rise in this order only: the reader closes its side before it returns, only then can the writer finish; the reader finishes by itself only before that; released is set when both are over. The front's flag for a closed listener was set right after the one that the process is about to end, and a connection that is accepted between is asked to end twice, which is the same as once. closing, endRequested, partial and hasAsked stay: each changes by itself, some go back, and partial is read without the lock.

--- a/internal/front/resp/connection.go
+++ b/internal/front/resp/connection.go
@@ -12,6 +12,16 @@
 	"hitchspring/internal/socket"
 )
 
+// phase is how far a connection has come to its end.
+type phase uint8
+
+const (
+	serving    phase = iota
+	readClosed       // the reader takes no command any more; what was taken is answered
+	finished         // all is answered, or is in the writer's hands: no reply may be added
+	released         // its goroutines write nothing any more: no answer is kept
+)
+
 // connection is one client's connection: a goroutine that reads, one that writes. Answers go out in the order of commands.
 type connection struct {
 	f              *Front
@@ -32,9 +42,7 @@
 	closing      bool            // it will end when nothing waits for an answer
 	endRequested bool            // the reader is asked to end it, if nothing has come that it has not taken
 	readUntil    time.Time       // when reading is to stop, if no end is requested
-	readClosed   bool            // the reader takes nothing any more
-	finished     bool            // it has ended: nothing is taken any more
-	released     bool            // it is over: no answer is kept any more
+	phase        phase           // only ever rises
 
 	// The reader's alone:
 	in         resp.Inbox
@@ -65,7 +73,7 @@
 		// What came before is answered, then the protocol error, then the connection ends. Little more is read until then, for its end: a flood
 		// costs its sender's time only.
 		c.mu.Lock()
-		c.readClosed = true
+		c.phase = readClosed
 		c.mu.Unlock()
 		c.close()
 		if c.discardUntilWritten() {
@@ -87,7 +95,7 @@
 			left = append(left, s.req)
 		}
 	}
-	c.released = true
+	c.phase = released
 	c.f.unsent.Add(-int64(c.unsent))
 	c.mu.Unlock()
 	c.closeStreams() // that came meanwhile
--- a/internal/front/resp/connection_test.go
+++ b/internal/front/resp/connection_test.go
@@ -26,7 +26,7 @@
 // kept a shutdown from ending.
 func TestClosingConnectionTakesNothing(t *testing.T) {
 	c := newConnection(nil, nil)
-	c.finished = true
+	c.phase = finished
 	for range mostPipelined + 1 {
 		if c.addPending(nil) != nil {
 			t.Fatal("a command was taken")
--- a/internal/front/resp/drain.go
+++ b/internal/front/resp/drain.go
@@ -47,7 +47,6 @@
 	}()
 	f.terminating.Store(true)
 	f.mu.Lock()
-	f.listenerClosed = true
 	for c := range f.connections {
 		c.close()
 	}
--- a/internal/front/resp/ending.go
+++ b/internal/front/resp/ending.go
@@ -36,7 +36,7 @@
 	if came, gone := socket.Peek(c.nc); len(c.waiting) > 0 || c.in.Partial() || came || gone {
 		return true, false
 	}
-	c.finished = true
+	c.phase = finished
 	c.wakeWriter()
 	return true, true
 }
--- a/internal/front/resp/ends_test.go
+++ b/internal/front/resp/ends_test.go
@@ -158,7 +158,7 @@
 	t.Helper()
 	for until := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
 		b.c.mu.Lock()
-		asked := b.c.endRequested || b.c.finished
+		asked := b.c.endRequested || b.c.phase >= finished
 		b.c.mu.Unlock()
 		if asked {
 			return
--- a/internal/front/resp/front.go
+++ b/internal/front/resp/front.go
@@ -33,14 +33,13 @@
 	mostUnsent    int64        // bytes of answers that clients have not read, all together
 	unsent        atomic.Int64
 
-	places         chan struct{} // one is taken by each connection, and by each place that is reserved
-	toReserve      atomic.Int64  // places that are to be left to another process
-	reserving      sync.Mutex    // of reserved
-	reserved       int           // those of them that no connection can take any more
-	mu             sync.Mutex
-	connections    map[*connection]bool
-	listenerClosed bool           // for good, by Drain
-	serving        sync.WaitGroup // of connections
+	places      chan struct{} // one is taken by each connection, and by each place that is reserved
+	toReserve   atomic.Int64  // places that are to be left to another process
+	reserving   sync.Mutex    // of reserved
+	reserved    int           // those of them that no connection can take any more
+	mu          sync.Mutex
+	connections map[*connection]bool
+	serving     sync.WaitGroup // of connections
 
 	drainingSince atomic.Int64  // nanoseconds of Unix time; 0: the front is not draining
 	terminating   atomic.Bool   // draining, and the process is about to end
--- a/internal/front/resp/listener.go
+++ b/internal/front/resp/listener.go
@@ -25,7 +25,7 @@
 		f.mu.Lock()
 		f.connections[c] = true
 		f.serving.Add(1)
-		closing := f.listenerClosed
+		closing := f.terminating.Load()
 		f.mu.Unlock()
 		if closing {
 			c.close()
--- a/internal/front/resp/pending.go
+++ b/internal/front/resp/pending.go
@@ -26,7 +26,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.finished {
+	if c.phase >= finished {
 		<-c.window
 		return nil
 	}
@@ -100,7 +100,7 @@
 func (p *pendingReply) answer(b []byte) {
 	c := p.c
 	c.mu.Lock()
-	if c.released {
+	if c.phase == released {
 		c.mu.Unlock()
 		return
 	}
@@ -128,7 +128,7 @@
 func (p *pendingReply) stream(v *nodes.Stream) {
 	c := p.c
 	c.mu.Lock()
-	if c.released {
+	if c.phase == released {
 		c.mu.Unlock()
 		v.Close()
 		return
--- a/internal/front/resp/writer.go
+++ b/internal/front/resp/writer.go
@@ -90,8 +90,10 @@
 			streaming = c.waiting[0]
 		}
 		ends := (c.closing || ready > 0 && c.f.Leaving()) && len(c.waiting) == 0
-		c.finished = c.finished || ends && c.readClosed
-		last := c.finished
+		if ends && c.phase == readClosed {
+			c.phase = finished
+		}
+		last := c.phase >= finished
 		c.mu.Unlock()
 		if len(buf) > 0 {
 			err := c.send(buf)
