RESP2 front: reading, writing and parsing in functions of a screen

The reader's time limit of a command, the skipping of one without memory and the end of reading have functions; the writer takes a batch and sends it; a list of fields is parsed into a type of its own and then held against the settings. The order of locks, wake-ups, deadlines and error texts is unchanged.

--- a/internal/front/resp/limits.go
+++ b/internal/front/resp/limits.go
@@ -9,7 +9,6 @@
 	leastProgress      = 256                     // bytes, for some more
 	writeStall         = 10 * time.Second        // for a client to take some of what it is owed
 	relaySize          = 8 << 10                 // piece of a value that is passed on
-	mostKey            = 256                     // bytes
 	lingerTime         = 250 * time.Millisecond  // for the client to see our end of a connection
 	lingerBytes        = 256 << 10
 	discardedBytes     = 4 << 20               // that are discarded behind a protocol error, while answers before it are owed
--- a/internal/front/resp/reader.go
+++ b/internal/front/resp/reader.go
@@ -21,42 +21,35 @@
 	endedByServer                    // between two requests: the last answer is on its way
 )
 
+// commandProgress is what the reader knows of a command that has begun and not ended.
+type commandProgress struct {
+	began time.Time // zero: none has begun
+	came  int       // bytes of it, by the last look at its progress
+}
+
 // read takes commands until the connection ends.
 func (c *connection) read() readResult {
 	in := &c.in
 	in.Budget, in.Most = c.f.requestMemory, resp.MaxLarge
 	defer in.Close()
-	paused := int32(0)
-	var began time.Time // of a command that has not ended; since then c.partial holds
-	cameBy := 0         // how much of it, by the last look at its progress
+	backedOff := int32(0)
+	var progress commandProgress
 	for {
 		f, err := in.Next()
-		switch {
-		case f != nil:
-			began, cameBy = time.Time{}, 0
+		if f != nil {
+			progress = commandProgress{}
 			c.handle(f, time.Now())
 			if n := c.protocolErrors.Load(); c.peerClosed {
 				return clientLeft
 			} else if n >= mostProtocolErrors {
 				return protocolFailed
-			} else if n > paused { // of one that the core found
-				paused = c.backOff()
+			} else if n > backedOff { // of one that the core found
+				backedOff = c.backOff()
 			}
 			continue
-		case err == nil:
-			// Only the rest of a command has a time limit; setting one for each read would cost CPU.
-			if partial := in.Partial(); !partial && c.partial.Load() {
-				c.setReadLimit(time.Time{})
-				c.partial.Store(false)
-			} else if partial && (began.IsZero() || in.Came()-cameBy >= leastProgress) {
-				now := time.Now()
-				if began.IsZero() {
-					began = now
-				}
-				cameBy = in.Came()
-				c.partial.Store(true)
-				c.setReadLimit(earlier(now.Add(firstCommand), began.Add(wholeCommand)))
-			}
+		}
+		if err == nil {
+			c.limitPartial(&progress)
 			if err = in.Fill(c.nc.Read); errors.Is(err, os.ErrDeadlineExceeded) {
 				if asked, ended := c.tryEnd(); ended {
 					return endedByServer
@@ -65,28 +58,59 @@
 				}
 			}
 		}
-		if errors.Is(err, resp.ErrMemory) { // no room for a large body now: it is read past, if its end is known
-			var skipped bool
-			c.nc.SetReadDeadline(time.Now().Add(wholeCommand))
-			if skipped, err = in.Skip(c.nc.Read); skipped {
-				c.replyNow(refusal(core.Answer{RetryAfter: core.FullRetry}))
-				continue
-			} else if err == nil {
-				err = resp.ErrMemory
-			}
+		if errors.Is(err, resp.ErrMemory) {
+			err = c.skipCommand()
 		}
-		switch {
-		case err == nil:
-		case errors.Is(err, resp.ErrFraming) || errors.Is(err, resp.ErrTooLong) || errors.Is(err, resp.ErrMemory):
-			c.protocolError(err.Error())
-			return protocolFailed
-		case errors.Is(err, os.ErrDeadlineExceeded) && c.partial.Load():
-			c.protocolError("the command does not end")
-			return protocolFailed
-		default:
-			return clientLeft
+		if err != nil {
+			return c.readFailed(err)
+		}
+	}
+}
+
+// limitPartial sets the time limit of a command that has begun and not ended, which is longer while it makes progress, and takes it off
+// behind its end. Only the rest of a command has a time limit; setting one for each read would cost CPU.
+func (c *connection) limitPartial(p *commandProgress) {
+	partial := c.in.Partial()
+	switch {
+	case !partial && c.partial.Load():
+		c.setReadLimit(time.Time{})
+		c.partial.Store(false)
+	case partial && (p.began.IsZero() || c.in.Came()-p.came >= leastProgress):
+		now := time.Now()
+		if p.began.IsZero() {
+			p.began = now
 		}
+		p.came = c.in.Came()
+		c.partial.Store(true)
+		c.setReadLimit(earlier(now.Add(firstCommand), p.began.Add(wholeCommand)))
+	}
+}
+
+// skipCommand reads past a command for which there is no memory now, and refuses it, if its end is known.
+func (c *connection) skipCommand() error {
+	c.nc.SetReadDeadline(time.Now().Add(wholeCommand))
+	skipped, err := c.in.Skip(c.nc.Read)
+	if skipped {
+		c.replyNow(refusal(core.Answer{RetryAfter: core.FullRetry}))
+		return nil
+	}
+	if err == nil {
+		return resp.ErrMemory
+	}
+	return err
+}
+
+// readFailed answers a protocol error, where that is what ended reading, and returns how reading has ended.
+func (c *connection) readFailed(err error) readResult {
+	switch {
+	case errors.Is(err, resp.ErrFraming) || errors.Is(err, resp.ErrTooLong) || errors.Is(err, resp.ErrMemory):
+		c.protocolError(err.Error())
+		return protocolFailed
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.partial.Load():
+		c.protocolError("the command does not end")
+		return protocolFailed
 	}
+	return clientLeft
 }
 
 // setReadLimit sets when reading is to stop, unless an end is requested, for which it stops at once.
--- a/internal/front/resp/writer.go
+++ b/internal/front/resp/writer.go
@@ -14,6 +14,21 @@
 // connection, so that the client sees that it is cut.
 func (c *connection) relay(s *pendingReply) error {
 	defer s.value.Close()
+	if err := c.sendValue(s); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	c.waiting[0] = nil
+	c.waiting = c.waiting[1:]
+	c.collect()
+	c.used = time.Now()
+	c.mu.Unlock()
+	<-c.window
+	return nil
+}
+
+// sendValue writes a bulk string: its head, its value as that comes, its end.
+func (c *connection) sendValue(s *pendingReply) error {
 	if err := c.send(s.reply); err != nil {
 		return err
 	}
@@ -26,23 +41,12 @@
 			}
 		}
 		if err == io.EOF {
-			break
+			return c.send([]byte("\r\n"))
 		}
 		if err != nil {
 			return err
 		}
 	}
-	if err := c.send([]byte("\r\n")); err != nil {
-		return err
-	}
-	c.mu.Lock()
-	c.waiting[0] = nil
-	c.waiting = c.waiting[1:]
-	c.collect()
-	c.used = time.Now()
-	c.mu.Unlock()
-	<-c.window
-	return nil
 }
 
 // send writes all of b. The client's time-out is for want of progress: one that reads slowly gets it all. Where nothing more can be written,
@@ -72,60 +76,81 @@
 	return nil
 }
 
+// batch is what the writer has taken to send at one wake-up.
+type batch struct {
+	out    []byte        // whole answers
+	ready  int           // their number
+	stream *pendingReply // the reply behind them whose value is passed on; nil: none, or its turn has not come
+	ends   bool          // the connection is to end once they are written, if nothing more has come
+	last   bool          // nothing is written behind them
+}
+
 // write sends answers as they come due, and ends the connection between requests once it is closing.
 func (c *connection) write(done <-chan struct{}) {
-	var buf []byte
+	var spare []byte
 	for {
 		select {
 		case <-done:
 			return
 		case <-c.wake:
 		}
-		c.mu.Lock()
-		buf, c.out = c.out, buf[:0]
-		ready := c.ready
-		c.ready = 0
-		var streaming *pendingReply
-		if len(c.waiting) > 0 && c.waiting[0].value != nil {
-			streaming = c.waiting[0]
-		}
-		ends := (c.closing || ready > 0 && c.f.Leaving()) && len(c.waiting) == 0
-		if ends && c.phase == readClosed {
-			c.phase = finished
-		}
-		last := c.phase >= finished
-		c.mu.Unlock()
-		if len(buf) > 0 {
-			err := c.send(buf)
-			c.mu.Lock()
-			c.unsent -= len(buf)
-			c.mu.Unlock()
-			c.f.unsent.Add(-int64(len(buf)))
-			if err != nil {
-				c.nc.Close()
-				return
-			}
-			for range ready {
-				<-c.window
-			}
-		}
-		if streaming != nil {
-			if c.relay(streaming) != nil {
-				c.nc.Close()
-				return
-			}
-			c.wakeWriter() // for what came due behind it
+		b := c.nextBatch(spare)
+		if c.sendBatch(b) != nil {
+			c.nc.Close()
+			return
 		}
-		if cap(buf) > resp.SmallBuffer {
-			buf = nil
+		if spare = b.out; cap(spare) > resp.SmallBuffer {
+			spare = nil
 		}
-		if last {
+		if b.last {
 			return
 		}
-		if ends && !c.partial.Load() { // the rest of a command comes first, or its time runs out
+		if b.ends && !c.partial.Load() { // the rest of a command comes first, or its time runs out
 			c.mu.Lock()
 			c.requestEnd()
 			c.mu.Unlock()
 		}
 	}
 }
+
+// nextBatch takes the answers that are due; spare is the buffer for the next ones.
+func (c *connection) nextBatch(spare []byte) batch {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := batch{out: c.out, ready: c.ready}
+	c.out, c.ready = spare[:0], 0
+	if len(c.waiting) > 0 && c.waiting[0].value != nil {
+		b.stream = c.waiting[0]
+	}
+	b.ends = (c.closing || b.ready > 0 && c.f.Leaving()) && len(c.waiting) == 0
+	if b.ends && c.phase == readClosed {
+		c.phase = finished
+	}
+	b.last = c.phase >= finished
+	return b
+}
+
+// sendBatch writes a batch and makes room in the window for as many commands.
+func (c *connection) sendBatch(b batch) error {
+	if len(b.out) > 0 {
+		err := c.send(b.out)
+		c.mu.Lock()
+		c.unsent -= len(b.out)
+		c.mu.Unlock()
+		c.f.unsent.Add(-int64(len(b.out)))
+		if err != nil {
+			return err
+		}
+		for range b.ready {
+			<-c.window
+		}
+	}
+	if b.stream == nil {
+		return nil
+	}
+	if err := c.relay(b.stream); err != nil {
+		return err
+	}
+	c.wakeWriter() // for what came due behind it
+	return nil
+}
