--- a/internal/front/resp/connection.go
+++ b/internal/front/resp/connection.go
@@ -88,6 +88,11 @@
 	close(done)
 	c.closeStreams()
 	<-c.written
+	c.release()
+}
+
+// release gives back what the connection holds, once its goroutines write nothing any more, and abandons the requests that are not answered.
+func (c *connection) release() {
 	c.mu.Lock()
 	var left []*core.Request
 	for _, s := range c.waiting {
--- a/internal/front/resp/front.go
+++ b/internal/front/resp/front.go
@@ -1,4 +1,11 @@
-// Package resp is the front for the platform's clients: commands in RESP2 in, answers out in their order, within bounds.
+// Package resp is the front for the platform's clients.
+//
+// In: connections of one listener, with pipelined commands in RESP2 (PING, Q.ASK, Q.DO). Out: a core.Request for each command that a backend
+// would take, and its answer on the connection, in the order of commands. Connections, bytes of unfinished commands, unanswered commands of a
+// connection and bytes of unread answers are bounded. It must never know how a request is decided or where it is sent.
+//
+// The listener takes a place for each connection; a connection has a reader and a writer, each a goroutine. Where all places are taken the
+// idlest connection is evicted; the reaper closes those that have been idle for too long. A drain lets the clients go.
 package resp
 
 import (
