--- a/internal/front/resp/client_test.go
+++ b/internal/front/resp/connection_test.go
@@ -25,10 +25,10 @@
 // What comes on a connection that is closing is dropped, however much: a reader that waited there for room
 // kept a shutdown from ending.
 func TestClosingConnectionTakesNothing(t *testing.T) {
-	c := newClient(nil, nil)
-	c.ended = true
+	c := newConnection(nil, nil)
+	c.phase = finished
 	for range mostPipelined + 1 {
-		if c.open(nil) != nil {
+		if c.addPending(nil) != nil {
 			t.Fatal("a command was taken")
 		}
 	}
@@ -49,7 +49,7 @@
 // commands a client may be silent.
 func TestOnlyPartialCommandsHaveALimit(t *testing.T) {
 	near, far := net.Pipe()
-	c := newClient(New(nil, nil, 1, 1<<20), &limits{Conn: near})
+	c := newConnection(New(nil, nil, 1, 1<<20), &limits{Conn: near})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -70,14 +70,14 @@
 func TestSlowReaderIsCutOff(t *testing.T) {
 	f := New(nil, nil, 2, 1000)
 	var ends [2]net.Conn
-	var clients [2]*client
+	var clients [2]*connection
 	for i := range ends {
 		near, far := net.Pipe()
-		ends[i], clients[i] = far, newClient(f, near)
-		f.clients[clients[i]] = true
+		ends[i], clients[i] = far, newConnection(f, near)
+		f.connections[clients[i]] = true
 	}
-	clients[0].open(nil).answer(make([]byte, 900))
-	clients[1].open(nil).answer(make([]byte, 200))
+	clients[0].addPending(nil).answer(make([]byte, 900))
+	clients[1].addPending(nil).answer(make([]byte, 200))
 	ends[1].SetWriteDeadline(time.Now()) // nobody reads it: a write waits for ever
 	if _, err := ends[0].Write([]byte("x")); !errors.Is(err, io.ErrClosedPipe) {
 		t.Fatalf("the slow reader's connection was kept: %v", err)
@@ -92,10 +92,10 @@
 	g := &fakeCore{}
 	f := New(nil, g, 1, 1<<20)
 	near, far := net.Pipe()
-	c := newClient(f, near)
-	f.slots <- struct{}{}
-	f.wg.Add(1)
-	first, second := c.open(&core.Request{}), c.open(nil)
+	c := newConnection(f, near)
+	f.places <- struct{}{}
+	f.serving.Add(1)
+	first, second := c.addPending(&core.Request{}), c.addPending(nil)
 	second.answer([]byte("+PONG\r\n"))
 	far.Close()
 	c.serve()
--- /dev/null
+++ b/internal/front/resp/front.go
@@ -0,0 +1,103 @@
+// Package resp is the front for the platform's clients.
+//
+// In: connections of one listener, with pipelined commands in RESP2 (PING, Q.ASK, Q.DO). Out: a core.Request for each command that a backend
+// would take, and its answer on the connection, in the order of commands. Connections, bytes of unfinished commands, unanswered commands of a
+// connection and bytes of unread answers are bounded. It must never know how a request is decided or where it is sent.
+//
+// The listener takes a place for each connection; a connection has a reader and a writer, each a goroutine. Where all places are taken the
+// idlest connection is evicted; the reaper closes those that have been idle for too long. A drain lets the clients go.
+package resp
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hitchspring/internal/core"
+	"hitchspring/internal/resp"
+	"hitchspring/logic"
+)
+
+// Core is what the front needs of the core.
+type Core interface {
+	Submit(*core.Request)
+	Abandon([]*core.Request)
+	Class(name string) (logic.Class, bool)
+	Plan(name string) bool
+	Gateways() int
+	MostUnits() float64
+	GiveUpAt(c logic.Class, at time.Time, d time.Duration) time.Duration
+}
+
+// Front accepts clients on one address. Its methods may be called from any goroutine. Locks are taken in the order reserving, mu, and the
+// mu of one connection.
+type Front struct {
+	ln            net.Listener
+	core          Core
+	requestMemory *resp.Budget // bytes of commands that are being read
+	mostUnsent    int64        // bytes of answers that clients have not read, all together
+	unsent        atomic.Int64
+
+	places      chan struct{} // one is taken by each connection, and by each place that is reserved
+	toReserve   atomic.Int64  // places that are to be left to another process
+	reserving   sync.Mutex    // of reserved
+	reserved    int           // those of them that no connection can take any more
+	mu          sync.Mutex
+	connections map[*connection]bool
+	serving     sync.WaitGroup // of connections
+
+	drainingSince atomic.Int64  // nanoseconds of Unix time; 0: the front is not draining
+	terminating   atomic.Bool   // draining, and the process is about to end
+	changed       chan struct{} // room for one: drainingSince or toReserve has changed
+
+	stop       context.CancelFunc
+	background sync.WaitGroup // of the goroutines that accept and that reap idle connections
+}
+
+// New returns a front on ln for at most so many connections, and so many bytes each of commands that come in and of
+// answers that are unread. It does not serve yet.
+func New(ln net.Listener, c Core, most, memory int) *Front {
+	return &Front{
+		ln:            ln,
+		core:          c,
+		requestMemory: resp.NewBudget(memory),
+		mostUnsent:    int64(memory),
+		places:        make(chan struct{}, most),
+		connections:   map[*connection]bool{},
+		changed:       make(chan struct{}, 1),
+	}
+}
+
+// Start serves until Drain.
+func (f *Front) Start() {
+	ctx, stop := context.WithCancel(context.Background())
+	f.stop = stop
+	f.background.Go(f.accept)
+	f.background.Go(func() { f.reapIdle(ctx) })
+}
+
+// SetMost changes how many connections there may be, up to what New was told; where there are more, the idlest are closed.
+func (f *Front) SetMost(n int) {
+	f.toReserve.Store(int64(max(0, cap(f.places)-n)))
+	f.notify()
+}
+
+// Most is how many connections there may be at the most, as New was told.
+func (f *Front) Most() int { return cap(f.places) }
+
+// Open is how many connections there are.
+func (f *Front) Open() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.connections)
+}
+
+// notify tells the goroutine that reaps idle connections that drainingSince or toReserve has changed; it never blocks.
+func (f *Front) notify() {
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/front/resp/listener.go
@@ -0,0 +1,38 @@
+package resp
+
+import (
+	"errors"
+	"net"
+	"time"
+)
+
+const acceptPause = 5 * time.Millisecond // after an accept that failed
+
+// accept takes connections until the listener closes.
+func (f *Front) accept() {
+	for {
+		f.acquirePlace()
+		nc, err := f.ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // out of descriptors, say: a pause, then on
+			<-f.places
+			time.Sleep(acceptPause)
+			continue
+		}
+		c := newConnection(f, nc)
+		f.mu.Lock()
+		f.connections[c] = true
+		f.serving.Add(1)
+		closing := f.terminating.Load()
+		f.mu.Unlock()
+		if closing {
+			c.close()
+		}
+		go c.serve()
+	}
+}
+
+// Close closes the listener: this process's use of it, where others have it too.
+func (f *Front) Close() { f.ln.Close() }
