--- a/internal/front/resp/ending.go
+++ b/internal/front/resp/ending.go
@@ -47,7 +47,7 @@
 	<-c.written
 	socket.CloseWrite(c.nc)
 	for until := time.Now().Add(lingerTime); time.Now().Before(until); time.Sleep(lingerLook) {
-		if _, gone := socket.Peek(c.nc); gone {
+		if _, gone := socket.Peek(c.nc); gone || socket.HungUp(c.nc) { // by the client, or by the end of a drain
 			return
 		}
 	}
--- a/internal/nodes/events.go
+++ b/internal/nodes/events.go
@@ -77,6 +77,9 @@
 		return
 	}
 	c.cur, c.answered = nil, true
+	if a.Command != nil {
+		c.node.answered(p.owner.Now() - a.handed)
+	}
 	if ev.extra || !a.fits(ev.Reply) {
 		c.node.second.saw(p.owner.Now())
 	}
--- a/internal/nodes/explore_test.go
+++ b/internal/nodes/explore_test.go
@@ -411,6 +411,7 @@
 	if n := o.p.nodes["s0"]; n != nil {
 		put(int(n.State), int(n.addr[len(n.addr)-1]), n.dialing, yes(n.waking), n.conns, len(n.waiting), len(n.idle),
 			yes(n.second.none(o.now)), yes(n.second.seen), yes(o.now < n.noGrowth), yes(n.connect > dialWorth))
+		put(int(n.answers / time.Millisecond))
 		for _, a := range n.waiting {
 			put(try(a))
 		}
--- a/internal/nodes/node.go
+++ b/internal/nodes/node.go
@@ -10,6 +10,8 @@
 const (
 	mostPerNode = 48                   // connections to one node
 	dialWorth   = 2 * time.Millisecond // a wait for a rested connection that is not worth a dial
+	dialShare   = 4                    // nor is one below such a part of the node's usual time for an answer: a handshake costs the node work
+	answerGain  = 0.125                // of one answer's time in the usual one
 	growPause   = time.Second          // without dials beyond need, after a dial that was refused or slower than a rest
 )
 
@@ -25,6 +27,7 @@
 	heard    time.Duration // last time that it answered or took a connection
 	waking   bool          // a timer serves those that wait once a connection has rested
 	connect  time.Duration // what the last connection took to come up; 0: not known
+	answers  time.Duration // its usual time for an answer; 0: not known
 	noGrowth time.Duration // until when no connection is dialled that only saves a rest
 	second   secondAnswers
 	spare    int           // the fewest rested connections that an attempt left idle since spareFrom; noTake: there was none
@@ -56,9 +59,21 @@
 	return count
 }
 
-// soon is how many idle connections will have rested before another could be dialled, or nearly so.
+// soon is how many idle connections will have rested before another could be dialled, or soon enough for a dial not to be worth its cost.
 func (n *node) soon(now time.Duration) int {
-	return n.rested(now + max(dialWorth, n.connect))
+	if n.answers == 0 {
+		return len(n.idle)
+	}
+	return n.rested(now + max(dialWorth, n.connect, n.answers/dialShare))
+}
+
+// answered takes in how long an answer took.
+func (n *node) answered(took time.Duration) {
+	if n.answers == 0 {
+		n.answers = took
+		return
+	}
+	n.answers += time.Duration(answerGain * float64(took-n.answers))
 }
 
 // connected takes in how long a connection took to come up. Where that is longer than a rest, dialling saves nothing.
