Simulator: what each cold node gets from all gateways, against its budget

Change: internal/slowstart, a pure package, slides the window over what came and gives the nearest to the limit, with who was told of the start. internal/sim keeps an account for each cold start, by the mean work of the class and by the drawn work, and gets bursts, returns of one node, joins and heavier work.

Shown: gateways that are each told that they are alone are seen by the account (TestColdAccountSeesWholeSpaces).

--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -53,6 +53,7 @@
 func (w *world) boot(n *node) {
 	n.gone, n.State, n.Started = false, logic.Running, epoch+w.now
 	n.sent = nil
+	w.begin(n)
 }
 
 // Replace drains nodes and starts new ones in their place, spread over a time.
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -4,6 +4,7 @@
 package sim
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -29,6 +30,9 @@
 	// Shares has channels ask by their quotas, as on a quiet day: seven in ten for a third of the rate, some for all of it, 15% for three
 	// times as much. Rate counts for nothing then.
 	Shares bool
+	Work   float64 // times the usual work of a request; 0: once
+	// toldGateways is how many gateways each is told that there are; 0: the truth. It plants a defect for tests of the books.
+	toldGateways int
 }
 
 // Fault is something that happens at a time; the constructors below make them.
@@ -50,6 +54,7 @@
 	Over          float64 // the most that a channel with a ceiling went over it, units
 	Inside        float64 // worth that one gateway would have let in that saw all first tries
 	Beyond        float64 // what tries cost that were sent on beyond the rate or the cap of their channel's quota, of all gateways together
+	Cold          []ColdStart
 }
 
 const (
@@ -76,6 +81,7 @@
 	queue         []*attempt
 	running       int
 	sent          []work // of the last second, while cold
+	cold          *coldStart
 	boots         int
 }
 
@@ -92,6 +98,7 @@
 	up    bool
 	late  time.Duration
 	told  map[logic.ServerID]time.Duration // when it heard that a node drains or is gone
+	knows map[logic.ServerID]time.Duration // the start of each node that it has heard of
 }
 
 type request struct {
@@ -153,6 +160,8 @@
 	requests map[logic.RequestID]*request
 	lastID   logic.RequestID
 	rep      Report
+	burst    float64 // times the usual arrivals
+	colds    []*coldStart
 }
 
 type channel struct {
@@ -220,7 +229,10 @@
 		return nil, fmt.Errorf("sim: %d gateways, %d nodes, %d channels, rate %v, length %v: each is wanted, three nodes at least",
 			f.Gateways, f.Nodes, f.Channels, f.Rate, f.Length)
 	}
-	w := &world{Fleet: f, rng: rand.New(rand.NewPCG(f.Seed, 1)), totals: map[string]float64{}, requests: map[logic.RequestID]*request{}}
+	if !(f.Work >= 0) {
+		return nil, fmt.Errorf("sim: work %v is below 0", f.Work)
+	}
+	w := &world{Fleet: f, rng: rand.New(rand.NewPCG(f.Seed, 1)), totals: map[string]float64{}, requests: map[logic.RequestID]*request{}, burst: 1}
 	for i := range f.Nodes {
 		n := &node{Server: logic.Server{ID: logic.ServerID(fmt.Sprintf("n-%08x", uint32(i*2654435761))), Zone: string(rune('a' + i%3)),
 			Cell: i / 4, State: logic.Running}, cores: 2, speed: 0.95, crawl: 1}
@@ -261,7 +273,7 @@
 		w.now = e.at
 		e.do()
 	}
-	return &w.rep, nil
+	return &w.rep, w.close()
 }
 
 func (w *world) at(t time.Duration, do func()) {
@@ -273,19 +285,21 @@
 
 // start gives a gateway a new module, which knows the nodes as they are at that moment.
 func (w *world) start(g *gateway) error {
-	mod, err := logic.New(logic.Settings{Me: g.me, Gateways: w.Gateways, Zone: string(rune('a' + g.me%3)), Classes: classes(), Plans: plans(),
+	gateways := cmp.Or(w.toldGateways, w.Gateways)
+	mod, err := logic.New(logic.Settings{Me: g.me % gateways, Gateways: gateways, Zone: string(rune('a' + g.me%3)), Classes: classes(), Plans: plans(),
 		MaxUnits: 3, MaxAttempts: 4, MaxRetryAfter: 500 * time.Millisecond, MayCancel: true, SecondCopies: true, Counter: true,
 		CounterTimeout: callTime, ColdShare: coldFrom, WarmAfter: warmTime, FallMultiple: fallOver, FallSpan: time.Second, DrainGrace: grace,
 		CrossZonePrice: 0.01}, w.Seed*1000+uint64(g.me)+uint64(g.boots)<<32)
 	if err != nil {
 		return fmt.Errorf("sim: %w", err)
 	}
-	g.mod, g.up, g.told = mod, true, map[logic.ServerID]time.Duration{}
+	g.mod, g.up, g.told, g.knows = mod, true, map[logic.ServerID]time.Duration{}, map[logic.ServerID]time.Duration{}
 	g.boots++
 	ev := logic.FleetChanged{Whole: true}
 	for _, n := range w.nodes {
 		if n.State == logic.Running {
 			ev.Servers = append(ev.Servers, n.Server)
+			g.knows[n.ID] = n.Started
 		}
 	}
 	w.tell(g, ev)
@@ -357,10 +371,10 @@
 	if w.now > w.Length {
 		return
 	}
-	w.after(time.Duration(w.rng.ExpFloat64()/w.Rate*float64(time.Second)), func() {
+	w.after(time.Duration(w.rng.ExpFloat64()/(w.Rate*w.burst)*float64(time.Second)), func() {
 		c := w.draw()
 		cls := classes()[0]
-		if w.rng.Float64() < 0.2 {
+		if w.rng.Float64() < publishShare {
 			cls = classes()[1]
 		}
 		g := w.gateways[(c.first+w.rng.IntN(c.spread))%w.Gateways]
@@ -468,15 +482,30 @@
 	if at, ok := g.told[s.Server]; ok && w.now > at+grace {
 		w.rep.Drained++
 	}
-	mean := 0.08
-	if r.class.Name == "publish" {
-		mean = 0.25
-	}
-	a.work = w.rng.ExpFloat64() * mean
+	a.work = w.rng.ExpFloat64() * w.workOf(r.class)
 	w.after(way, func() { w.come(a) })
 	w.later(g, r.GiveUpAt-epoch-w.now, func() logic.Event { w.end(a, logic.TimedOut); return nil })
 }
 
+// Seconds of work of the classes, and of a request of the usual mix.
+const (
+	readWork     = 0.08
+	publishWork  = 0.25
+	publishShare = 0.2
+	meanWork     = (1-publishShare)*readWork + publishShare*publishWork
+)
+
+// workOf is the mean work of a class.
+func (w *world) workOf(c logic.Class) float64 {
+	if c.Name == "publish" {
+		return publishWork * w.work()
+	}
+	return readWork * w.work()
+}
+
+// work is by how much requests are heavier than usual.
+func (w *world) work() float64 { return cmp.Or(w.Work, 1) }
+
 // come is an attempt at its node.
 func (w *world) come(a *attempt) {
 	n := a.node
@@ -490,6 +519,9 @@
 	case n.silent:
 		return
 	}
+	if w.warmth(n) < 1 {
+		n.cold.enter(w.now, a, w.workOf(a.r.class))
+	}
 	w.judge(a)
 	if len(n.queue) >= queueCap {
 		w.after(way, func() { w.end(a, logic.Full) })
@@ -590,6 +622,7 @@
 	for _, g := range w.gateways {
 		w.later(g, w.ListLate+g.late+time.Duration(w.rng.Float64()*float64(300*time.Millisecond)), func() logic.Event {
 			for _, s := range ev.Servers {
+				g.knows[s.ID] = s.Started
 				if delete(g.told, s.ID); s.State != logic.Running {
 					g.told[s.ID] = w.now
 				}
