Of many gateways no time before a cold start counts towards its sends

Cause: coldTokens (logic/thin.go) saved up from its last call, which was while a server was last cold, or never: dt reached back before the cold start, so that each of over 20 gateways had a whole send at first sight, and one that was saved from an earlier cold start was kept as well. All sent at once to a node that had just returned.

Change: a change of the fleet settles what was saved by the servers that were cold until then; where none was, each gateway draws its part anew with the next that is cold.

This one draws only for a cold start.

20 gateways with heavier requests still pass the limit, see docs/design/slow-start.md.

--- a/logic/halls.go
+++ b/logic/halls.go
@@ -55,8 +55,7 @@
 	if h == nil || h.Rate <= 0 {
 		return h == nil || h.Rate < 0
 	}
-	h.credit = min(h.credit+h.Rate*(now-h.at).Seconds(), max(leastCredit, h.Rate*creditFor))
-	h.at = now
+	h.credit, h.at = min(h.credit+h.Rate*(now-h.at).Seconds(), max(leastCredit, h.Rate*creditFor)), now
 	return h.credit >= 1
 }
 
--- a/logic/queue.go
+++ b/logic/queue.go
@@ -122,7 +122,6 @@
 		trips := min(1+(g.now-g.round).Seconds()/max(g.lag, g.sweep.Seconds()), mostTrips)
 		g.window = max(g.window*math.Pow(narrowBy, trips), leastWindow, fleet/float64(g.set.Gateways))
 	}
-	g.lately, g.good, g.bad, g.hit = g.bad, 0, 0, 0
-	g.roundNo++
+	g.roundNo, g.lately, g.good, g.bad, g.hit = g.roundNo+1, g.bad, 0, 0, 0
 	g.round = g.now + max(time.Duration(g.lag*float64(time.Second)), 2*g.sweep)
 }
--- a/logic/quota.go
+++ b/logic/quota.go
@@ -60,8 +60,7 @@
 // refresh brings demand, and the block while the counter is silent, up to now.
 func (g *Gateway) refresh(c *customer) {
 	dt := (g.now - c.refreshed).Seconds()
-	c.refreshed = g.now
-	c.demand *= math.Exp(-dt)
+	c.refreshed, c.demand = g.now, c.demand*math.Exp(-dt)
 	if c.silent { // no totals come: live on the fair share of the rate, and reckon that the others do
 		part, most := c.plan.Rate/c.ways*dt, max(c.plan.Burst/c.ways, g.set.MaxUnits, 1)
 		c.borrow(min(part, max(0, most-c.block)))
@@ -71,9 +70,7 @@
 
 // borrow moves units from the store's picture to the block; the counter is told at the next call.
 func (c *customer) borrow(units float64) {
-	c.block += units
-	c.owed += units
-	c.level -= units
+	c.block, c.owed, c.level = c.block+units, c.owed+units, c.level-units
 }
 
 // room is the level by now.
--- a/logic/servers.go
+++ b/logic/servers.go
@@ -98,8 +98,7 @@
 		g.lag += 0.05 * (clipped - g.lag)
 		s.fails, s.banned = 0, 0
 		delete(g.dark, s.Zone)
-		g.flow = 1 + g.flow*math.Exp(-(g.now-g.flowAt).Seconds())
-		g.flowAt = g.now
+		g.flow, g.flowAt = 1+g.flow*math.Exp(-(g.now-g.flowAt).Seconds()), g.now
 	} else {
 		s.fails++
 		g.darken(s, o)
@@ -109,8 +108,7 @@
 	}
 	left := g.memory(s)
 	s.slow = 1 + (s.slow-1)*left
-	s.slow += (1 - (1-slowGain)*left) * (seen - s.slow)
-	s.slowAt = g.now
+	s.slow, s.slowAt = s.slow+(1-(1-slowGain)*left)*(seen-s.slow), g.now
 }
 
 func (g *Gateway) fleetChanged(ev FleetChanged) {
@@ -119,6 +117,9 @@
 		return
 	}
 	first := len(g.fleet) == 0
+	if g.thin {
+		g.coldTokens()
+	}
 	if ev.Whole {
 		for _, s := range g.fleet {
 			s.State = Gone
--- a/logic/thin.go
+++ b/logic/thin.go
@@ -74,8 +74,7 @@
 // all gateways together may send to it, divided by their number. A space kept for each server would be longer
 // than the time that it is cold.
 func (g *Gateway) coldTokens() float64 {
-	dt := (g.now - g.coldAt).Seconds()
-	if dt <= 0 {
+	if g.coldAt == g.now {
 		return g.cold
 	}
 	rate := 0.0
@@ -84,8 +83,13 @@
 			rate += math.Pow(w, coldPower)
 		}
 	}
+	if rate == 0 {
+		g.cold = -1
+	} else if g.cold < 0 { // the first after none: each gateway begins at a part of a send of its own
+		g.cold = g.rng.Float64()
+	}
 	rate *= coldThin * max(g.eachAnswers(), startPerHost/float64(g.set.Gateways))
-	g.cold, g.coldAt = min(1+rate*0.1, g.cold+rate*dt), g.now
+	g.cold, g.coldAt = min(1+rate*0.1, g.cold+rate*(g.now-g.coldAt).Seconds()), g.now
 	return g.cold
 }
 
