--- a/internal/sim/cold_budget_test.go
+++ b/internal/sim/cold_budget_test.go
@@ -27,15 +27,15 @@
 func withinBudget(t *testing.T, day coldDay, gateways int, times, work float64) {
 	t.Helper()
 	var worst coldWorst
-	for seed := range coldSeeds() {
-		r, err := Play(coldFleet(gateways, seed+1, day, times, work))
+	for _, seed := range coldSeeds() {
+		r, err := Play(coldFleet(gateways, seed, day, times, work))
 		if err != nil {
 			t.Fatal(err)
 		}
 		worst.add(r)
 		for _, c := range r.Cold {
 			if c.Mean.Falls() {
-				t.Errorf("seed %d: node %s got %v", seed+1, c.Node, c.Mean)
+				t.Errorf("seed %d: node %s got %v", seed, c.Node, c.Mean)
 			}
 		}
 	}
--- a/internal/sim/cold_test.go
+++ b/internal/sim/cold_test.go
@@ -80,12 +80,17 @@
 // coldSizes are the gateways that cold starts are played with.
 var coldSizes = []int{3, 20, 30, 80}
 
-// coldSeeds is how many seeds each case is played with.
-func coldSeeds() uint64 {
-	if os.Getenv("HITCHSPRING_TRIALS") != "" {
-		return 20
+// coldSeeds are the seeds that each case is played with. Of the short list each has shown a module that sends too much: 1 at 80
+// gateways, 2 at 30, 17 at 20.
+func coldSeeds() []uint64 {
+	if os.Getenv("HITCHSPRING_TRIALS") == "" {
+		return []uint64{1, 2, 17}
 	}
-	return 3
+	var all []uint64
+	for seed := range uint64(20) {
+		all = append(all, seed+1)
+	}
+	return all
 }
 
 // Gateways that each take the whole of a cold node's space are seen: the defect that the account is for.
