--- a/logic/thin.go
+++ b/logic/thin.go
@@ -17,7 +17,7 @@
 	lookKept    = 30 * time.Second // what a total has shown of a customer's use is good for so long
 	fewGateways = 20               // more than so many: each sees little of any customer and any server
 	coldPower   = 1.4              // of warmth: a small server is sooner pushed over by chance
-	coldThin    = 1.2              // the same as coldRate, where many gateways send each a little
+	coldThin    = 1.6              // the same as coldRate, where many gateways send each a little
 	widenPart   = 16.0             // a part of the fleet's window that widens by one in a round trip
 	subset      = 12               // servers at least that one of many gateways prefers
 	strange     = 1.5              // factor on the others
@@ -74,8 +74,7 @@
 // all gateways together may send to it, divided by their number. A space kept for each server would be longer
 // than the time that it is cold.
 func (g *Gateway) coldTokens() float64 {
-	dt := (g.now - g.coldAt).Seconds()
-	if dt <= 0 {
+	if g.coldAt == g.now {
 		return g.cold
 	}
 	rate := 0.0
@@ -84,8 +83,13 @@
 			rate += math.Pow(w, coldPower)
 		}
 	}
+	if rate == 0 {
+		g.cold = -1
+	} else if g.cold < 0 { // the first after none: each gateway begins at a part of a send of its own
+		g.cold = g.rng.Float64()
+	}
 	rate *= coldThin * max(g.eachAnswers(), startPerHost/float64(g.set.Gateways))
-	g.cold, g.coldAt = min(1+rate*0.1, g.cold+rate*dt), g.now
+	g.cold, g.coldAt = min(1+rate*0.1, g.cold+rate*(g.now-g.coldAt).Seconds()), g.now
 	return g.cold
 }
 
