--- a/logic/thin.go
+++ b/logic/thin.go
@@ -17,7 +17,7 @@
 	lookKept    = 30 * time.Second // what a total has shown of a customer's use is good for so long
 	fewGateways = 20               // more than so many: each sees little of any customer and any server
 	coldPower   = 1.4              // of warmth: a small server is sooner pushed over by chance
-	coldThin    = 1.6              // the same as coldRate, where many gateways send each a little
+	coldThin    = 1.2              // the same as coldRate, where many gateways send each a little
 	widenPart   = 16.0             // a part of the fleet's window that widens by one in a round trip
 	subset      = 12               // servers at least that one of many gateways prefers
 	strange     = 1.5              // factor on the others
