--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -40,6 +40,7 @@
 	log       *slog.Logger
 	chance    func() float64 // in [0, 1)
 	known     bool           // a list came, with the configuration or since
+	waited    bool           // the last watch was not answered in time
 }
 
 // New returns a watcher of discovery at an address, which holds the list of a revision already. It posts every further list
@@ -99,6 +100,7 @@
 			return
 		}
 		d.listed()
+		d.waited = errors.Is(err, errUnanswered)
 		wait := pace.wait(resultOf(heard, err, time.Since(began)), d.chance())
 		d.log.Warn("discovery: the watch ended", "err", err, "again_after", wait)
 		pause(ctx, wait)
@@ -145,10 +147,14 @@
 	return result{ending: unreached, took: took}
 }
 
-// timeout is how long a call may stay without an answer.
+// timeout is how long a call may stay without an answer. Of discovery itself a call that follows an unanswered one may take as long as
+// calls are apart: else nothing would ever be heard from one that is a little slower than callTimeout.
 func (d *Watcher) timeout() time.Duration {
-	if d.instances == 1 {
+	switch {
+	case d.instances == 1:
 		return agentTimeout
+	case d.waited:
+		return longestGap
 	}
 	return callTimeout
 }
