--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -32,7 +32,7 @@
 	graceOpen = 600 * time.Millisecond // after SIGTERM: new connections go on being served
 	graceTake = 700 * time.Millisecond // after SIGTERM: what has been taken by then is owed its whole time, and the platform leaves that
 	graceMost = 3 * time.Second        // of a request's time
-	graceEnd  = 100 * time.Millisecond // before the platform's SIGKILL: all is answered; half of it for the answers to leave
+	graceEnd  = 100 * time.Millisecond // before the platform's SIGKILL all has ended, and so long before that all is answered: answers take time to leave
 	spare     = 32                     // descriptors for the counter, discovery, the listener and the runtime
 
 	drillsEvery = 500 * time.Millisecond // the file of drills is read again
@@ -257,7 +257,7 @@
 		g.auth.Unready()
 	}
 	time.Sleep(graceOpen)
-	last := time.AfterFunc(all-graceOpen-graceEnd/2, g.core.EndAll)
+	last := time.AfterFunc(all-graceOpen-graceEnd, g.core.EndAll)
 	defer last.Stop()
 	gatesDone := make(chan struct{})
 	go func() {
