--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -31,6 +31,7 @@
 	Experiment experimentCmd             `cmd:"" help:"Cross builds, days and seeds by a file; results as JSON lines and a page."`
 	Halls      hallsCmd                  `cmd:"" help:"Lose halls and regain them, with [halls] off and on: figures and pictures."`
 	Trial      trialCmd                  `cmd:"" help:"Many processes under faults between them, with a part of the program off and on."`
+	Overlap    overlapCmd                `cmd:"" help:"Many processes under troubles that overlap, drawn by a seed; every promise judged."`
 	Compare    compareCmd                `cmd:"" help:"CPU, memory and service of this ingress against another commit's."`
 	Cost       costCmd                   `cmd:"" help:"What a request waits and costs: builds and a bare proxy side by side."`
 	CostProxy  costProxyCmd              `cmd:"" hidden:"" help:"The bare proxy of 'cost', until a signal."`
--- /dev/null
+++ b/cmd/lab/overlap.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"hitchspring/internal/lab"
+	"hitchspring/internal/lab/overlap"
+)
+
+// mostShown is how many breaks of one rule are told in full.
+const mostShown = 3
+
+type overlapCmd struct {
+	Seed      uint64        `help:"The first." default:"1"`
+	Seeds     int           `help:"How many." default:"1"`
+	Instances int           `help:"Processes, up to 30." default:"24"`
+	For       time.Duration `help:"Length of the load, up to 5m." default:"20s"`
+	Ingress   string        `help:"Another build of the ingress; empty: it is built from this source." type:"path" placeholder:"PROGRAM"`
+	Race      bool          `help:"Build the ingress with the race detector."`
+	Logs      string        `help:"Folder for what the ingresses log, one for each seed in it; empty: it is not kept." type:"path" placeholder:"DIR"`
+}
+
+// run plays one run for each seed and prints a line each, and what is known of each break.
+func (c *overlapCmd) run(ctx context.Context, out io.Writer) (int, error) {
+	program := c.Ingress
+	if program == "" {
+		dir, err := os.MkdirTemp("", "lab-overlap-")
+		if err != nil {
+			return failed, err
+		}
+		defer os.RemoveAll(dir)
+		program = filepath.Join(dir, "hitchspring")
+		if err := lab.Build(ctx, program, c.Race, ""); err != nil {
+			return failed, err
+		}
+	}
+	broken, doubtful := 0, 0
+	for i := range c.Seeds {
+		cfg := overlap.Config{Program: program, Seed: c.Seed + uint64(i), Instances: c.Instances, Length: c.For}
+		if c.Logs != "" {
+			cfg.Logs = filepath.Join(c.Logs, fmt.Sprint(cfg.Seed))
+		}
+		report, err := overlap.Run(ctx, cfg)
+		if err != nil {
+			return failed, fmt.Errorf("seed %d: %w", cfg.Seed, err)
+		}
+		fmt.Fprintln(out, report.Line())
+		io.WriteString(out, report.Text(mostShown))
+		switch {
+		case report.Certain() > 0:
+			broken++
+		case len(report.Findings) > 0:
+			doubtful++
+		}
+	}
+	fmt.Fprintf(out, "%d runs: %d with a broken promise, %d with breaks that late observers may explain\n", c.Seeds, broken, doubtful)
+	switch {
+	case broken > 0:
+		return lab.Broken, nil
+	case doubtful > 0:
+		return lab.Unjudged, nil
+	}
+	return lab.Clean, nil
+}
--- /dev/null
+++ b/internal/lab/lateness/lateness.go
@@ -0,0 +1,72 @@
+// Package lateness measures how late this process itself is run: what its observers record can be no better than that. In: a
+// clock. Out: the spans in which a goroutine that wanted to run did not. It knows no ingress and no rule.
+package lateness
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"hitchspring/internal/audit"
+)
+
+const (
+	wakeEvery = 2 * time.Millisecond
+	keptFrom  = 20 * time.Millisecond // of lateness
+	mostKept  = 1000
+)
+
+// Meter records lateness until Close.
+type Meter struct {
+	clock func() time.Duration
+	stop  chan struct{}
+	wg    sync.WaitGroup
+
+	mu    sync.Mutex
+	spans []audit.Late
+}
+
+// Start begins to measure by a clock.
+func Start(clock func() time.Duration) *Meter {
+	m := &Meter{clock: clock, stop: make(chan struct{})}
+	m.wg.Go(m.run)
+	return m
+}
+
+func (m *Meter) run() {
+	ticker := time.NewTicker(wakeEvery)
+	defer ticker.Stop()
+	for last := m.clock(); ; {
+		select {
+		case <-m.stop:
+			return
+		case <-ticker.C:
+		}
+		now := m.clock()
+		if by := now - last - wakeEvery; by > keptFrom {
+			m.add(audit.Late{At: now - by, By: by})
+		}
+		last = now
+	}
+}
+
+func (m *Meter) add(span audit.Late) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.spans) < mostKept {
+		m.spans = append(m.spans, span)
+	}
+}
+
+// Late is what has been recorded so far.
+func (m *Meter) Late() []audit.Late {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.spans)
+}
+
+// Close ends the measurement.
+func (m *Meter) Close() {
+	close(m.stop)
+	m.wg.Wait()
+}
--- /dev/null
+++ b/internal/lab/overlap/client.go
@@ -0,0 +1,397 @@
+package overlap
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"hitchspring/internal/audit"
+)
+
+const (
+	lateBy      = 500 * time.Millisecond // beyond a request's time, up to which its answer only earns nothing
+	answerWait  = lateBy + 350*time.Millisecond
+	badClient   = 3 * time.Second // within which a client that misbehaves is owed an error or the end of its connection
+	frontNotice = 300 * time.Millisecond
+	ratePerSec  = 12.0 // first requests a second at each instance
+)
+
+// asked is one request as its client saw it.
+type asked struct {
+	id, class string
+	kind      string // of the client
+	in        *instance
+	sent      time.Duration
+	wait      time.Duration // that it said it waits
+	owed      time.Duration // after sent: by when the answer is, where it counts from the answer before it on the connection
+	answers   []audit.Answer
+	value     string
+	fresh     bool          // the first on its connection
+	noConnect bool          // its connection was not taken
+	ended     time.Duration // when its connection ended without an answer; 0: it has not
+	left      time.Duration // when the client had closed its connection; 0: it stayed
+	waited    time.Duration // until when the client waited without an answer; 0: it has one, or none is owed
+}
+
+// channel is a customer with its plan and set of instances.
+type channel struct {
+	id            uint64
+	plan          string
+	spread, first int
+}
+
+// channels are the customers that come through an instance: the last is shared by neighbours and presses against its ceiling.
+func (r *run) channels(n int) []channel {
+	var out []channel
+	for k := range 6 {
+		out = append(out, channel{id: uint64(1000 + n*10 + k), plan: "small", spread: min(1+k%3, r.cfg.Instances), first: n})
+	}
+	spread := min(3, r.cfg.Instances)
+	return append(out, channel{id: uint64(900000 + n/spread), plan: "large", spread: spread, first: n / spread * spread % r.cfg.Instances})
+}
+
+// request is a request that is about to be sent.
+type request struct {
+	asked
+	text string
+}
+
+// newRequest words a request of a class for a customer.
+func (r *run) newRequest(kind string, in *instance, rng *rand.Rand) request {
+	c := r.deployment.draw(rng)
+	list := r.channels(in.n)
+	ch := list[len(list)-1]
+	if rng.Float64() < 0.6 {
+		ch = list[rng.IntN(len(list)-1)]
+	}
+	id := fmt.Sprintf("%016x", r.lastID.Add(1))
+	wait := time.Duration(float64(c.deadline) * (0.5 + 0.5*rng.Float64())).Truncate(time.Millisecond)
+	fields := fmt.Sprintf("c=%s,t=%s,d=%d,units=%d,spread=%d,first=%d", c.name, ch.plan, wait.Milliseconds(), c.units, ch.spread, ch.first)
+	name := "Q.DO"
+	switch c.effect {
+	case safe:
+		name = "Q.ASK"
+	case keyed:
+		fields += ",k=" + id
+	}
+	text := command(name, fmt.Sprintf("%016x", ch.id), id, fields)
+	return request{asked: asked{id: id, class: c.name, kind: kind, in: in, wait: wait}, text: text}
+}
+
+// command is a command of RESP2.
+func command(words ...string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "*%d\r\n", len(words))
+	for _, w := range words {
+		fmt.Fprintf(&b, "$%d\r\n%s\r\n", len(w), w)
+	}
+	return b.String()
+}
+
+// conn is a client's connection.
+type conn struct {
+	net.Conn
+	in   *bufio.Reader
+	used bool
+	rest time.Time // since when nothing is open on it
+}
+
+func (in *instance) dial() (*conn, error) {
+	nc, err := net.DialTimeout("tcp", in.addr, 500*time.Millisecond)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: nc, in: bufio.NewReader(nc)}, nil
+}
+
+// errEnded is the end of a connection before a byte of the answer.
+var errEnded = errors.New("the connection has ended")
+
+// answer reads one answer.
+func (c *conn) answer(until time.Time) (kind, value string, err error) {
+	c.SetReadDeadline(until)
+	line, err := c.in.ReadString('\n')
+	if err != nil {
+		var ne net.Error
+		if line == "" && !(errors.As(err, &ne) && ne.Timeout()) {
+			return "", "", errEnded
+		}
+		return "", "", err
+	}
+	line = strings.TrimRight(line, "\r\n")
+	switch {
+	case strings.HasPrefix(line, "$") && line != "$-1":
+		n, err := strconv.Atoi(line[1:])
+		if err != nil || n < 0 || n > 1<<16 {
+			return "", "", fmt.Errorf("an answer of length %q", line[1:])
+		}
+		b := make([]byte, n+2)
+		if _, err := io.ReadFull(c.in, b); err != nil {
+			return "", "", err
+		}
+		return "served", string(b[:n]), nil
+	case strings.HasPrefix(line, "-BUSY"):
+		return "refused", "", nil
+	}
+	return "failed", line, nil
+}
+
+// note records a request as it went.
+func (r *run) note(a asked) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asked = append(r.asked, a)
+}
+
+// reads awaits the answer of a request that was sent on a connection; before is when the answer ahead of it came.
+func (r *run) reads(c *conn, a *asked, before time.Duration) error {
+	a.owed = max(a.wait, before-a.sent)
+	until := time.Now().Add(a.sent + a.owed + answerWait - r.clock())
+	kind, value, err := c.answer(until)
+	now := r.clock()
+	switch {
+	case err == nil:
+		a.answers = append(a.answers, audit.Answer{At: now, Kind: kind})
+		a.value = value
+	case errors.Is(err, errEnded):
+		a.ended = now
+	default:
+		a.waited = now
+	}
+	return err
+}
+
+// once sends one request on a connection and reads its answer. Where a connection that was used before ends under it and the request
+// was not forwarded, it is sent once more on a new one, as the protocol has it.
+func (r *run) once(c *conn, q request) (*conn, bool) {
+	a := q.asked
+	for {
+		if c == nil {
+			var err error
+			if c, err = a.in.dial(); err != nil {
+				a.sent, a.noConnect = r.clock(), true
+				r.note(a)
+				return nil, false
+			}
+		}
+		a.sent, a.fresh, a.ended = r.clock(), !c.used, 0
+		_, err := io.WriteString(c, q.text)
+		if err == nil {
+			err = r.reads(c, &a, 0)
+		} else {
+			a.ended = r.clock()
+		}
+		if err == nil {
+			c.used, c.rest = true, time.Now()
+			r.note(a)
+			return c, true
+		}
+		c.Close()
+		c = nil
+		if a.ended > 0 && !a.fresh && !r.forwarded(a.id) {
+			continue
+		}
+		r.note(a)
+		return nil, false
+	}
+}
+
+// forwarded reports whether a request has come to a backend.
+func (r *run) forwarded(id string) bool {
+	time.Sleep(20 * time.Millisecond) // the backend's record may be on its way
+	for _, rec := range r.fleet.Records(0) {
+		if rec.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// open reports whether the front before the instances still sends new connections to one.
+func (in *instance) open() bool { return in.leavingFor(in.run.clock()) <= frontNotice }
+
+// steady sends requests at a rate, each on a connection that rests or a new one.
+func (r *run) steady(ctx context.Context, in *instance, rng *rand.Rand) {
+	var mu sync.Mutex
+	var idle []*conn
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for sleep(ctx, time.Duration(rng.ExpFloat64()/ratePerSec*float64(time.Second))) {
+		mu.Lock()
+		var c *conn
+		if len(idle) > 0 { // any of them, so that some get old
+			i := rng.IntN(len(idle))
+			c = idle[i]
+			idle = append(idle[:i], idle[i+1:]...)
+		}
+		mu.Unlock()
+		if c == nil && !in.open() {
+			continue
+		}
+		q := r.newRequest("steady", in, rng)
+		wg.Go(func() {
+			if c, ok := r.once(c, q); ok {
+				mu.Lock()
+				idle = append(idle, c)
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
+// resting sends a request on a connection that has rested for nearly as long as the instance lets it, or until the instance ends it.
+func (r *run) resting(ctx context.Context, in *instance, rng *rand.Rand) {
+	var c *conn
+	for {
+		if c == nil && !in.open() {
+			if !sleep(ctx, 100*time.Millisecond) {
+				return
+			}
+			continue
+		}
+		c, _ = r.once(c, r.newRequest("resting", in, rng))
+		if !sleep(ctx, 1950*time.Millisecond+time.Duration(rng.Int64N(int64(450*time.Millisecond)))) {
+			if c != nil {
+				c.Close()
+			}
+			return
+		}
+	}
+}
+
+// pipelining sends many commands at once on one connection, and reads the answers in their order.
+func (r *run) pipelining(ctx context.Context, in *instance, rng *rand.Rand) {
+	for sleep(ctx, time.Duration(500+rng.IntN(2500))*time.Millisecond) {
+		if !in.open() {
+			continue
+		}
+		c, err := in.dial()
+		if err != nil {
+			continue
+		}
+		list := make([]request, 2+rng.IntN(120))
+		var text strings.Builder
+		for i := range list {
+			list[i] = r.newRequest("pipelining", in, rng)
+			if rng.IntN(12) == 0 {
+				text.WriteString(command("NONSENSE", "x"))
+			}
+			text.WriteString(list[i].text)
+		}
+		sent := r.clock()
+		_, err = io.WriteString(c, text.String())
+		before := time.Duration(0)
+		for i := range list {
+			a := &list[i].asked
+			a.sent, a.fresh = sent, true
+			for err == nil {
+				if err = r.reads(c, a, before); err == nil && a.value != "" && strings.Contains(a.value, "unknown command") { // the nonsense's
+					a.answers, a.value = nil, ""
+					continue
+				}
+				break
+			}
+			if err != nil && a.ended == 0 && a.waited == 0 {
+				a.ended = r.clock()
+			}
+			before = r.clock()
+			r.note(*a)
+		}
+		c.Close()
+	}
+}
+
+// leaving sends some requests and closes the connection, without or with a reset.
+func (r *run) leaving(ctx context.Context, in *instance, rng *rand.Rand) {
+	for sleep(ctx, time.Duration(100+rng.IntN(600))*time.Millisecond) {
+		if !in.open() {
+			continue
+		}
+		c, err := in.dial()
+		if err != nil {
+			continue
+		}
+		list := make([]request, 1+rng.IntN(12))
+		var text strings.Builder
+		for i := range list {
+			list[i] = r.newRequest("leaving", in, rng)
+			text.WriteString(list[i].text)
+		}
+		sent := r.clock()
+		io.WriteString(c, text.String())
+		sleep(ctx, time.Duration(rng.IntN(80))*time.Millisecond)
+		if rng.IntN(2) == 0 {
+			c.Conn.(*net.TCPConn).SetLinger(0)
+		}
+		c.Close()
+		left := r.clock()
+		for _, q := range list {
+			q.sent, q.left, q.fresh = sent, left, true
+			r.note(q.asked)
+		}
+	}
+}
+
+// slow sends a request in pieces.
+func (r *run) slow(ctx context.Context, in *instance, rng *rand.Rand) {
+	for sleep(ctx, time.Duration(300+rng.IntN(1500))*time.Millisecond) {
+		if !in.open() {
+			continue
+		}
+		c, err := in.dial()
+		if err != nil {
+			continue
+		}
+		q := r.newRequest("slow", in, rng)
+		a, rest := q.asked, q.text
+		a.fresh = true
+		for len(rest) > 0 && err == nil {
+			n := min(len(rest), 1+rng.IntN(40))
+			_, err = io.WriteString(c, rest[:n])
+			if rest = rest[n:]; len(rest) > 0 {
+				sleep(ctx, time.Duration(rng.IntN(250))*time.Millisecond)
+			}
+		}
+		a.sent = r.clock()
+		if err == nil {
+			r.reads(c, &a, 0)
+			r.note(a)
+		}
+		c.Close()
+	}
+}
+
+// stalling sends a part of a command and stays; it is owed an error or the end of its connection.
+func (r *run) stalling(ctx context.Context, in *instance, rng *rand.Rand) {
+	for sleep(ctx, time.Duration(300+rng.IntN(2000))*time.Millisecond) {
+		if !in.open() {
+			continue
+		}
+		c, err := in.dial()
+		if err != nil {
+			continue
+		}
+		text := r.newRequest("stalling", in, rng).text
+		io.WriteString(c, text[:1+rng.IntN(len(text)-1)])
+		began := r.clock()
+		c.SetReadDeadline(time.Now().Add(badClient + time.Second))
+		_, err = c.in.ReadByte()
+		took := r.clock() - began
+		c.Close()
+		if took > badClient+tolerance && !in.killedWithin(began, began+took) {
+			r.found(RuleBadClients, began+took, fmt.Sprintf("%s left a client that stopped within a command without a word for %v (%v)", in.Name, took.Round(time.Millisecond), err))
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/overlap/judge.go
@@ -0,0 +1,241 @@
+package overlap
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"hitchspring/internal/audit"
+	"hitchspring/internal/standin/node"
+)
+
+// tolerance is how late an observer may be, and the platform's slack on each time limit.
+const tolerance = 50 * time.Millisecond
+
+// What is judged beside the five rules of package audit.
+const (
+	RuleDeadlineTold = "time told to a backend"
+	RuleClientsGone  = "nothing for clients that have gone"
+	RuleBadClients   = "an end for clients that misbehave"
+	RuleReady        = "ready after a start"
+	RuleInvariants   = "invariants of the program"
+	RuleCrashes      = "no crash"
+)
+
+const (
+	toldSlack    = 150 * time.Millisecond // of the time that an attempt tells its backend
+	goneSlack    = 100 * time.Millisecond // after the close, up to which an attempt may begin
+	readyWithin  = 10 * time.Second       // of nine starts in ten
+	readyShare   = 0.9
+	hangupGrace  = 4 * time.Second // after a new configuration, until which what it moves to counts as not told
+	silenceGrace = 6 * time.Second // after an agent has fallen silent, until which what it misses counts as not told
+)
+
+// Finding is one break, with what is known of it.
+type Finding struct {
+	Rule     string
+	At       time.Duration
+	What     string
+	Doubtful bool // the observers were late then
+	Story    []string
+}
+
+// found notes a break that was seen while the run went on.
+func (r *run) found(rule string, at time.Duration, what string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.findings = append(r.findings, Finding{Rule: rule, At: at, What: what})
+}
+
+// judge judges the run by what was recorded.
+func (r *run) judge() *Report {
+	records := r.fleet.Records(0)
+	byID := map[string][]node.Record{}
+	for _, rec := range records {
+		byID[rec.ID] = append(byID[rec.ID], rec)
+	}
+	list := make([]audit.Asked, len(r.asked))
+	requests := map[string]*asked{}
+	for i := range r.asked {
+		a := &r.asked[i]
+		requests[a.id] = a
+		list[i] = r.asAudited(a, byID[a.id])
+	}
+	r.judgeRecords(records, requests)
+	r.judgeInstances()
+	e := audit.Evidence{Asked: list, Told: r.toldToInstances(), Late: r.meter.Late()}
+	for _, rec := range records {
+		e.Sent = append(e.Sent, audit.Sent{Came: rec.Came, Ended: rec.Ended, ID: rec.ID, Node: rec.Node, Instance: fmt.Sprint("n", rec.Instance), Customer: rec.Customer,
+			Plan: rec.Plan, Class: rec.Class, Rack: rec.Rack, Units: rec.Units, Busy: rec.How == node.Busy, Cold: rec.Cold})
+	}
+	for _, n := range r.fleet.Nodes() {
+		if why, at := n.Fell(); n.Pushed() > 0 {
+			e.Cold = append(e.Cold, audit.ColdNode{Node: n.ID, At: at, Why: why, Pushed: n.Pushed()})
+		}
+	}
+	verdict := audit.Judge(r.deployment.auditRules(), e)
+	for _, b := range verdict.Breaks {
+		r.findings = append(r.findings, Finding{Rule: b.Rule, At: b.At, What: b.What, Doubtful: b.Doubtful})
+	}
+	r.doubt()
+	for i := range r.findings {
+		r.tellStory(&r.findings[i], requests, byID)
+	}
+	slices.SortStableFunc(r.findings, func(a, b Finding) int { return cmp.Compare(a.At, b.At) })
+	return r.report(verdict)
+}
+
+// asAudited is a request as package audit judges it: excused where nobody owes it an answer.
+func (r *run) asAudited(a *asked, sent []node.Record) audit.Asked {
+	out := audit.Asked{ID: a.id, Instance: a.in.Name, Class: a.class, Sent: a.sent, GiveUp: max(a.wait, a.owed) + lateBy, Answers: a.answers}
+	out.Spoilt = len(a.answers) > 0 && a.answers[0].Kind == "served" && a.value != "value of "+a.id
+	end := max(a.ended, a.waited)
+	if len(a.answers) > 0 {
+		end = a.answers[0].At
+	}
+	switch leaving := a.in.leavingFor(a.sent); {
+	case a.noConnect, a.left > 0, a.in.killedWithin(a.sent, end):
+		out.Excused = true
+	case len(a.answers) == 0 && len(sent) == 0 && a.fresh && a.ended > 0: // in the listen queue when the listener closed, or before a start
+		out.Excused = leaving > frontNotice || a.in.leavingFor(a.ended) > frontNotice
+	}
+	return out
+}
+
+// judgeRecords judges what attempts told, and what was sent for clients that had gone.
+func (r *run) judgeRecords(records []node.Record, requests map[string]*asked) {
+	for _, rec := range records {
+		a := requests[rec.ID]
+		if a == nil {
+			continue // audit has a word for it
+		}
+		if left := a.sent + a.wait - rec.Came; rec.Allowed > left+toldSlack+tolerance {
+			r.found(RuleDeadlineTold, rec.Came, fmt.Sprintf("%s %s (%s) told %s that %v were left, %v were", a.class, a.id, a.kind, rec.Node, rec.Allowed, left.Round(time.Millisecond)))
+		}
+		if a.left > 0 && rec.Came > a.left+goneSlack+tolerance {
+			r.found(RuleClientsGone, rec.Came, fmt.Sprintf("%s %s was sent to %s %v after its client had gone", a.class, a.id, rec.Node, (rec.Came-a.left).Round(time.Millisecond)))
+		}
+	}
+}
+
+// judgeInstances judges starts, ends and what the instances said of their invariants.
+func (r *run) judgeInstances() {
+	var starts []time.Duration
+	for _, in := range r.instances {
+		for _, text := range in.crashed {
+			r.found(RuleCrashes, r.clock(), text)
+		}
+		for _, text := range in.violated {
+			r.found(RuleInvariants, r.clock(), in.Name+": "+text)
+		}
+		starts = append(starts, in.startup...)
+	}
+	slow := 0
+	for _, took := range starts {
+		if took > readyWithin {
+			slow++
+		}
+	}
+	if float64(slow) > (1-readyShare)*float64(len(starts)) {
+		r.found(RuleReady, r.clock(), fmt.Sprintf("%d of %d starts took over %v", slow, len(starts), readyWithin))
+	}
+}
+
+// toldToInstances is what the instances count as told: what their agents had, but for what these could not tell.
+func (r *run) toldToInstances() []audit.Told {
+	learnt := r.registry.Learnt()
+	slices.SortStableFunc(learnt, func(a, b learntEntry) int { return cmp.Compare(a.At, b.At) })
+	type pair struct {
+		instance int
+		uid      string
+	}
+	drains := map[pair]audit.Told{}
+	serves := map[pair]bool{}
+	var out []audit.Told
+	for _, l := range learnt {
+		p := pair{l.Agent % r.cfg.Instances, l.UID}
+		name := fmt.Sprint("n", p.instance)
+		if l.State == "SERVING" { // from the first of its agents on
+			if t, drained := drains[p]; drained && t.At < l.At {
+				out = append(out, t)
+			}
+			delete(drains, p)
+			if !serves[p] {
+				serves[p] = true
+				out = append(out, audit.Told{At: l.At, Instance: name, Node: l.UID, Serving: true})
+			}
+			continue
+		}
+		serves[p] = false
+		drains[p] = audit.Told{At: max(drains[p].At, r.heardBy(p.instance, l.At)), Instance: name, Node: l.UID}
+	}
+	for _, t := range drains {
+		out = append(out, t)
+	}
+	return out
+}
+
+// heardBy is when an instance counts as told what its agent had at a time.
+func (r *run) heardBy(instance int, at time.Duration) time.Duration {
+	told := at
+	for _, f := range r.failures {
+		if !slices.Contains(f.instances, instance) {
+			continue
+		}
+		end := f.to
+		if f.silent {
+			end = max(f.to, f.from+silenceGrace)
+		}
+		if at >= f.from-200*time.Millisecond && told <= end {
+			told = end
+		}
+	}
+	in := r.instances[instance]
+	for _, h := range in.hangups {
+		if at >= h-200*time.Millisecond && at <= h+hangupGrace || told >= h-200*time.Millisecond && told <= h+hangupGrace {
+			told = max(told, h+hangupGrace)
+		}
+	}
+	return told
+}
+
+// doubt marks what the lateness of the observers can explain.
+func (r *run) doubt() {
+	late := r.meter.Late()
+	for i := range r.findings {
+		f := &r.findings[i]
+		for _, l := range late {
+			f.Doubtful = f.Doubtful || l.By > tolerance && l.At-time.Second <= f.At && f.At <= l.At+l.By+time.Second
+		}
+	}
+}
+
+// tellStory adds to a finding what client and backends saw of the request that it names.
+func (r *run) tellStory(f *Finding, requests map[string]*asked, byID map[string][]node.Record) {
+	for _, word := range strings.Fields(f.What) {
+		a := requests[word]
+		if a == nil {
+			continue
+		}
+		line := fmt.Sprintf("client (%s) of %s: sent %.3f, waits %v, fresh %v", a.kind, a.in.Name, a.sent.Seconds(), a.wait, a.fresh)
+		for _, x := range a.answers {
+			line += fmt.Sprintf(", %s at %.3f %q", x.Kind, x.At.Seconds(), a.value)
+		}
+		if a.ended > 0 {
+			line += fmt.Sprintf(", connection ended at %.3f", a.ended.Seconds())
+		}
+		if a.left > 0 {
+			line += fmt.Sprintf(", left at %.3f", a.left.Seconds())
+		}
+		if a.waited > 0 {
+			line += fmt.Sprintf(", waited until %.3f", a.waited.Seconds())
+		}
+		f.Story = append(f.Story, line, fmt.Sprintf("%s: terms %v, kills %v, overrun %v, ends %v, starts %v", a.in.Name, a.in.terms, a.in.kills, a.in.overrun, a.in.ends, a.in.starts))
+		for _, rec := range byID[a.id] {
+			f.Story = append(f.Story, fmt.Sprintf("%s from n%d: came %.3f, ended %.3f, %s, told %v, rack %d, connection %d", rec.Node, rec.Instance, rec.Came.Seconds(), rec.Ended.Seconds(), rec.How, rec.Allowed, rec.Rack, rec.Conn))
+		}
+		return
+	}
+}
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -13,6 +13,7 @@
 
 	"hitchspring/internal/audit"
 	"hitchspring/internal/lab/day"
+	"hitchspring/internal/lab/lateness"
 	"hitchspring/internal/lab/link"
 	"hitchspring/internal/lab/measure"
 	"hitchspring/internal/lab/proc"
@@ -237,8 +238,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer w.wg.Wait()
-	w.meter = newMeter(w.clock)
-	w.onClose(w.meter.close)
+	w.meter = lateness.Start(w.clock)
+	w.onClose(w.meter.Close)
 	began, beganCPU := time.Now(), ownCPU()
 	w.load.begin()
 	before := make([]proc.Usage, len(w.ingresses))
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -18,6 +18,7 @@
 
 	"hitchspring/internal/audit"
 	"hitchspring/internal/lab/day"
+	"hitchspring/internal/lab/lateness"
 	"hitchspring/internal/lab/link"
 	"hitchspring/internal/lab/proc"
 	"hitchspring/internal/standin/discovery"
@@ -138,7 +139,7 @@
 	ingresses []*ingress
 	gates     []*gate.Gate // one for each instance, where Config.HTTP is set
 	load      *load
-	meter     *meter
+	meter     *lateness.Meter
 	mu        sync.Mutex // of all below
 	specs     []node.Spec
 	byName    map[string]*node.Node
@@ -498,7 +499,7 @@
 
 // evidence gathers what the peers saw.
 func (w *World) evidence() audit.Evidence {
-	e := audit.Evidence{Asked: w.load.asked(), Late: w.meter.late()}
+	e := audit.Evidence{Asked: w.load.asked(), Late: w.meter.Late()}
 	for _, r := range w.fleet.Records(0) {
 		e.Sent = append(e.Sent, audit.Sent{Came: r.Came, Ended: r.Ended, ID: r.ID, Node: r.Node, Instance: fmt.Sprint("n", r.Instance), Customer: r.Customer,
 			Plan: r.Plan, Class: r.Class, Rack: r.Rack, Units: r.Units, Busy: r.How == node.Busy, Cold: r.Cold})
--- a/internal/standin/discovery/discovery.go
+++ b/internal/standin/discovery/discovery.go
@@ -66,6 +66,7 @@
 	rev    int64
 	agents []*agent
 	told   []Told
+	learnt []Told // by agents, whether or not they have told it
 	asked  []Asked
 }
 
@@ -180,11 +181,19 @@
 	return slices.Clone(r.told)
 }
 
+// Learnt returns what the agents have learnt so far, whether or not they have told it.
+func (r *Registry) Learnt() []Told {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.learnt)
+}
+
 func (a *agent) learn(rev int64, t Target) {
 	if rev < a.by[t.UID] {
 		return
 	}
 	a.rev, a.by[t.UID] = max(a.rev, rev), rev
+	a.r.learnt = append(a.r.learnt, Told{a.r.clock(), a.n, t.UID, t.State})
 	if a.n < len(t.Endpoints) {
 		t.Endpoint = t.Endpoints[a.n]
 	}
--- a/internal/standin/node/node.go
+++ b/internal/standin/node/node.go
@@ -48,6 +48,7 @@
 	Class, Plan, Key   string
 	Rack               int
 	Units              float64
+	Allowed            time.Duration // how long the instance said that it waits for the answer
 	How                How
 	Cold               bool          // the node was not warm yet
 	Work               time.Duration // of a core of speed 1, where it ran
@@ -649,7 +650,7 @@
 		return Record{}, false
 	}
 	r.Customer, r.ID = string(args[1]), string(args[2])
-	d := 0
+	var d int
 	for pair := range strings.SplitSeq(string(args[3]), ",") {
 		k, v, _ := strings.Cut(pair, "=")
 		var err error
@@ -669,5 +670,6 @@
 			return Record{}, false
 		}
 	}
+	r.Allowed = time.Duration(d) * time.Millisecond
 	return r, r.Class != "" && r.Plan != "" && d > 0 && r.Units > 0
 }
