A request's time counts from when it came, also behind others on its connection

Cause: read() handed each command on with the time at which it was taken from the buffer. A command that waits in the buffer for room (64 open) or for the end of a pause behind nonsense got its whole time again. Ruled out: the core and the pool, which keep to the time they are given. Change: receipts.go remembers when bytes were read; a request that comes to the core after its time is refused and costs nothing. A command for which there is no memory has the time limit of any other (10 s before). Requests that had been read behind the tenth protocol error are refused.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -538,6 +538,10 @@
 	if g.goneOnArrival(r) {
 		return
 	}
+	if r.GiveUpAt <= g.now { // it has waited for too long behind others: nothing is spent on it
+		g.final(r, Answer{Kind: Refused, RetryAfter: FullRetry})
+		return
+	}
 	// Many clients with large bodies must not fill the memory: beyond the bounds nothing is taken.
 	if len(g.requests) >= g.net.MaxOpen || g.heldBytes+r.Size > g.mostHeld {
 		g.final(r, Answer{Kind: Refused, RetryAfter: FullRetry})
--- a/internal/front/resp/connection.go
+++ b/internal/front/resp/connection.go
@@ -46,6 +46,7 @@
 
 	// The reader's alone:
 	in         resp.Inbox
+	receipts   receipts
 	peerClosed bool // the client has left while the reader could take no more
 }
 
--- a/internal/front/resp/reader.go
+++ b/internal/front/resp/reader.go
@@ -38,10 +38,11 @@
 		f, err := in.Next()
 		if f != nil {
 			progress = commandProgress{}
-			c.handle(f, time.Now())
+			c.handle(f, c.receipts.take(in.Came()))
 			if n := c.protocolErrors.Load(); c.peerClosed {
 				return clientLeft
 			} else if n >= mostProtocolErrors {
+				c.refuseReceived()
 				return protocolFailed
 			} else if n > backedOff { // of one that the core found
 				backedOff = c.backOff()
@@ -49,8 +50,9 @@
 			continue
 		}
 		if err == nil {
+			c.receipts.forget()
 			c.limitPartial(&progress)
-			if err = in.Fill(c.nc.Read); errors.Is(err, os.ErrDeadlineExceeded) {
+			if err = in.Fill(c.receive); errors.Is(err, os.ErrDeadlineExceeded) {
 				if asked, ended := c.tryEnd(); ended {
 					return endedByServer
 				} else if asked {
@@ -86,10 +88,26 @@
 	}
 }
 
-// skipCommand reads past a command for which there is no memory now, and refuses it, if its end is known.
+// receive reads from the connection, and notes when what it brings has come.
+func (c *connection) receive(b []byte) (int, error) {
+	n, err := c.nc.Read(b)
+	if n > 0 {
+		c.receipts.add(n, time.Now())
+	}
+	return n, err
+}
+
+// skipCommand reads past a command for which there is no memory now, and refuses it, if its end is known. It has the same time as any other
+// that has begun: a client that stops within it is not waited for.
 func (c *connection) skipCommand() error {
-	c.nc.SetReadDeadline(time.Now().Add(wholeCommand))
-	skipped, err := c.in.Skip(c.nc.Read)
+	end := time.Now().Add(wholeCommand)
+	skipped, err := c.in.Skip(func(b []byte) (int, error) {
+		c.mu.Lock()
+		c.takeEndRequest() // its rest comes first
+		c.mu.Unlock()
+		c.setReadLimit(earlier(time.Now().Add(firstCommand), end))
+		return c.receive(b)
+	})
 	if skipped {
 		c.replyNow(refusal(core.Answer{RetryAfter: core.FullRetry}))
 		return nil
@@ -100,6 +118,29 @@
 	return err
 }
 
+// refuseReceived refuses the requests that had been read behind the protocol error that ends the connection, up to the next error: a request
+// that was read is owed an answer.
+func (c *connection) refuseReceived() {
+	for left := c.in.Came(); left > 0 && !c.peerClosed; {
+		f, err := c.in.Next()
+		if f == nil || err != nil || !c.isRequest(f) {
+			return
+		}
+		left -= len(f)
+		c.replyNow(refusal(core.Answer{RetryAfter: core.FullRetry}))
+	}
+}
+
+// isRequest reports whether a whole command is a request that would be served.
+func (c *connection) isRequest(f []byte) bool {
+	whole, args, _, _, err := redcon.ReadNextCommand(f, nil)
+	if err != nil || !whole || len(args) == 0 {
+		return false
+	}
+	_, err = c.f.parse(args, time.Now())
+	return err == nil
+}
+
 // readFailed answers a protocol error, where that is what ended reading, and returns how reading has ended.
 func (c *connection) readFailed(err error) readResult {
 	switch {
@@ -143,7 +184,7 @@
 			continue
 		}
 		c.setReadLimit(time.Now().Add(peerClosedLook))
-		switch err := c.in.Fill(c.nc.Read); {
+		switch err := c.in.Fill(c.receive); {
 		case err == nil || errors.Is(err, os.ErrDeadlineExceeded):
 		case errors.Is(err, resp.ErrMemory) || errors.Is(err, resp.ErrTooLong):
 			ahead = false
