A shutdown's steps count from SIGTERM, and connections close after the last answers

Seen: TestTermWhileHeldUp, 4 to 8 of 20 clients without an answer where the process is held up for 150 ms within its shutdown. Cause: the last answers were due 0.9 s after the end of a sleep of 0.6 s (and after the hand-over to the next process), connections closed at a time of their own. A process that stands still in the sleep, or over both times, closed its clients' connections with nothing said. Change: internal/ingress/shutdown.go reckons each step from the moment of SIGTERM; EndAll returns when all has its answer, and the close follows that. A drain waits for the goroutine that accepts before it looks for what is served (the second fault: a connection accepted and not yet counted).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -149,7 +149,7 @@
 type event any
 
 // endAll asks for a final answer to everything, at the end of a shutdown.
-type endAll struct{}
+type endAll struct{ done chan<- struct{} } // closed when all is answered
 
 // Core is one instance. Its goroutine owns everything but what is said to be otherwise, and never waits for a peer; its
 // exported methods are safe for many goroutines.
@@ -304,8 +304,15 @@
 // Abandon tells that the clients of requests have gone: nothing waits for their answers any more.
 func (g *Core) Abandon(reqs []*Request) { g.post(abandoned{reqs}) }
 
-// EndAll gives a final answer to all that is open.
-func (g *Core) EndAll() { g.post(endAll{}) }
+// EndAll gives a final answer to all that is open, and returns when each front has it, or when the core has ended.
+func (g *Core) EndAll() {
+	done := make(chan struct{})
+	g.post(endAll{done})
+	select {
+	case <-done:
+	case <-g.stopped:
+	}
+}
 
 // Class returns a class of the settings by its name.
 func (g *Core) Class(name string) (logic.Class, bool) {
@@ -476,6 +483,7 @@
 		for _, r := range g.requests {
 			g.cutOff(r)
 		}
+		close(ev.done)
 	}
 	g.flush()
 }
--- a/internal/front/resp/drain.go
+++ b/internal/front/resp/drain.go
@@ -43,7 +43,7 @@
 	f.ln.Close()
 	defer func() {
 		f.stop()
-		f.background.Wait()
+		f.reaping.Wait()
 	}()
 	f.terminating.Store(true)
 	f.mu.Lock()
@@ -53,6 +53,7 @@
 	f.mu.Unlock()
 	done := make(chan struct{})
 	go func() {
+		f.accepting.Wait() // it may have accepted a connection that is not served yet
 		f.serving.Wait()
 		close(done)
 	}()
--- a/internal/front/resp/front.go
+++ b/internal/front/resp/front.go
@@ -52,8 +52,9 @@
 	terminating   atomic.Bool   // draining, and the process is about to end
 	changed       chan struct{} // room for one: drainingSince or toReserve has changed
 
-	stop       context.CancelFunc
-	background sync.WaitGroup // of the goroutines that accept and that reap idle connections
+	stop      context.CancelFunc
+	accepting sync.WaitGroup // of the goroutine that accepts
+	reaping   sync.WaitGroup // of the goroutine that reaps idle connections
 }
 
 // New returns a front on ln for at most so many connections, and so many bytes each of commands that come in and of
@@ -74,8 +75,8 @@
 func (f *Front) Start() {
 	ctx, stop := context.WithCancel(context.Background())
 	f.stop = stop
-	f.background.Go(f.accept)
-	f.background.Go(func() { f.reapIdle(ctx) })
+	f.accepting.Go(f.accept)
+	f.reaping.Go(func() { f.reapIdle(ctx) })
 }
 
 // SetMost changes how many connections there may be, up to what New was told; where there are more, the idlest are closed.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -24,15 +24,10 @@
 	"hitchspring/internal/peers"
 	"hitchspring/internal/store"
 	"hitchspring/internal/store/tally"
-	"hitchspring/logic"
 )
 
 const (
 	firstList = 300 * time.Millisecond // what a start waits for discovery before it serves from the known list
-	graceOpen = 600 * time.Millisecond // after SIGTERM: new connections go on being served
-	graceTake = 700 * time.Millisecond // after SIGTERM: what has been taken by then is owed its whole time, and the platform leaves that
-	graceMost = 3 * time.Second        // of a request's time
-	graceEnd  = 100 * time.Millisecond // before the platform's SIGKILL all has ended, and so long before that all is answered: answers take time to leave
 	spare     = 32                     // descriptors for the counter, discovery, the listener and the runtime
 
 	drillsEvery = 500 * time.Millisecond // the file of drills is read again
@@ -243,44 +238,10 @@
 	g.log.Info("serving", "listen", g.cfg.Listen)
 
 	<-ctx.Done()
-	g.log.Info("shutting down")
-	g.over.Store(true)
-	f.Leave()
-	if g.cfg.Listener != nil { // the next process has the queue
-		f.Close()
-		g.handOn()
-	}
-	all := graceAll(g.cfg.Settings)
-	limit, cancel := context.WithTimeout(context.Background(), all)
-	defer cancel()
-	if g.auth != nil {
-		g.auth.Unready()
-	}
-	time.Sleep(graceOpen)
-	last := time.AfterFunc(all-graceOpen-graceEnd, g.core.EndAll)
-	defer last.Stop()
-	gatesDone := make(chan struct{})
-	go func() {
-		defer close(gatesDone)
-		if g.auth != nil {
-			g.auth.Drain(limit)
-		}
-	}()
-	f.Drain(limit)
-	<-gatesDone
+	g.shutDown(f, time.Now())
 	return nil
 }
 
-// graceAll is when an ingress is gone after SIGTERM: before the platform's SIGKILL, which comes no sooner than the longest time that a client
-// waits after the last request that is taken.
-func graceAll(set logic.Settings) time.Duration {
-	longest := time.Duration(0)
-	for _, c := range set.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	return min(longest, graceMost) + graceTake - graceEnd
-}
-
 // serveMetrics serves the figures where the settings name a place for them.
 func (g *Gateway) serveMetrics() (end func(), err error) {
 	if g.cfg.Metrics == "" {
