One pause for each protocol error, not two

Seen: the overlap soak, requests behind nonsense on one connection answered up to 0.3 s too late. Cause: protocolError pauses before its answer, and read() paused once more for the same error after it, since it knew only of the pauses it had made itself.

--- a/internal/front/resp/connection.go
+++ b/internal/front/resp/connection.go
@@ -47,7 +47,8 @@
 	// The reader's alone:
 	in         resp.Inbox
 	receipts   receipts
-	peerClosed bool // the client has left while the reader could take no more
+	backedOff  int32 // protocol errors for which it has paused
+	peerClosed bool  // the client has left while the reader could take no more
 }
 
 func newConnection(f *Front, nc net.Conn) *connection {
--- a/internal/front/resp/reader.go
+++ b/internal/front/resp/reader.go
@@ -32,7 +32,6 @@
 	in := &c.in
 	in.Budget, in.Most = c.f.requestMemory, resp.MaxLarge
 	defer in.Close()
-	backedOff := int32(0)
 	var progress commandProgress
 	for {
 		f, err := in.Next()
@@ -44,8 +43,8 @@
 			} else if n >= mostProtocolErrors {
 				c.refuseReceived()
 				return protocolFailed
-			} else if n > backedOff { // of one that the core found
-				backedOff = c.backOff()
+			} else if n > c.backedOff { // of one that the core found
+				c.backOff()
 			}
 			continue
 		}
@@ -222,14 +221,13 @@
 	c.replyNow(redcon.AppendError(nil, "ERR "+text))
 }
 
-// backOff waits, longer with each protocol error, and returns their number.
-func (c *connection) backOff() int32 {
-	n := c.protocolErrors.Load()
-	end := time.Now().Add(time.Duration(n) * protocolErrorPause)
+// backOff waits, longer with each protocol error, once for each.
+func (c *connection) backOff() {
+	c.backedOff = c.protocolErrors.Load()
+	end := time.Now().Add(time.Duration(c.backedOff) * protocolErrorPause)
 	c.waitReading(func(most time.Duration) bool {
 		return wait(c.written, min(most, time.Until(end))) || !time.Now().Before(end)
 	})
-	return n
 }
 
 // handle serves one whole command, which came at a time.
