--- a/internal/lab/overlap/trouble.go
+++ b/internal/lab/overlap/trouble.go
@@ -13,9 +13,9 @@
 
 // Troubles come in clusters of a few that overlap; this is how many, and how far apart.
 const (
-	clusterEvery = 5 * time.Second
+	clusterEvery = 2500 * time.Millisecond
 	clusterFirst = 1500 * time.Millisecond
-	clusterSize  = 4
+	clusterSize  = 5
 	jitter       = 1200 * time.Millisecond
 )
 
--- a/internal/nodes/nodes_test.go
+++ b/internal/nodes/nodes_test.go
@@ -391,3 +391,19 @@
 		}
 	}
 }
+
+// TestNothingIsWrittenAfterItsTime has a connection come up when an attempt's time is over, before the owner has come to giving it up, as after a
+// moment in which the process stood still. It is not written: its client waits no longer.
+func TestNothingIsWrittenAfterItsTime(t *testing.T) {
+	be := scripted.NewNode(t, func(int, []string, net.Conn) string { return served })
+	g := newOwner(t, be.Addr)
+	a := waitingAttempt(g, "s0")
+	a.Stop = g.now + time.Second
+	g.p.place(a)
+	up := (<-g.events).(connUp)
+	g.now = a.Stop
+	g.p.connUp(up)
+	if len(g.ends) != 1 || g.ends[0].o != logic.Moot || up.c.cur != nil {
+		t.Fatalf("told %v, want one moot end and nothing on the connection", g.ends)
+	}
+}
