One guard before each send, answer and close, with invariants that are counted

Need: what may never happen was prevented in several places, and nothing said when one of them failed. In the core each of taking in, sending and answering has one function (guarded.go) through which all paths go; the pool asks one function before it hands an attempt to a connection, the front closes under open requests by one. What would break an invariant is held back, counted (invariants.NAME) and logged with its ids. Refusals, failures, ends of attempts and of connections are counted by reason; [log] requests writes a line for the end of each request. The two failing tests pass: an attempt is not written after its time, a keyed repeat goes to the group where the first ran, whatever the list says since.

--- a/cmd/hitchspring/main.go
+++ b/cmd/hitchspring/main.go
@@ -117,7 +117,7 @@
 		cfg.Metrics = o.Metrics.Listen
 	}
 	if o.Log != nil {
-		cfg.Summary = time.Duration(o.Log.Summary)
+		cfg.Summary, cfg.LogRequests = time.Duration(o.Log.Summary), o.Log.Requests
 	}
 	if h := o.Halls; h != nil {
 		cfg.Drills = h.Drills
--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -52,7 +52,8 @@
 
 // Log says what the log holds besides what is out of the ordinary.
 type Log struct {
-	Summary Duration `toml:"summary"` // between two lines that sum up what happened; they add up over instances
+	Summary  Duration `toml:"summary,omitempty"`  // between two lines that sum up what happened; they add up over instances
+	Requests bool     `toml:"requests,omitempty"` // a line for the end of each request: its ids, why, and what became of its attempts
 }
 
 // The kinds of store.
@@ -190,7 +191,7 @@
 	if o.Halls != nil {
 		faults = append(faults, o.Halls.check()...)
 	}
-	if l := o.Log; l != nil && (l.Summary < Duration(100*time.Millisecond) || l.Summary > Duration(time.Hour)) {
+	if l := o.Log; l != nil && !(l.Requests && l.Summary == 0) && (l.Summary < Duration(100*time.Millisecond) || l.Summary > Duration(time.Hour)) {
 		faults = append(faults, fault{"log.summary", fmt.Sprintf("%v is out of range, 100ms to 1h", time.Duration(l.Summary))})
 	}
 	if o.Peers != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -17,6 +17,7 @@
 
 	"hitchspring/internal/discovery"
 	"hitchspring/internal/figures"
+	"hitchspring/internal/guard"
 	"hitchspring/internal/halls"
 	"hitchspring/internal/judge"
 	"hitchspring/internal/lease"
@@ -55,6 +56,7 @@
 	Leases      *Leases       // of attempts that who asks sends itself; nil: none are granted
 	Halls       *halls.Config // what an operator says of halls; nil: another hall costs a fixed factor
 	Summary     time.Duration // between two lines of the log that sum up what happened; 0: none
+	LogRequests bool          // a line of the log for the end of each request
 	Company     int           // other processes of this ingress that there may be at the start: limits hold for all together
 	Operated    bool          // somebody asks for the figures of the cluster
 	Words       WordStore     // of what operators say of nodes; nil: it ends with the process
@@ -85,6 +87,11 @@
 	Other                // of a Handed request: its id was asked with other particulars
 )
 
+var kindNames = [...]string{Failed: "failed", Served: "served", Refused: "refused", Repeated: "repeated", Granted: "granted", Over: "over", Other: "other"}
+
+// String is the kind's name.
+func (k Kind) String() string { return kindNames[k] }
+
 // Answer is the one final answer to a request; a front words it in its protocol.
 type Answer struct {
 	Kind       Kind
@@ -136,7 +143,8 @@
 	passing  *nodes.Attempt // brings a value that is passed on to the client
 	out      int
 	final    bool
-	kept     *keeping // in custody; nil: it is not
+	why      logic.Reason // of its refusal or failure
+	kept     *keeping     // in custody; nil: it is not
 }
 
 // The events of a front.
@@ -191,6 +199,8 @@
 	taking    *taking     // nil: work in hand ends with this instance
 	sum       *summary    // nil: no lines that sum up
 	fig       *figures.Set
+	guard     *guard.Monitor
+	ending    bool // the last answers have been given
 	ops       operators
 }
 
@@ -229,6 +239,7 @@
 		epoch: time.Duration(start.UnixNano()) + cfg.Clock.Ahead, mod: mod, requests: map[logic.RequestID]*Request{},
 		keys: map[uint64]bool{}, mostConns: cfg.Sockets * 3 / 8,
 		fig:      newFigures(cfg.Settings.Classes),
+		guard:    guard.NewMonitor(log),
 		ops:      operators{book: suspend.New(), store: cfg.Words, spoke: make(chan struct{}, 1)},
 		mostHeld: cfg.Memory / memoryShare, mostUnits: cmp.Or(cfg.Settings.MaxUnits, math.MaxFloat64)}
 	g.nodes = nodes.New(owner{g}, nodes.Config{Sent: g.fig.Sent, ConnectTimeout: cfg.Connections.ConnectTimeout, Idle: cfg.Connections.Idle, MostConns: g.nodeConns(cfg.Company),
@@ -296,8 +307,12 @@
 func (g *Core) End() {
 	g.stop()
 	g.spawned.Wait()
+	g.checkOpen()
 }
 
+// Guard counts what must never happen.
+func (g *Core) Guard() *guard.Monitor { return g.guard }
+
 // Submit hands a request in; its Place is answered once, unless it is abandoned first.
 func (g *Core) Submit(r *Request) { g.post(arrived{r}) }
 
@@ -483,6 +498,7 @@
 		for _, r := range g.requests {
 			g.cutOff(r)
 		}
+		g.ending = true
 		close(ev.done)
 	}
 	g.flush()
@@ -515,12 +531,12 @@
 			g.nodes.GiveUp(r.attempts[a.Attempt], logic.Cancelled)
 		}
 	case logic.Refuse:
-		g.sum.refused(a.Why)
+		g.refused(a)
 		if r := g.requests[a.ID]; g.taking == nil || !g.askForAnswer(r, a.RetryAfter) {
 			g.answer(r, Answer{Kind: Refused, RetryAfter: a.RetryAfter})
 		}
 	case logic.Fail:
-		g.sum.failed(a.Why)
+		g.failed(a)
 		g.answer(g.requests[a.ID], Answer{Kind: Failed})
 	case logic.SetTimer:
 		g.after(a.After, func() { g.tell(logic.TimerFired{}) })
@@ -546,17 +562,8 @@
 	if g.goneOnArrival(r) {
 		return
 	}
-	if r.GiveUpAt <= g.now { // it has waited for too long behind others: nothing is spent on it
-		g.final(r, Answer{Kind: Refused, RetryAfter: FullRetry})
-		return
-	}
-	// Many clients with large bodies must not fill the memory: beyond the bounds nothing is taken.
-	if len(g.requests) >= g.net.MaxOpen || g.heldBytes+r.Size > g.mostHeld {
-		g.final(r, Answer{Kind: Refused, RetryAfter: FullRetry})
-		return
-	}
-	if g.keys[r.Key] { // the one who asked first has its answer, and nobody else
-		g.final(r, Answer{Kind: Repeated})
+	if a, taken := g.admission(r); !taken {
+		g.final(r, a)
 		return
 	}
 	g.lastID++
@@ -598,7 +605,7 @@
 	if r.final {
 		return
 	}
-	g.log.Warn("no answer in time", "class", r.Class, "attempts", len(r.attempts))
+	g.log.Warn("no answer in time", append(r.ids(), "attempts", len(r.attempts))...)
 	g.sum.add(cutOffs, 1)
 	a := Answer{Kind: Failed}
 	if len(r.attempts) == 0 && r.Prior == nil {
@@ -686,6 +693,7 @@
 	}
 	r := a.Ref.(*Request)
 	g.sum.ended(o)
+	g.fig.AttemptEnded(int(o))
 	if r.passing == a {
 		g.passed(r, o)
 		return
@@ -712,7 +720,7 @@
 	r.passing, r.final = a, true
 	g.endCustody(r, Answer{Kind: Served, Stream: s})
 	g.sum.served(g.now-r.came, g.classes[r.Class].Aim)
-	r.Place.Answer(Answer{Kind: Served, Stream: s})
+	g.deliver(r, Answer{Kind: Served, Stream: s})
 	g.ended(r, logic.AttemptEnded{ID: r.ID, Attempt: a.N, Server: a.Node(), Outcome: logic.Done, Took: g.now - a.Began, Finished: true})
 	g.recall(r)
 	return true
@@ -769,7 +777,7 @@
 		return true
 	}
 	o.g.dropIfGone(r)
-	return !r.final
+	return !r.final && o.g.maySend(r, a)
 }
 
 // AttemptBegan is for the pool.
--- a/internal/core/operate.go
+++ b/internal/core/operate.go
@@ -6,6 +6,7 @@
 
 	"hitchspring/internal/discovery"
 	"hitchspring/internal/figures"
+	"hitchspring/internal/guard"
 	"hitchspring/internal/nodes"
 	"hitchspring/internal/suspend"
 	"hitchspring/logic"
@@ -163,7 +164,11 @@
 	for i, c := range classes {
 		names[i] = c.Name
 	}
-	return figures.New(names)
+	reasons := make([]string, logic.Reasons)
+	for i := range reasons {
+		reasons[i] = logic.Reason(i).String()
+	}
+	return figures.New(names, reasons, outcomeNames[:])
 }
 
 // endOf is how a request counts that ended with an attempt.
@@ -176,6 +181,10 @@
 
 // final hands out the one final answer of a request, and counts it.
 func (g *Core) final(r *Request, a Answer) {
+	if r.final && !r.Handed {
+		g.guard.Violated(guard.AnsweredTwice, append(r.ids(), "second", a.Kind.String())...)
+		return
+	}
 	r.final = true
 	g.endCustody(r, a)
 	end := figures.Errored
@@ -186,5 +195,5 @@
 		end = figures.Deferred
 	}
 	g.fig.Ended(r.Class, end)
-	r.Place.Answer(a)
+	g.deliver(r, a)
 }
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -60,11 +60,12 @@
 	current   atomic.Int64
 	size      atomic.Int64
 	unhealthy atomic.Int64
+	groups    [groupCount]group
 }
 
-// New returns figures for the classes of the settings, in their order.
-func New(classes []string) *Set {
-	s := &Set{classes: classes, index: map[string]int{}, ended: make([][ends]atomic.Int64, len(classes))}
+// New returns figures for the classes of the settings, in their order, the reasons of refusals and failures, and the outcomes of attempts.
+func New(classes, reasons, outcomes []string) *Set {
+	s := &Set{groups: newGroups(reasons, outcomes), classes: classes, index: map[string]int{}, ended: make([][ends]atomic.Int64, len(classes))}
 	for i, c := range classes {
 		s.index[c] = i
 	}
@@ -121,13 +122,16 @@
 // Sends is the number of attempts written whole.
 func (s *Set) Sends() int64 { return s.sends.Load() }
 
+// AppendLine appends one figure's line.
+func AppendLine(b []byte, name string, n int64) []byte {
+	b = append(append(b, prefix...), name...)
+	return append(strconv.AppendInt(append(b, '='), n, 10), '\n')
+}
+
 // Text is all figures, a line each.
 func (s *Set) Text() []byte {
 	b := make([]byte, 0, 512)
-	line := func(name string, n int64) {
-		b = append(append(b, prefix...), name...)
-		b = append(strconv.AppendInt(append(b, '='), n, 10), '\n')
-	}
+	line := func(name string, n int64) { b = AppendLine(b, name, n) }
 	for i, c := range s.classes {
 		for e, name := range endNames {
 			line("transactions."+c+"."+name, s.ended[i][e].Load())
@@ -140,5 +144,6 @@
 	for _, at := range Stages() {
 		line("clients_gone."+at.String(), s.Departures(at))
 	}
+	s.Each(func(group, name string, n int64) { line(group+"."+name, n) })
 	return b
 }
--- a/internal/figures/figures_test.go
+++ b/internal/figures/figures_test.go
@@ -8,13 +8,15 @@
 
 // Every class is there from the start with 0, in the settings' order, and each end counts once whoever counts it.
 func TestText(t *testing.T) {
-	s := New([]string{"b", "a"})
+	s := New([]string{"b", "a"}, []string{"quota"}, []string{"done"})
 	first := string(s.Text())
 	want := "edge_router.transactions.b.answered=0\nedge_router.transactions.b.deferred=0\nedge_router.transactions.b.errored=0\n" +
 		"edge_router.transactions.a.answered=0\nedge_router.transactions.a.deferred=0\nedge_router.transactions.a.errored=0\n" +
 		"edge_router.sends=0\nedge_router.current=0\nedge_router.cluster_size=0\nedge_router.cluster_unhealthy=0\n" +
 		"edge_router.clients_gone.before_admission=0\nedge_router.clients_gone.before_attempt=0\nedge_router.clients_gone.before_retry=0\n" +
-		"edge_router.clients_gone.in_flight=0\n"
+		"edge_router.clients_gone.in_flight=0\nedge_router.refused.quota=0\nedge_router.failed.quota=0\nedge_router.attempts.done=0\n" +
+		"edge_router.attempts_held_back.time_over=0\nedge_router.connections_closed.by_client=0\nedge_router.connections_closed.by_protocol=0\n" +
+		"edge_router.connections_closed.by_server=0\nedge_router.connections_closed.slow_reader=0\nedge_router.connections_closed.shutdown_limit=0\n"
 	if first != want {
 		t.Fatalf("figures at the start:\n%s\nwant:\n%s", first, want)
 	}
--- a/internal/front/resp/connection.go
+++ b/internal/front/resp/connection.go
@@ -1,6 +1,7 @@
 package resp
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -8,6 +9,8 @@
 	"time"
 
 	"hitchspring/internal/core"
+	"hitchspring/internal/figures"
+	"hitchspring/internal/guard"
 	"hitchspring/internal/resp"
 	"hitchspring/internal/socket"
 )
@@ -31,6 +34,7 @@
 	written        chan struct{} // closed when nothing is written any more
 	protocolErrors atomic.Int32  // that the client has made
 	partial        atomic.Bool   // a command has begun and not ended
+	aborted        atomic.Int32  // why this process closed it under way, as a figures.Close and one more; 0: it did not
 
 	mu           sync.Mutex
 	waiting      []*pendingReply // commands whose answers are not in out yet
@@ -70,8 +74,10 @@
 		defer close(c.written)
 		c.write(done)
 	}()
+	why := figures.ByClient
 	switch c.read() {
 	case protocolFailed:
+		why = figures.ByProtocol
 		// What came before is answered, then the protocol error, then the connection ends. Little more is read until then, for its end: a flood
 		// costs its sender's time only.
 		c.mu.Lock()
@@ -84,17 +90,28 @@
 			io.CopyN(io.Discard, c.nc, lingerBytes)
 		}
 	case endedByServer:
+		why = figures.ByServer
 		c.linger()
 	}
 	c.nc.Close()
 	close(done)
 	c.closeStreams()
 	<-c.written
-	c.release()
+	if by := c.aborted.Load(); by != 0 {
+		why = figures.Close(by - 1)
+	}
+	c.release(why)
+}
+
+// abort closes the connection under way; the first reason counts.
+func (c *connection) abort(why figures.Close) {
+	c.aborted.CompareAndSwap(0, int32(why)+1)
+	c.nc.Close()
 }
 
 // release gives back what the connection holds, once its goroutines write nothing any more, and abandons the requests that are not answered.
-func (c *connection) release() {
+func (c *connection) release(why figures.Close) {
+	c.f.fig.Closed(why)
 	c.mu.Lock()
 	var left []*core.Request
 	for _, s := range c.waiting {
@@ -107,6 +124,9 @@
 	c.mu.Unlock()
 	c.closeStreams() // that came meanwhile
 	if len(left) > 0 {
+		if why == figures.ByServer || why == figures.ByLimit {
+			c.f.guard.Violated(guard.ClosedUnanswered, "request", fmt.Sprintf("%016x", left[0].Key), "requests", len(left), "client", c.nc.RemoteAddr(), "why", why.String())
+		}
 		c.f.core.Abandon(left)
 	}
 	c.f.mu.Lock()
--- a/internal/front/resp/drain.go
+++ b/internal/front/resp/drain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"hitchspring/internal/figures"
 )
 
 const (
@@ -62,7 +64,7 @@
 	case <-ctx.Done():
 		f.mu.Lock()
 		for c := range f.connections {
-			c.nc.Close()
+			c.abort(figures.ByLimit)
 		}
 		f.mu.Unlock()
 		<-done
--- a/internal/front/resp/places.go
+++ b/internal/front/resp/places.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"hitchspring/internal/figures"
 )
 
 const (
@@ -105,6 +107,6 @@
 		c.mu.Unlock()
 	}
 	if slowest != nil {
-		slowest.nc.Close()
+		slowest.abort(figures.BySlow)
 	}
 }
--- a/internal/front/resp/writer.go
+++ b/internal/front/resp/writer.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"hitchspring/internal/figures"
 	"hitchspring/internal/resp"
 	"hitchspring/internal/socket"
 )
@@ -95,8 +96,8 @@
 		case <-c.wake:
 		}
 		b := c.nextBatch(spare)
-		if c.sendBatch(b) != nil {
-			c.nc.Close()
+		if err := c.sendBatch(b); err != nil {
+			c.abort(writeFailure(err))
 			return
 		}
 		if spare = b.out; cap(spare) > resp.SmallBuffer {
@@ -113,6 +114,14 @@
 	}
 }
 
+// writeFailure says why a connection ends on which an answer could not be written.
+func writeFailure(err error) figures.Close {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return figures.BySlow
+	}
+	return figures.ByClient
+}
+
 // nextBatch takes the answers that are due; spare is the buffer for the next ones.
 func (c *connection) nextBatch(spare []byte) batch {
 	c.mu.Lock()
--- a/internal/ingress/door.go
+++ b/internal/ingress/door.go
@@ -4,7 +4,9 @@
 	"errors"
 	"net"
 
+	"hitchspring/internal/figures"
 	"hitchspring/internal/front/resp"
+	"hitchspring/internal/guard"
 	"hitchspring/logic"
 )
 
@@ -17,7 +19,13 @@
 	return d.g.prepared.Load() && !d.g.over.Load() && (f == nil || !f.Leaving())
 }
 
-func (d door) Figures() []byte { return d.g.core.Figures().Text() }
+func (d door) Figures() []byte {
+	text := d.g.core.Figures().Text()
+	for _, i := range guard.Invariants() {
+		text = figures.AppendLine(text, "invariants."+i.String(), d.g.core.Guard().Count(i))
+	}
+	return text
+}
 
 func (d door) Suspend(id string) error { return d.g.core.Suspend(logic.ServerID(id)) }
 
--- a/internal/ingress/figures.go
+++ b/internal/ingress/figures.go
@@ -4,19 +4,23 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"hitchspring/internal/figures"
+	"hitchspring/internal/guard"
 )
 
 // requestFigures exports to [metrics] what the operators' door shows: the same counters, read when they are asked for.
 type requestFigures struct {
-	set                                       *figures.Set
-	ended, gone, sends, open, size, unhealthy *prometheus.Desc
+	set                                                          *figures.Set
+	guard                                                        *guard.Monitor
+	ended, gone, sends, open, size, unhealthy, reasons, violated *prometheus.Desc
 }
 
-func newRequestFigures(set *figures.Set) *requestFigures {
+func newRequestFigures(set *figures.Set, m *guard.Monitor) *requestFigures {
 	d := func(name, help string, labels ...string) *prometheus.Desc {
 		return prometheus.NewDesc("hitchspring_"+name, help, labels, nil)
 	}
-	return &requestFigures{set: set,
+	return &requestFigures{set: set, guard: m,
+		reasons:   d("reasons_total", "Refusals, failures, ends of attempts, attempts held back and ends of clients' connections, by reason.", "what", "reason"),
+		violated:  d("invariants_violated_total", "What must never happen, by its name; 0 is wanted.", "invariant"),
 		ended:     d("requests_total", "Requests by class and by how they ended: answered, deferred (refused), errored (failed).", "class", "end"),
 		gone:      d("requests_client_gone_total", "Requests dropped because their client had closed its connection, by how far they had come.", "stage"),
 		sends:     d("attempts_written_total", "Attempts that were written to a node to their last byte."),
@@ -41,6 +45,10 @@
 	for _, stage := range figures.Stages() {
 		put(f.gone, prometheus.CounterValue, f.set.Departures(stage), stage.String())
 	}
+	f.set.Each(func(group, name string, n int64) { put(f.reasons, prometheus.CounterValue, n, group, name) })
+	for _, i := range guard.Invariants() {
+		put(f.violated, prometheus.CounterValue, f.guard.Count(i), i.String())
+	}
 	size, unhealthy := f.set.Nodes()
 	put(f.sends, prometheus.CounterValue, f.set.Sends())
 	put(f.open, prometheus.GaugeValue, f.set.Current())
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -229,6 +229,7 @@
 	}
 	defer endMetrics()
 	f := resp.New(ln, g.core, conns-spare, memory)
+	f.Observe(g.core.Figures(), g.core.Guard())
 	g.front.Store(f)
 	g.room()
 	f.Start()
@@ -251,7 +252,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listening for metrics: %w", err)
 	}
-	g.reg.MustRegister(newRequestFigures(g.core.Figures()))
+	g.reg.MustRegister(newRequestFigures(g.core.Figures(), g.core.Guard()))
 	if g.cfg.Halls != nil {
 		g.reg.MustRegister(newHallFigures(g.core.HallStatus))
 	}
--- a/internal/lab/overlap/client.go
+++ b/internal/lab/overlap/client.go
@@ -30,6 +30,7 @@
 	id, class string
 	kind      string // of the client
 	in        *instance
+	since     time.Duration // when its connection was dialled, where that was long before
 	sent      time.Duration
 	wait      time.Duration // that it said it waits
 	owed      time.Duration // after sent: by when the answer is, where it counts from the answer before it on the connection
@@ -359,7 +360,7 @@
 		}
 		q := r.newRequest("slow", in, rng)
 		a, rest := q.asked, q.text
-		a.fresh = true
+		a.fresh, a.since = true, r.clock()
 		for len(rest) > 0 && err == nil {
 			n := min(len(rest), 1+rng.IntN(40))
 			_, err = io.WriteString(c, rest[:n])
--- a/internal/lab/overlap/judge.go
+++ b/internal/lab/overlap/judge.go
@@ -96,7 +96,7 @@
 		end = a.answers[0].At
 	}
 	switch leaving := a.in.leavingFor(a.sent); {
-	case a.noConnect, a.left > 0, a.in.killedWithin(a.sent, end):
+	case a.noConnect, a.left > 0, a.in.killedWithin(cmp.Or(a.since, a.sent), end):
 		out.Excused = true
 	case len(a.answers) == 0 && len(sent) == 0 && a.fresh && a.ended > 0: // in the listen queue when the listener closed, or before a start
 		out.Excused = leaving > frontNotice || a.in.leavingFor(a.ended) > frontNotice
--- a/internal/nodes/attempt.go
+++ b/internal/nodes/attempt.go
@@ -26,22 +26,34 @@
 	Stop    time.Duration // when the owner gives it up
 	By      time.Duration // its last byte goes out by then, or it is never sent; 0: at any time before Stop
 	node    *node
+	at      logic.Server  // node's entry when it was sent; the list may change it
 	conn    *conn         // carries it; nil while it waits for one
 	handed  time.Duration // when it was given to conn
 	why     logic.Outcome // given up by the owner: TimedOut or Cancelled; else still
 	stream  *Stream       // of a large value that has begun to come
 	ended   bool
-	unrun   bool // it has ended, and surely never ran
+	outcome logic.Outcome // once it has ended
 }
 
 // NeverRan says whether it has ended as one that surely never ran.
-func (a *Attempt) NeverRan() bool { return a.unrun }
+func (a *Attempt) NeverRan() bool { return a.ended && a.outcome.NeverRan() }
 
 // Ended says whether the owner has been told of its end.
 func (a *Attempt) Ended() bool { return a.ended }
 
 // Written says whether it was handed to a connection and may have run, as far as is known.
-func (a *Attempt) Written() bool { return a.conn != nil && !a.unrun }
+func (a *Attempt) Written() bool { return a.conn != nil && !a.NeverRan() }
+
+// Handed says whether it was given to a connection.
+func (a *Attempt) Handed() bool { return a.conn != nil }
+
+// Server is the entry of the list for where it was sent, as it was then, and whether that server serves by the list now.
+func (a *Attempt) Server() (entry logic.Server, serves bool) {
+	return a.at, a.node != nil && a.node.State == logic.Running
+}
+
+// Outcome is how it has ended; ended is false where it has not.
+func (a *Attempt) Outcome() (o logic.Outcome, ended bool) { return a.outcome, a.ended }
 
 // Node is where it was sent; empty before Start.
 func (a *Attempt) Node() logic.ServerID {
@@ -74,7 +86,7 @@
 	if n == nil { // gone and forgotten
 		n = &node{Server: logic.Server{ID: id, State: logic.Gone}}
 	}
-	a.node = n
+	a.node, a.at = n, n.Server
 	if n.State != logic.Running && a.Command != nil {
 		p.end(a, logic.Moot, Reply{})
 		return
@@ -166,7 +178,7 @@
 	if a.ended {
 		return
 	}
-	a.ended, a.unrun = true, o.NeverRan()
+	a.ended, a.outcome = true, o
 	if o == logic.Done && a.Command != nil && rep.Value == nil && a.stream == nil { // PONG to a request
 		o = logic.Failed
 	}
--- a/internal/nodes/dial.go
+++ b/internal/nodes/dial.go
@@ -14,8 +14,7 @@
 func (p *Pool) serve(n *node) {
 	for len(n.waiting) > 0 {
 		a := n.waiting[0]
-		// The list may have changed since the attempt began to wait: a drain counts from then on. Its client may have left.
-		if n.State != logic.Running || len(n.idle) > 0 && !p.wanted(a) {
+		if n.State != logic.Running || len(n.idle) > 0 && !p.sendable(a) {
 			p.unwait(a)
 			p.end(a, logic.Moot, Reply{})
 			continue
@@ -31,8 +30,15 @@
 	p.wake(n)
 }
 
-// wanted asks the owner whether an attempt that is about to be handed to a connection is to go out still.
-func (p *Pool) wanted(a *Attempt) bool { return a.Command == nil || p.owner.AttemptWanted(a) }
+// sendable is the one guard before an attempt is handed to a connection. The list may have changed since the attempt began to wait: a drain counts
+// from then on. Its time may be over, while the process stood still; its client may have left.
+func (p *Pool) sendable(a *Attempt) bool {
+	now := p.owner.Now()
+	if now >= a.Stop || a.By > 0 && now >= a.By {
+		return false
+	}
+	return a.Command == nil || a.node.State == logic.Running && p.owner.AttemptWanted(a)
+}
 
 // take takes an idle connection that may carry a command now; nil: none. One that has not rested may where the node is known to
 // send no second answers and there can't be more connections.
@@ -65,7 +71,7 @@
 // write hands an attempt to a free connection.
 func (p *Pool) write(c *conn, a *Attempt) {
 	a.conn, c.cur, c.used, a.handed = c, a, true, p.owner.Now()
-	left := writeTimeout
+	left := min(writeTimeout, a.Stop-a.handed) // the process may stand still before it writes
 	if a.By > 0 {
 		left = min(left, a.By-a.handed)
 	}
--- a/logic/attempts.go
+++ b/logic/attempts.go
@@ -29,7 +29,7 @@
 		g.retries = min(g.part(), g.retries+retryRatio)
 		r.cust.ceiling -= r.Units
 	}
-	a := &attempt{n: len(r.attempts), s: s, sent: g.now, mayRun: true}
+	a := &attempt{n: len(r.attempts), s: s, zone: s.Zone, cell: s.Cell, sent: g.now, mayRun: true}
 	r.attempts = append(r.attempts, a)
 	r.outs, r.cust.open, g.busy = r.outs+1, r.cust.open+1, g.busy+1
 	s.out = append(s.out, a)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -125,6 +125,8 @@
 type attempt struct {
 	n                   int
 	s                   *server
+	zone                string // of s when it was sent: the list may move a server
+	cell                int
 	sent                time.Duration
 	ended, lost, mayRun bool // lost: out for so long that it no longer fills the window
 }
@@ -223,7 +225,7 @@
 	g.live = append(g.live, r)
 	if p := q.Prior; p != nil { // begun at another gateway: it is bound as a repeat is
 		at := &server{Server: Server{Zone: p.Zone, Cell: p.Cell}}
-		r.attempts, r.sent = []*attempt{{s: at, sent: p.At, ended: true, mayRun: true}}, true
+		r.attempts, r.sent = []*attempt{{s: at, zone: p.Zone, cell: p.Cell, sent: p.At, ended: true, mayRun: true}}, true
 	}
 	if q.Paid {
 		g.hold(r)
--- a/logic/servers.go
+++ b/logic/servers.go
@@ -42,7 +42,7 @@
 	bestScore := math.Inf(1)
 	anchor := r.anchor()
 	for _, s := range g.fleet {
-		bound := anchor != nil && r.class.Effect != Safe && !sameGroup(r.class.Group, anchor.s, s)
+		bound := anchor != nil && r.class.Effect != Safe && !sameGroup(r.class.Group, anchor, s)
 		h := g.halls[s.Zone]
 		crawls := !g.thin && len(s.out) > 0 && g.learned(s) > crawling // more would crawl with it
 		if bound || crawls || s.unproven || !g.coldRoom(s) || !h.hasRoom(g.now) {
@@ -72,8 +72,9 @@
 	return best
 }
 
-func sameGroup(of Group, a, b *server) bool {
-	return of == GroupAll || of == GroupZone && a.Zone == b.Zone || of == GroupCell && a.Cell == b.Cell
+// sameGroup says whether a server shares the memory of keys with the one that an attempt was sent to, as that was then.
+func sameGroup(of Group, a *attempt, s *server) bool {
+	return of == GroupAll || of == GroupZone && a.zone == s.Zone || of == GroupCell && a.cell == s.Cell
 }
 
 func (r *request) tried(s *server) bool {
