--- a/internal/lab/overlap/judge.go
+++ b/internal/lab/overlap/judge.go
@@ -180,25 +180,39 @@
 // heardBy is when an instance counts as told what its agent had at a time.
 func (r *run) heardBy(instance int, at time.Duration) time.Duration {
 	told := at
+	for again := true; again; {
+		again = false
+		for _, s := range r.deafness(instance) {
+			if told > s.from-onItsWay && told < s.to {
+				told, again = s.to, true
+			}
+		}
+	}
+	return told
+}
+
+// onItsWay is how long before a failure a change may have been told that has not come.
+const onItsWay = 200 * time.Millisecond
+
+// span is a time.
+type span struct{ from, to time.Duration }
+
+// deafness are the times in which an instance is not owed to hear anything.
+func (r *run) deafness(instance int) (out []span) {
 	for _, f := range r.failures {
 		if !slices.Contains(f.instances, instance) {
 			continue
 		}
-		end := f.to
+		s := span{f.from, f.to}
 		if f.silent {
-			end = max(f.to, f.from+silenceGrace)
-		}
-		if at >= f.from-200*time.Millisecond && told <= end {
-			told = end
+			s.to = max(f.to, f.from+silenceGrace)
 		}
+		out = append(out, s)
 	}
-	in := r.instances[instance]
-	for _, h := range in.hangups {
-		if at >= h-200*time.Millisecond && at <= h+hangupGrace || told >= h-200*time.Millisecond && told <= h+hangupGrace {
-			told = max(told, h+hangupGrace)
-		}
+	for _, h := range r.instances[instance].hangups {
+		out = append(out, span{h, h + hangupGrace})
 	}
-	return told
+	return out
 }
 
 // doubt marks what the lateness of the observers can explain.
