--- a/internal/lab/overlap/deployment.go
+++ b/internal/lab/overlap/deployment.go
@@ -60,6 +60,7 @@
 	cancel   bool          // attempts may be called off
 	connIdle time.Duration
 	backends int
+	asks     bool // instances ask discovery for the list, which is not pushed
 }
 
 // drawDeployment draws the settings of a run.
@@ -87,6 +88,7 @@
 		cancel:   rng.Float64() < 0.8,
 		connIdle: between(2*time.Second, 15*time.Second),
 		backends: 12 + rng.IntN(8),
+		asks:     rng.IntN(4) == 0,
 	}
 }
 
@@ -163,7 +165,11 @@
 		plans = append(plans, map[string]any{"name": p.name, "price": 1, "refill": p.rate, "burst": p.burst, "concurrency": p.open, "excessWorth": p.excessWorth,
 			"excessCost": p.excessPenalty, "hardRate": p.ceilingRate, "capDepth": p.ceilingBurst, "tolerance": ceilingSlack})
 	}
-	return map[string]any{"me": me, "replicasOfMe": instances, "myZone": fmt.Sprint("z", me%zones), "registryMode": "push", "classes": classes, "contracts": plans,
+	mode := "push"
+	if d.asks {
+		mode = "subscribe"
+	}
+	return map[string]any{"me": me, "replicasOfMe": instances, "myZone": fmt.Sprint("z", me%zones), "registryMode": mode, "classes": classes, "contracts": plans,
 		"familyInfo": map[string]any{"counterTimeoutUs": us(counterTimeout), "maxUnits": maxUnits, "sharedCounter": true},
 		"permissions": map[string]any{"connIdleUs": us(d.connIdle), "connectTimeoutUs": us(connectTimeout), "maxOpen": 20000, "maxAttempts": 6,
 			"maxRetryAfterUs": us(500 * time.Millisecond), "mayCancel": d.cancel, "probing": true, "parallelTries": d.parallel, "retryAfter": true},
--- a/internal/lab/overlap/instance.go
+++ b/internal/lab/overlap/instance.go
@@ -37,6 +37,7 @@
 	hangups  []time.Duration
 	overrun  []time.Duration // kills of a process that had not ended by the time that the platform leaves it
 	startup  []time.Duration // how long each start took
+	crowds   []span          // in which all its places may be taken; r.mu
 	told     int             // which agent its configuration names
 	expected bool            // its end is
 	crashed  []string
--- a/internal/lab/overlap/trouble.go
+++ b/internal/lab/overlap/trouble.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"time"
 
@@ -17,6 +18,7 @@
 	clusterFirst = 1500 * time.Millisecond
 	clusterSize  = 5
 	jitter       = 1200 * time.Millisecond
+	crowdEnds    = time.Second // that it takes until those who waited for a place have one
 )
 
 // trouble is something that goes wrong at a time, counted from the beginning of the load.
@@ -30,7 +32,7 @@
 type troubleKind func(*run, *rand.Rand) trouble
 
 var troubleKinds = []troubleKind{drawTerminations, drawTerminations, drawKills, drawHangups, drawSilence, drawBrokenDiscovery, drawDrains, drawColdRestarts,
-	drawResets, drawRules, drawPauses, drawCuts, drawCounter, drawHolds}
+	drawResets, drawRules, drawPauses, drawCuts, drawCounter, drawHolds, drawIdleCloses, drawCrowd}
 
 // drawTroubles draws the troubles of a run.
 func (r *run) drawTroubles(rng *rand.Rand) (out []trouble) {
@@ -236,3 +238,44 @@
 		}
 	}}
 }
+
+// drawIdleCloses has backends close idle connections far sooner than the settings say, for a while.
+func drawIdleCloses(r *run, rng *rand.Rand) trouble {
+	which, after, d := pick(rng, r.deployment.backends, 1, r.deployment.backends), drawSpan(rng, 15*time.Millisecond, 500*time.Millisecond), drawSpan(rng, time.Second, 4*time.Second)
+	return trouble{text: fmt.Sprintf("backends %v close connections after %v without a command, for %v", which, after, d), do: func(ctx context.Context) {
+		set := func(after time.Duration) {
+			for _, b := range which {
+				r.backend(b).CloseIdle(after)
+			}
+		}
+		set(after)
+		sleep(ctx, d)
+		set(0)
+	}}
+}
+
+// drawCrowd fills the places of one instance with idle clients, some of which have begun a command.
+func drawCrowd(r *run, rng *rand.Rand) trouble {
+	in, clients, d := r.instances[rng.IntN(r.cfg.Instances)], mostSockets+rng.IntN(100), drawSpan(rng, time.Second, 4*time.Second)
+	return trouble{text: fmt.Sprintf("%d idle clients at %s for %v", clients, in.Name, d), do: func(ctx context.Context) {
+		from := r.clock()
+		var open []net.Conn
+		for i := range clients {
+			nc, err := net.DialTimeout("tcp", in.addr, 100*time.Millisecond)
+			if err != nil {
+				break
+			}
+			if i%4 == 0 {
+				nc.Write([]byte("*4\r\n"))
+			}
+			open = append(open, nc)
+		}
+		sleep(ctx, d)
+		for _, nc := range open {
+			nc.Close()
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		in.crowds = append(in.crowds, span{from, r.clock() + crowdEnds})
+	}}
+}
--- a/internal/standin/node/node.go
+++ b/internal/standin/node/node.go
@@ -132,6 +132,7 @@
 	cuts    []time.Duration
 	drains  bool
 	down    bool
+	idle    atomic.Int64    // nanoseconds after which a connection without a command is closed; 0: never
 	counts  []time.Duration // ends of the last second, for qps
 }
 
@@ -265,6 +266,9 @@
 // Drain makes the node turn new work away, or ends that.
 func (n *Node) Drain(on bool) { n.change(func(time.Duration) { n.drains = on }) }
 
+// CloseIdle has the node close connections on which no command has come for so long; 0: none.
+func (n *Node) CloseIdle(after time.Duration) { n.idle.Store(int64(after)) }
+
 // Slow makes the node so many times slower for a while, also in what it has begun.
 func (n *Node) Slow(times float64, d time.Duration) {
 	n.change(func(now time.Duration) { n.m.slow(times, now+d) })
@@ -408,6 +412,11 @@
 func (c *conn) serve() {
 	in := redcon.NewReader(c)
 	for {
+		if idle := time.Duration(c.n.idle.Load()); idle > 0 {
+			c.SetReadDeadline(time.Now().Add(idle))
+		} else {
+			c.SetReadDeadline(time.Time{})
+		}
 		cmd, err := in.ReadCommand()
 		if err != nil {
 			return
