--- /dev/null
+++ b/internal/front/resp/queue_test.go
@@ -0,0 +1,50 @@
+package resp
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"hitchspring/internal/core"
+)
+
+// TestAgeOfCommandsInTheListenQueue has a connection wait in the listen queue for a place, with its command. The command's time counts from when it
+// came, not from when there was a place: before, backends were told time that the client did not have any more.
+func TestAgeOfCommandsInTheListenQueue(t *testing.T) {
+	const waited = 400 * time.Millisecond
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	aged := agedCore{deskCore{make(chan *core.Request, 4), make(chan *core.Request, 4)}, time.Now()}
+	f := New(ln, aged, 1, 1<<20)
+	f.Start()
+	dial := func(id int) net.Conn {
+		nc, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		if _, err := io.WriteString(nc, question(id)); err != nil {
+			t.Fatal(err)
+		}
+		return nc
+	}
+	dial(1)
+	first := <-aged.came // it has the one place until it is answered
+	sent := time.Since(aged.start)
+	dial(2)
+	time.AfterFunc(waited, func() { first.Place.Answer(core.Answer{Kind: core.Failed}) })
+	select {
+	case second := <-aged.came:
+		if came := second.GiveUpAt; came-sent > waited/2 {
+			t.Errorf("a command that came at %v, and was taken at %v, counts from %v", sent, time.Since(aged.start), came)
+		}
+		second.Place.Answer(core.Answer{Kind: core.Failed})
+	case <-time.After(10 * time.Second):
+		t.Fatal("the second connection is not taken")
+	}
+	f.Close()
+	f.stop()
+}
--- a/internal/lab/overlap/client.go
+++ b/internal/lab/overlap/client.go
@@ -21,6 +21,9 @@
 	answerWait   = lateBy + 350*time.Millisecond
 	badClient    = 3 * time.Second // within which a client that misbehaves is owed an error or the end of its connection
 	frontNotice  = 300 * time.Millisecond
+	bodyShare    = 0.05
+	mostBody     = 60 << 10
+	slowPieces   = 12   // of a request that comes slowly, on the mean
 	mostNonsense = 6    // commands of one connection that are no requests: the tenth ends it
 	ratePerSec   = 12.0 // first requests a second at each instance
 )
@@ -84,7 +87,11 @@
 	case keyed:
 		fields += ",k=" + id
 	}
-	text := command(name, fmt.Sprintf("%016x", ch.id), id, fields)
+	words := []string{name, fmt.Sprintf("%016x", ch.id), id, fields}
+	if c.effect != safe && rng.Float64() < bodyShare {
+		words = append(words, strings.Repeat("b", 1+rng.IntN(mostBody)))
+	}
+	text := command(words...)
 	return request{asked: asked{id: id, class: c.name, kind: kind, in: in, wait: wait}, text: text}
 }
 
@@ -335,6 +342,10 @@
 		}
 		sent := r.clock()
 		io.WriteString(c, text.String())
+		if rng.IntN(3) == 0 { // with half of another behind
+			part := r.newRequest("leaving", in, rng).text
+			io.WriteString(c, part[:rng.IntN(len(part))])
+		}
 		sleep(ctx, time.Duration(rng.IntN(80))*time.Millisecond)
 		if rng.IntN(2) == 0 {
 			c.Conn.(*net.TCPConn).SetLinger(0)
@@ -362,7 +373,7 @@
 		a, rest := q.asked, q.text
 		a.fresh, a.since = true, r.clock()
 		for len(rest) > 0 && err == nil {
-			n := min(len(rest), 1+rng.IntN(40))
+			n := min(len(rest), 1+rng.IntN(2*len(q.text)/slowPieces))
 			_, err = io.WriteString(c, rest[:n])
 			if rest = rest[n:]; len(rest) > 0 {
 				sleep(ctx, time.Duration(rng.IntN(250))*time.Millisecond)
