A test of crossing ends waits until its command is in the reader's hand

Seen: TestEndCrossesACommand/read failed in 3 of 64 runs of the package, eight side by side, and in 7 of 160 at: 'nobody asked for the connection's end'. Cause: the test's. On a busy machine the end was asked for before the reader had the command; the reader found it in the kernel and took the request back, as it should, between two looks of the test. It waits now until the read has brought the command; its assertions are as they were.

--- a/internal/front/resp/ends_test.go
+++ b/internal/front/resp/ends_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,6 +43,7 @@
 type heldConn struct {
 	*net.TCPConn
 	before, after chan struct{} // a read waits for each; nil: it doesn't
+	inHand        atomic.Bool   // a read waits for after, with what the kernel has brought
 }
 
 func (h *heldConn) Read(b []byte) (int, error) {
@@ -50,6 +52,7 @@
 	}
 	n, err := h.TCPConn.Read(b)
 	if n > 0 && h.after != nil {
+		h.inHand.Store(true)
 		<-h.after
 	}
 	return n, err
@@ -187,8 +190,11 @@
 				b := newBench(t, hold)
 				b.say(t, question(1))
 				gate := b.held.before
-				if gate == nil {
+				if gate == nil { // it is read: an end before that crosses nothing
 					gate = b.held.after
+					for !b.held.inHand.Load() {
+						time.Sleep(time.Millisecond)
+					}
 				} else { // it lies in the kernel: our side of the connection says so
 					for came := false; !came; {
 						came, _ = socket.Peek(b.held)
