--- a/internal/front/resp/queue_test.go
+++ b/internal/front/resp/queue_test.go
@@ -1,8 +1,10 @@
 package resp
 
 import (
+	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -48,3 +50,48 @@
 	f.Close()
 	f.stop()
 }
+
+// TestAgeOfCommandsBeyondTheReadAhead has more come behind a full window than is read meanwhile: the rest lies in the kernel. What is read of it later
+// counts as come when reading stopped, at the latest.
+func TestAgeOfCommandsBeyondTheReadAhead(t *testing.T) {
+	const waited, large = 600 * time.Millisecond, 20
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	aged := agedCore{deskCore{make(chan *core.Request, 200), make(chan *core.Request, 200)}, time.Now()}
+	f := New(ln, aged, 4, 1<<20)
+	f.Start()
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	var text strings.Builder
+	for id := range mostPipelined + large {
+		if id < mostPipelined {
+			text.WriteString(question(id))
+		} else {
+			text.WriteString(words("Q.ASK", "00000000b4d65521", fmt.Sprintf("%016x", id), "c=read,t=p,d=50000,units=1,spread=1,first=0", strings.Repeat("b", readAheadBytes/4)))
+		}
+	}
+	go io.Copy(io.Discard, nc)
+	go io.WriteString(nc, text.String())
+	sent := time.Since(aged.start)
+	for id := range mostPipelined + large {
+		if id == 1 { // the others wait until then
+			time.Sleep(waited)
+		}
+		select {
+		case r := <-aged.came:
+			if came := r.GiveUpAt; came-sent > waited/2 {
+				t.Fatalf("command %d came at %v, and counts from %v", id, sent, came)
+			}
+			r.Place.Answer(core.Answer{Kind: core.Failed})
+		case <-time.After(10 * time.Second):
+			t.Fatalf("command %d is not taken", id)
+		}
+	}
+	f.Close()
+	f.stop()
+}
