What comes while nothing is read counts from then; a first command's limit from its arrival

Change: receipts know since when a connection was not read though more may have come; what is read behind that counts as come then, until the kernel has nothing. A command's time limit counts from its first byte's arrival, with 250 ms at the least for what has come behind it: a client that waited for a place and stops within a command has its error sooner.

--- a/internal/front/resp/limits.go
+++ b/internal/front/resp/limits.go
@@ -7,6 +7,7 @@
 	firstCommand       = 2400 * time.Millisecond // from connecting to the end of the first command, and for some more of one that has begun
 	wholeCommand       = 10 * time.Second        // from the first byte of a command to its last
 	mostQueued         = 10 * time.Second        // that a first command may have waited in the listen queue
+	restOfCommand      = 250 * time.Millisecond  // at the least, for what has come of a command and was not read
 	leastProgress      = 256                     // bytes, for some more
 	writeStall         = 10 * time.Second        // for a client to take some of what it is owed
 	relaySize          = 8 << 10                 // piece of a value that is passed on
--- a/internal/front/resp/reader.go
+++ b/internal/front/resp/reader.go
@@ -49,8 +49,7 @@
 			continue
 		}
 		if err == nil {
-			c.receipts.forget()
-			c.limitPartial(&progress)
+			c.limitPartial(&progress, c.receipts.forget())
 			if err = in.Fill(c.receive); errors.Is(err, os.ErrDeadlineExceeded) {
 				if asked, ended := c.tryEnd(); ended {
 					return endedByServer
@@ -69,8 +68,9 @@
 }
 
 // limitPartial sets the time limit of a command that has begun and not ended, which is longer while it makes progress, and takes it off
-// behind its end. Only the rest of a command has a time limit; setting one for each read would cost CPU.
-func (c *connection) limitPartial(p *commandProgress) {
+// behind its end. Only the rest of a command has a time limit; setting one for each read would cost CPU. What came first may have waited for this
+// process: its time counts from when it came, and what has come behind it is read first.
+func (c *connection) limitPartial(p *commandProgress, came time.Time) {
 	partial := c.in.Partial()
 	switch {
 	case !partial && c.partial.Load():
@@ -78,17 +78,26 @@
 		c.partial.Store(false)
 	case partial && (p.began.IsZero() || c.in.Came()-p.came >= leastProgress):
 		now := time.Now()
+		limit := earlier(now.Add(firstCommand), p.began.Add(wholeCommand))
 		if p.began.IsZero() {
-			p.began = now
+			if p.began = now; !came.IsZero() {
+				p.began = came
+			}
+			limit = later(p.began.Add(firstCommand), now.Add(restOfCommand))
 		}
 		p.came = c.in.Came()
 		c.partial.Store(true)
-		c.setReadLimit(earlier(now.Add(firstCommand), p.began.Add(wholeCommand)))
+		c.setReadLimit(limit)
 	}
 }
 
 // receive reads from the connection, and notes when what it brings has come.
 func (c *connection) receive(b []byte) (int, error) {
+	if !c.receipts.stopped.IsZero() {
+		if came, _ := socket.Peek(c.nc); !came {
+			c.receipts.resume()
+		}
+	}
 	n, err := c.nc.Read(b)
 	if n > 0 {
 		now := time.Now()
@@ -178,6 +187,7 @@
 		c.takeEndRequest() // what has been read comes first
 		c.mu.Unlock()
 		if ahead = ahead && c.in.Came() < readAheadBytes; !ahead {
+			c.receipts.stop(time.Now())
 			if done(peerClosedLook) {
 				return
 			}
@@ -210,6 +220,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
