--- a/internal/front/resp/queue_test.go
+++ b/internal/front/resp/queue_test.go
@@ -54,7 +54,7 @@
 // TestAgeOfCommandsBeyondTheReadAhead has more come behind a full window than is read meanwhile: the rest lies in the kernel. What is read of it later
 // counts as come when reading stopped, at the latest.
 func TestAgeOfCommandsBeyondTheReadAhead(t *testing.T) {
-	const waited, large = 600 * time.Millisecond, 20
+	const waited, large = 600 * time.Millisecond, 100 // more than the kernel holds for us: the rest is in the client's
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/front/resp/reader.go
+++ b/internal/front/resp/reader.go
@@ -93,10 +93,9 @@
 
 // receive reads from the connection, and notes when what it brings has come.
 func (c *connection) receive(b []byte) (int, error) {
+	var began time.Time // the time of a read matters only behind a stop
 	if !c.receipts.stopped.IsZero() {
-		if came, _ := socket.Peek(c.nc); !came {
-			c.receipts.resume()
-		}
+		began = time.Now()
 	}
 	n, err := c.nc.Read(b)
 	if n > 0 {
@@ -104,7 +103,7 @@
 		if c.receipts.total == 0 { // it may have waited in the listen queue, for a place here
 			now = now.Add(-min(socket.SinceData(c.nc), mostQueued))
 		}
-		c.receipts.add(n, now)
+		c.receipts.add(n, began, now)
 	}
 	return n, err
 }
--- a/internal/front/resp/receipts.go
+++ b/internal/front/resp/receipts.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// mostInFlight is more than two kernels hold for a connection: what is read beyond it was sent after reading had stopped.
+const mostInFlight = 8 << 20
+
 // receiptGap is the time between two reads that are told apart: what comes sooner after another piece counts as come with that one.
 const receiptGap = 25 * time.Millisecond
 
@@ -10,7 +13,8 @@
 type receipts struct {
 	total   int64 // bytes that have come
 	marks   []receipt
-	stopped time.Time // since when nothing was read though more may have come; zero: all that has come was read
+	stopped time.Time // when reading stopped though more may have come, also to the client's kernel; zero: all that has come was read
+	behind  int64     // bytes read since
 }
 
 // receipt says that bytes, up to a count of all that have come, came at a time.
@@ -19,18 +23,19 @@
 	at   time.Time
 }
 
-// stop notes that nothing is read for a while: what comes meanwhile counts as come now.
+// stop notes that nothing is read for a while: what is sent meanwhile counts as come now.
 func (r *receipts) stop(now time.Time) {
 	if r.stopped.IsZero() {
-		r.stopped = now
+		r.stopped, r.behind = now, 0
 	}
 }
 
-// resume notes that nothing has come that was not read.
-func (r *receipts) resume() { r.stopped = time.Time{} }
-
-// add notes bytes that have been read.
-func (r *receipts) add(bytes int, now time.Time) {
+// add notes bytes that have been read, by a read that began at a time. One that had to wait brings what was sent just now.
+func (r *receipts) add(bytes int, began, now time.Time) {
+	r.behind += int64(bytes)
+	if now.Sub(began) >= receiptGap || r.behind > mostInFlight {
+		r.stopped = time.Time{}
+	}
 	if !r.stopped.IsZero() {
 		now = r.stopped
 	}
