--- a/internal/front/resp/queue_test.go
+++ b/internal/front/resp/queue_test.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	aged := agedCore{deskCore{make(chan *core.Request, 4), make(chan *core.Request, 4)}, time.Now()}
+	aged := agedCore{deskCore{make(chan *core.Request, 200), make(chan *core.Request, 200)}, time.Now()}
 	f := New(ln, aged, 1, 1<<20)
 	f.Start()
 	dial := func(id int) net.Conn {
@@ -28,25 +28,34 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { nc.Close() })
-		if _, err := io.WriteString(nc, question(id)); err != nil {
+		if _, err := io.WriteString(nc, question(id)+strings.Repeat(question(id+10), 40)); err != nil { // more than one read brings
 			t.Fatal(err)
 		}
 		return nc
 	}
+	const each = 41
+	answer := func(n int, check func(*core.Request)) {
+		for range n {
+			select {
+			case r := <-aged.came:
+				check(r)
+				r.Place.Answer(core.Answer{Kind: core.Failed})
+			case <-time.After(10 * time.Second):
+				t.Fatal("a command is not taken")
+			}
+		}
+	}
 	dial(1)
-	first := <-aged.came // it has the one place until it is answered
+	answer(each-1, func(*core.Request) {})
+	last := <-aged.came // its connection has the one place until it is answered
 	sent := time.Since(aged.start)
 	dial(2)
-	time.AfterFunc(waited, func() { first.Place.Answer(core.Answer{Kind: core.Failed}) })
-	select {
-	case second := <-aged.came:
-		if came := second.GiveUpAt; came-sent > waited/2 {
-			t.Errorf("a command that came at %v, and was taken at %v, counts from %v", sent, time.Since(aged.start), came)
+	time.AfterFunc(waited, func() { last.Place.Answer(core.Answer{Kind: core.Failed}) })
+	answer(each, func(r *core.Request) {
+		if r.GiveUpAt-sent > waited/2 {
+			t.Errorf("a command that came at %v, and was taken at %v, counts from %v", sent, time.Since(aged.start), r.GiveUpAt)
 		}
-		second.Place.Answer(core.Answer{Kind: core.Failed})
-	case <-time.After(10 * time.Second):
-		t.Fatal("the second connection is not taken")
-	}
+	})
 	f.Close()
 	f.stop()
 }
--- a/internal/front/resp/reader.go
+++ b/internal/front/resp/reader.go
@@ -100,8 +100,11 @@
 	n, err := c.nc.Read(b)
 	if n > 0 {
 		now := time.Now()
-		if c.receipts.total == 0 { // it may have waited in the listen queue, for a place here
-			now = now.Add(-min(socket.SinceData(c.nc), mostQueued))
+		if c.receipts.total == 0 { // it may have waited in the listen queue, for a place here, with more behind it
+			if waited := min(socket.SinceData(c.nc), mostQueued); waited >= receiptGap {
+				c.receipts.stop(now.Add(-waited))
+				began = now
+			}
 		}
 		c.receipts.add(n, began, now)
 	}
