--- a/logic/logic.go
+++ b/logic/logic.go
@@ -225,7 +225,8 @@
 	g.live = append(g.live, r)
 	if p := q.Prior; p != nil { // begun at another gateway: it is bound as a repeat is
 		at := &server{Server: Server{Zone: p.Zone, Cell: p.Cell}}
-		r.attempts, r.sent = []*attempt{{s: at, zone: p.Zone, cell: p.Cell, sent: p.At, ended: true, mayRun: true}}, true
+		first := &attempt{s: at, zone: p.Zone, cell: p.Cell, sent: p.At, ended: true, mayRun: true}
+		r.attempts, r.sent = []*attempt{first}, true
 	}
 	if q.Paid {
 		g.hold(r)
--- a/logic/servers.go
+++ b/logic/servers.go
@@ -72,7 +72,8 @@
 	return best
 }
 
-// sameGroup says whether a server shares the memory of keys with the one that an attempt was sent to, as that was then.
+// sameGroup says whether a server shares the memory of keys with the one that an attempt was sent to, as
+// that was then.
 func sameGroup(of Group, a *attempt, s *server) bool {
 	return of == GroupAll || of == GroupZone && a.zone == s.Zone || of == GroupCell && a.cell == s.Cell
 }
