--- a/internal/lab/overlap/judge.go
+++ b/internal/lab/overlap/judge.go
@@ -80,7 +80,7 @@
 	for _, b := range verdict.Breaks {
 		r.findings = append(r.findings, Finding{Rule: b.Rule, At: b.At, What: b.What, Doubtful: b.Doubtful})
 	}
-	r.doubt()
+	r.doubtBy(r.meter.Late())
 	for i := range r.findings {
 		r.tellStory(&r.findings[i], requests, byID)
 	}
@@ -232,9 +232,8 @@
 	return out
 }
 
-// doubt marks what the lateness of the observers can explain.
-func (r *run) doubt() {
-	late := r.meter.Late()
+// doubtBy marks what the lateness of the observers can explain.
+func (r *run) doubtBy(late []audit.Late) {
 	for i := range r.findings {
 		f := &r.findings[i]
 		for _, l := range late {
