--- /dev/null
+++ b/internal/lab/play.go
@@ -0,0 +1,112 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"hitchspring/internal/audit"
+	"hitchspring/internal/lab/day"
+	"hitchspring/internal/lab/lateness"
+	"hitchspring/internal/lab/proc"
+)
+
+// play loads what is open, by the timeline, and judges.
+func (w *World) play(ctx context.Context, steps []day.Step) (*Report, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer w.wg.Wait()
+	w.meter = lateness.Start(w.clock)
+	w.onClose(w.meter.Close)
+	began, beganCPU := time.Now(), ownCPU()
+	w.load.begin()
+	before := make([]proc.Usage, len(w.ingresses))
+	for i, g := range w.ingresses {
+		before[i] = g.Use()
+	}
+	calls := w.store.Calls()
+	faulty := make(chan error, 1)
+	go func() {
+		err := w.timeline(ctx, began, steps)
+		if err != nil {
+			cancel() // the load ends early
+		}
+		faulty <- err
+	}()
+	live, tracks := make(chan struct{}), make(chan map[string]*NodeTrack, 1)
+	go func() {
+		defer close(live)
+		w.show(ctx)
+	}()
+	able := &ableTrack{map[string][]float64{}, map[string][]float64{}}
+	go func() { tracks <- w.sample(ctx, able) }()
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		if w.cfg.Watch != nil {
+			w.cfg.Watch(ctx, w)
+		}
+	}()
+	w.load.run(ctx)
+	interrupted := context.Cause(ctx)
+	var procs []Process
+	cpu := time.Duration(0)
+	for i, g := range w.ingresses {
+		u := g.Use()
+		cpu += u.CPU - before[i].CPU
+		procs = append(procs, Process{Name: g.Name, CPUS: (u.CPU - before[i].CPU).Seconds(), PeakMB: float64(u.PeakKB) / 1024})
+	}
+	seconds, labCPU := time.Since(began).Seconds(), ownCPU()-beganCPU
+	cancel()
+	<-live
+	<-watched
+	if err := <-faulty; err != nil {
+		return nil, err
+	}
+	w.wg.Wait()
+	if err := errors.Join(w.failed...); err != nil {
+		return nil, err
+	}
+	if interrupted != nil {
+		return nil, fmt.Errorf("interrupted: %w", interrupted)
+	}
+	time.Sleep(200 * ms) // what was sent last reaches the nodes' record
+	evidence := w.evidence()
+	verdict := audit.Judge(w.rules(), evidence)
+	r := &Report{Day: w.day.Name, Seed: w.cfg.Seed, Store: w.day.Store, Seconds: seconds, BeganS: w.load.began.Seconds(), Faults: w.notes, Dropped: int(w.load.dropped.Load()), Processes: procs,
+		Breaks: verdict.Breaks, Rules: map[string]int{}, Fronts: map[string]Share{}, verdict: verdict, Edges: verdict.Edges, Unmet: append(w.day.Must.Unmet(verdict.Edges), w.idle()...),
+		LateMS: float64(verdict.Late.Microseconds()) / 1000, LabCores: labCPU.Seconds() / seconds, tolerance: w.rules().Tolerance, lost: w.fleet.Lost()}
+	for _, rule := range audit.RuleNames {
+		r.Rules[rule] = len(verdict.Of(rule))
+	}
+	for _, g := range w.ingresses {
+		g.mu.Lock()
+		if g.crashed != "" {
+			r.Crashed = append(r.Crashed, g.crashed)
+		}
+		if g.died {
+			r.Died = append(r.Died, g.Name)
+		}
+		g.mu.Unlock()
+	}
+	for _, s := range steps {
+		r.Marks = append(r.Marks, Mark{s.At.Seconds(), s.Text})
+	}
+	held := <-tracks
+	for _, s := range w.specs {
+		r.Nodes = append(r.Nodes, *held[s.ID])
+	}
+	w.rows(r)
+	w.halls(r, able, w.score(r, evidence, w.store.Calls()-calls))
+	if r.Tries > 0 {
+		r.CPUPerRequestUS = float64(cpu.Microseconds()) / float64(r.Tries)
+	}
+	w.channels(r, evidence)
+	w.commands(r)
+	w.wishes(r)
+	if w.links != nil {
+		r.Links = w.links.Acted()
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/lab/stores.go
@@ -0,0 +1,63 @@
+package lab
+
+import (
+	"strings"
+
+	"hitchspring/internal/lab/day"
+	"hitchspring/internal/standin/redis"
+	"hitchspring/internal/standin/tally"
+)
+
+// store is a stand-in for a shared counter, as the timeline and the report need it.
+type store interface {
+	Addr() string
+	Do(line string) error
+	Calls() int
+}
+
+func (w *World) openStore() error {
+	switch w.day.Store {
+	case day.StoreTally:
+		s, err := tally.Start(w.net+".1:0", w.cfg.Seed)
+		if err != nil {
+			return err
+		}
+		w.onClose(s.Close)
+		w.store = tallyStore{s}
+	default:
+		s, err := redis.Start(redis.Options{Seed: w.cfg.Seed, Listen: w.net + ".1:0"})
+		if err != nil {
+			return err
+		}
+		w.onClose(s.Close)
+		replica, err := s.Group().AddReplica(redis.Options{Seed: w.cfg.Seed, Listen: w.net + ".1:0"})
+		if err != nil {
+			return err
+		}
+		w.onClose(replica.Close)
+		w.store = redisStore{s}
+	}
+	return nil
+}
+
+type tallyStore struct{ *tally.Server }
+
+// Calls is how many came.
+func (s tallyStore) Calls() int { return len(s.Records()) }
+
+// redisStore hands the timeline's words to whoever is the primary by then.
+type redisStore struct{ *redis.Server }
+
+// Do hands a word on.
+func (s redisStore) Do(line string) error { return s.Group().Primary().Do(line) }
+
+// Calls is how many adds came.
+func (s redisStore) Calls() int {
+	n := 0
+	for _, r := range s.Records() {
+		if len(r.Args) > 0 && strings.HasPrefix(strings.ToUpper(r.Args[0]), "EVAL") {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/lab/tables.go
@@ -0,0 +1,240 @@
+package lab
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"hitchspring/internal/audit"
+	"hitchspring/internal/lab/measure"
+	"hitchspring/internal/standin/node"
+)
+
+// commands are what came to nodes.
+func (w *World) commands(r *Report) {
+	aims := map[string]time.Duration{}
+	for _, c := range w.classes {
+		aims[c.name] = c.aim
+	}
+	seen := map[string]bool{}
+	for _, x := range w.fleet.Records(0) {
+		if !seen[x.ID] {
+			seen[x.ID] = true
+			r.Passes = append(r.Passes, Pass{x.Came, x.Instance, x.Customer, x.Units})
+		}
+		r.Commands = append(r.Commands, Command{x.Came, x.Node, x.Instance, x.Class, x.Ended == 0 || x.Ended-x.Came > aims[x.Class]})
+	}
+}
+
+// wishes are the keyed ones, with what nodes saw of them.
+func (w *World) wishes(r *Report) {
+	by := map[string]*Wish{}
+	values := map[string]map[string]bool{}
+	racks := map[string]map[int]bool{}
+	w.load.mu.Lock()
+	slices.SortFunc(w.load.tried, func(a, b tried) int { return cmp.Compare(a.Sent, b.Sent) })
+	for _, t := range w.load.tried {
+		if t.key == "" {
+			continue
+		}
+		x := by[t.key]
+		if x == nil {
+			x = &Wish{Key: t.key, Class: t.class.name, First: t.Sent, GiveUp: t.GiveUp, Instance: t.Instance, Lost: len(t.Answers) == 0}
+			by[t.key], values[t.key], racks[t.key] = x, map[string]bool{}, map[int]bool{}
+		}
+		x.Tries++
+		end, step := "no answer", Step{Key: t.key, From: t.Sent, Who: len(r.History)}
+		if len(t.Answers) > 0 {
+			step.Until, step.Served, step.Value = t.Answers[0].At, t.Answers[0].Kind == "served", t.value
+			end = fmt.Sprintf("%s after %v", t.Answers[0].Kind, (t.Answers[0].At - t.Sent).Round(ms))
+			if x.Tries > 1 {
+				x.Again++
+			} else {
+				x.Answered = t.Answers[0].At
+			}
+		}
+		r.History = append(r.History, step)
+		x.Story = append(x.Story, fmt.Sprintf("%s at %v: %s", t.Instance, t.Sent.Round(ms), end))
+		if len(t.Answers) > 0 && t.Answers[0].Kind == "served" {
+			x.Served = true
+			values[t.key][t.value] = true
+		}
+	}
+	w.load.mu.Unlock()
+	for _, c := range w.fleet.Records(0) {
+		x := by[c.Key]
+		if x == nil {
+			continue
+		}
+		if fmt.Sprint("n", c.Instance) != x.Instance && x.Helped == 0 {
+			x.Helped = c.Came
+		}
+		switch c.How {
+		case node.Ran, node.DroppedAfter, node.Unanswered:
+			x.Effects++
+			r.History = append(r.History, Step{Key: c.Key, From: c.Came, Until: c.Ended, Effect: true, Who: len(r.History)})
+			racks[c.Key][c.Rack] = true
+		}
+	}
+	for key, x := range by {
+		x.Values, x.Racks = len(values[key]), len(racks[key])
+		r.Keyed = append(r.Keyed, *x)
+	}
+	slices.SortFunc(r.Keyed, func(a, b Wish) int { return cmp.Compare(a.First, b.First) })
+}
+
+// rows sums up the clients' record.
+func (w *World) rows(r *Report) {
+	type key struct{ class, plan string }
+	byKey := map[key]*Row{}
+	took := map[key]*measure.Latencies{}
+	var seconds []*Second
+	var perSecond []*measure.Latencies
+	w.load.mu.Lock()
+	defer w.load.mu.Unlock()
+	r.Tries = len(w.load.tried)
+	slices.SortFunc(w.load.tried, func(a, b tried) int { return cmp.Compare(a.Sent, b.Sent) })
+	for _, t := range w.load.tried {
+		for i := range r.Processes {
+			if r.Processes[i].Name == t.Instance {
+				r.Processes[i].Tries++
+			}
+		}
+		k := key{t.class.name, t.ch.plan.name}
+		row := byKey[k]
+		if row == nil {
+			row = &Row{Class: k.class, Plan: k.plan}
+			byKey[k], took[k] = row, measure.NewLatencies()
+		}
+		n := int((t.due - w.load.began) / time.Second)
+		for len(seconds) <= n {
+			seconds = append(seconds, &Second{ByClass: map[string]Slot{}, ByPlan: map[string]Slot{}})
+			perSecond = append(perSecond, measure.NewLatencies())
+		}
+		sec := seconds[n]
+		count := func(wishes, inTime int) {
+			sec.Wishes, sec.InTime = sec.Wishes+wishes, sec.InTime+inTime
+			c, p := sec.ByClass[k.class], sec.ByPlan[k.plan]
+			sec.ByClass[k.class], sec.ByPlan[k.plan] = Slot{c.Wishes + wishes, c.InTime + inTime}, Slot{p.Wishes + wishes, p.InTime + inTime}
+		}
+		row.Tries++
+		if t.ch.plan.ceiling > 0 && t.ch.demand > 1 {
+			name := map[bool]string{false: "resp", true: "http"}[t.http]
+			x := r.Fronts[name]
+			if t.retry == 0 {
+				x.Asked += t.class.units
+			}
+			if len(t.Answers) > 0 && t.Answers[0].Kind == "served" {
+				x.Served += t.class.units
+			}
+			r.Fronts[name] = x
+		}
+		if t.retry == 0 {
+			row.Wishes++
+			count(1, 0)
+		}
+		if len(t.Answers) == 0 {
+			row.None++
+			continue
+		}
+		switch lat := t.Answers[0].At - t.due; t.Answers[0].Kind {
+		case "served":
+			row.Served++
+			took[k].Add(lat)
+			perSecond[n].Add(lat)
+			if lat <= t.class.aim {
+				row.InTime++
+				count(0, 1)
+			}
+		case "refused":
+			row.Refused++
+			sec.Refused++
+		default:
+			row.Failed++
+		}
+	}
+	for i, s := range seconds {
+		s.P50MS, s.P99MS = perSecond[i].MS(0.5), perSecond[i].MS(0.99)
+		r.Timeline = append(r.Timeline, *s)
+	}
+	for _, p := range w.plans {
+		for _, c := range w.classes {
+			k := key{c.name, p.name}
+			if row := byKey[k]; row != nil {
+				row.P50MS, row.P99MS = took[k].MS(0.5), took[k].MS(0.99)
+				r.Rows = append(r.Rows, *row)
+			}
+		}
+	}
+}
+
+// score is the service as the brief counts it, from the clients' and the nodes' records.
+func (w *World) score(r *Report, e audit.Evidence, calls int) (list []measure.Wish) {
+	wishes := map[int]*measure.Wish{}
+	costs := measure.Costs{CounterCalls: calls}
+	w.load.mu.Lock()
+	for _, t := range w.load.tried {
+		x := wishes[t.wish]
+		if x == nil {
+			x = &measure.Wish{Due: t.due - w.load.began, Channel: fmt.Sprint(t.ch.id), Plan: t.ch.plan.name, Class: t.class.name, Units: t.class.units}
+			wishes[t.wish] = x
+			costs.Asked += t.class.work.Mean()
+		}
+		if x.Served || len(t.Answers) == 0 {
+			continue
+		}
+		x.At, x.Served = t.Answers[0].At-w.load.began, t.Answers[0].Kind == "served"
+	}
+	w.load.mu.Unlock()
+	list = make([]measure.Wish, 0, len(wishes))
+	for _, x := range wishes {
+		list = append(list, *x)
+	}
+	slices.SortFunc(list, func(a, b measure.Wish) int {
+		return cmp.Or(cmp.Compare(a.Due, b.Due), cmp.Compare(a.Channel, b.Channel))
+	})
+	for _, rec := range w.fleet.Records(0) {
+		if rec.How != node.Busy {
+			costs.Done += rec.Work
+		}
+		if rec.Zone != "hall-"+string(rune('a'+rec.Instance%3)) {
+			costs.CrossHall++
+		}
+	}
+	var beyond []measure.Passed
+	for _, s := range audit.Beyond(w.quotas(), e.Sent) {
+		beyond = append(beyond, measure.Passed{At: s.Came - w.load.began, Plan: s.Plan, Class: s.Class, Units: s.Units})
+	}
+	mc, mp := worths(w.classes, w.plans)
+	r.Score = measure.Rate(mc, mp, list, beyond, costs)
+	r.Service = r.Score.Service
+	return list
+}
+
+// channels compares what the nodes saw with what was allowed.
+func (w *World) channels(r *Report, e audit.Evidence) {
+	uses := audit.Uses(w.quotas(), e.Sent)
+	inside, beyond := 0.0, 0.0
+	for _, u := range uses {
+		inside, beyond = inside+u.Inside, beyond+u.Beyond
+	}
+	if inside > 0 {
+		r.BeyondShare = beyond / inside
+	}
+	if most := w.day.MostBeyond; most > 0 && r.BeyondShare > most {
+		r.Breaks = append(r.Breaks, audit.Break{Rule: Quotas, At: w.load.began + time.Duration(w.day.Length), Until: w.load.began + time.Duration(w.day.Length), What: fmt.Sprintf("%.0f units were passed on beyond quotas, %.0f%% of those inside; the day allows %.0f%%", beyond, 100*r.BeyondShare, 100*most)})
+		r.Rules[Quotas] = 1
+	}
+	for _, ch := range w.load.channels {
+		id := fmt.Sprintf("%016x", ch.id)
+		u, seen := uses[id]
+		if !seen || ch.plan.ceiling == 0 {
+			continue
+		}
+		size := ch.plan.ceilingBurst()
+		c := Channel{Customer: id, Plan: u.Plan, Inside: u.Inside, Beyond: u.Beyond, Overrun: u.Overrun, OfCeiling: u.Overrun / size, Closest: r.verdict.Closest[id]}
+		r.WorstOverrun = max(r.WorstOverrun, c.OfCeiling)
+		r.Channels = append(r.Channels, c)
+	}
+}
