--- a/internal/lab/overlap/client.go
+++ b/internal/lab/overlap/client.go
@@ -185,7 +185,12 @@
 	for {
 		if c == nil {
 			var err error
-			if c, err = a.in.dial(); err != nil {
+			if !a.in.open() { // the front sends it to another
+				err = errEnded
+			} else {
+				c, err = a.in.dial()
+			}
+			if err != nil {
 				a.sent, a.noConnect = r.clock(), true
 				r.note(a)
 				return nil, false
@@ -225,7 +230,10 @@
 }
 
 // open reports whether the front before the instances still sends new connections to one.
-func (in *instance) open() bool { return in.leavingFor(in.run.clock()) <= frontNotice }
+func (in *instance) open() bool {
+	now := in.run.clock()
+	return in.leavingFor(now) <= frontNotice && !in.draining(now-frontNotice)
+}
 
 // steady sends requests at a rate, each on a connection that rests or a new one.
 func (r *run) steady(ctx context.Context, in *instance, rng *rand.Rand) {
--- a/internal/lab/overlap/deployment.go
+++ b/internal/lab/overlap/deployment.go
@@ -177,8 +177,8 @@
 }
 
 // config is the configuration of one instance, as JSON.
-func (d *deployment) config(me, instances int, seed uint64, listen, discovery, counter string) ([]byte, error) {
-	return json.Marshal(map[string]any{"name": fmt.Sprint("n", me), "listen": listen, "discovery": discovery, "counter": counter, "seed": fmt.Sprintf("%x", seed),
+func (d *deployment) config(me, instances int, seed uint64, listen, admin, discovery, counter string) ([]byte, error) {
+	return json.Marshal(map[string]any{"name": fmt.Sprint("n", me), "listen": listen, "admin_addr": admin, "discovery": discovery, "counter": counter, "seed": fmt.Sprintf("%x", seed),
 		"limits":   map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": mostSockets},
 		"known":    map[string]any{"rev": 0, "all": true, "targets": []any{}},
 		"settings": d.settings(me, instances)})
--- a/internal/lab/overlap/instance.go
+++ b/internal/lab/overlap/instance.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -25,6 +26,7 @@
 	run    *run
 	n      int
 	addr   string
+	admin  string    // of the operators' door
 	config string    // path of its configuration
 	agents [2]string // of discovery: a new configuration moves from one to the other
 	acting sync.Mutex
@@ -37,6 +39,7 @@
 	hangups  []time.Duration
 	overrun  []time.Duration // kills of a process that had not ended by the time that the platform leaves it
 	startup  []time.Duration // how long each start took
+	drains   []span          // by operators, until it is surely back at work
 	crowds   []span          // in which all its places may be taken; r.mu
 	told     int             // which agent its configuration names
 	expected bool            // its end is
@@ -73,14 +76,23 @@
 		return nil, err
 	}
 	r.onClose(held.Release)
-	in.addr = held.Addr()
+	door, err := proc.Hold(fmt.Sprintf("%s.%d", r.network, firstInstanceHost+n))
+	if err != nil {
+		return nil, err
+	}
+	r.onClose(door.Release)
+	in.addr, in.admin = held.Addr(), door.Addr()
+	state := filepath.Join(r.dir, fmt.Sprint("state-", n))
+	if err := os.MkdirAll(state, 0o755); err != nil {
+		return nil, err
+	}
 	log, err := os.Create(filepath.Join(r.logs, fmt.Sprintf("n%d.log", n)))
 	if err != nil {
 		return nil, err
 	}
 	r.onClose(func() { log.Close() })
 	in.Process = proc.Process{Name: fmt.Sprint("n", n), Program: r.cfg.Program, Log: &lineWriter{to: log, line: in.logged}, Serves: in.ping, Ended: in.ended,
-		Env: append(os.Environ(), "ROUTER_CONFIG="+in.config, "HITCHSPRING_OPTIONS=")}
+		Env: append(os.Environ(), "ROUTER_CONFIG="+in.config, "HITCHSPRING_OPTIONS=", "TMPDIR="+state)}
 	return in, nil
 }
 
@@ -117,7 +129,7 @@
 
 // write writes its configuration, which names one of its agents.
 func (in *instance) write(agent int) error {
-	text, err := in.run.deployment.config(in.n, in.run.cfg.Instances, in.run.cfg.Seed*1000+uint64(in.n)+1, in.addr, in.agents[agent], in.run.counter.Addr())
+	text, err := in.run.deployment.config(in.n, in.run.cfg.Instances, in.run.cfg.Seed*1000+uint64(in.n)+1, in.addr, in.admin, in.agents[agent], in.run.counter.Addr())
 	if err != nil {
 		return err
 	}
@@ -261,6 +273,13 @@
 	return at - end
 }
 
+// draining reports whether operators had the instance drained at a time.
+func (in *instance) draining(at time.Duration) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return slices.ContainsFunc(in.drains, func(s span) bool { return at > s.from && at < s.to })
+}
+
 // sleep waits; false where ctx ends before.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/internal/lab/overlap/judge.go
+++ b/internal/lab/overlap/judge.go
@@ -180,7 +180,7 @@
 	for _, t := range drains {
 		out = append(out, t)
 	}
-	return out
+	return append(out, r.said...)
 }
 
 // heardBy is when an instance counts as told what its agent had at a time.
--- a/internal/lab/overlap/overlap.go
+++ b/internal/lab/overlap/overlap.go
@@ -99,6 +99,7 @@
 	hosts    int
 	asked    []asked
 	failures []failure
+	said     []audit.Told // by operators
 	findings []Finding
 }
 
--- a/internal/lab/overlap/trouble.go
+++ b/internal/lab/overlap/trouble.go
@@ -32,7 +32,7 @@
 type troubleKind func(*run, *rand.Rand) trouble
 
 var troubleKinds = []troubleKind{drawTerminations, drawTerminations, drawKills, drawHangups, drawSilence, drawBrokenDiscovery, drawDrains, drawColdRestarts,
-	drawResets, drawRules, drawPauses, drawCuts, drawCounter, drawHolds, drawIdleCloses, drawCrowd}
+	drawResets, drawRules, drawPauses, drawCuts, drawCounter, drawHolds, drawIdleCloses, drawCrowd, drawDrainedInstances, drawSuspensions}
 
 // drawTroubles draws the troubles of a run.
 func (r *run) drawTroubles(rng *rand.Rand) (out []trouble) {
