--- a/internal/lab/overlap/instance.go
+++ b/internal/lab/overlap/instance.go
@@ -96,9 +96,9 @@
 	return in, nil
 }
 
-// logged notes what an instance says of its invariants.
+// logged notes what an instance says of its invariants, and what the runtime says of it.
 func (in *instance) logged(line string) {
-	if strings.Contains(line, "invariant violated") || strings.Contains(line, "panic:") {
+	if strings.Contains(line, "invariant violated") || strings.Contains(line, "panic:") || strings.Contains(line, "DATA RACE") {
 		in.mu.Lock()
 		defer in.mu.Unlock()
 		in.violated = append(in.violated, line)
