--- a/internal/lab/overlap/instance.go
+++ b/internal/lab/overlap/instance.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"hitchspring/internal/lab/proc"
+	"hitchspring/internal/lab/respclient"
 )
 
 // killAfter is how long after SIGTERM, beyond the longest deadline (3 s at most), the platform sends SIGKILL.
@@ -112,7 +113,7 @@
 	}
 	defer nc.Close()
 	nc.SetDeadline(time.Now().Add(500 * time.Millisecond))
-	io.WriteString(nc, command("PING"))
+	io.WriteString(nc, respclient.Command("PING"))
 	var b [5]byte
 	_, err = io.ReadFull(nc, b[:])
 	return err == nil && string(b[:]) == "+PONG"
