--- a/internal/front/resp/age_test.go
+++ b/internal/front/resp/age_test.go
@@ -113,3 +113,22 @@
 		}
 	})
 }
+
+// TestRequestsBehindTheLastErrorAreRefused has requests stand behind the protocol error that ends a connection, read with it: each has its answer.
+func TestRequestsBehindTheLastErrorAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := newVirtual(t, 1<<20)
+		v.sendLater(strings.Repeat(words("NONSENSE"), mostProtocolErrors) + question(1) + question(2))
+		text, err := io.ReadAll(v.in)
+		if err != nil {
+			t.Fatal(err)
+		}
+		lines := strings.Split(strings.TrimSpace(string(text)), "\r\n")
+		if len(lines) != mostProtocolErrors+2 || !strings.HasPrefix(lines[mostProtocolErrors], "-BUSY") || !strings.HasPrefix(lines[mostProtocolErrors+1], "-BUSY") {
+			t.Errorf("%d answers: %q", len(lines), lines)
+		}
+		if len(v.came) != 0 {
+			t.Error("one was taken")
+		}
+	})
+}
