Replies and withdrawals belong to replicas by name, not to positions in a list

Cause: replies and acknowledgements were slices by position in remotes, and MemberLeft chooses the remotes anew before withdrawIntent reads the replies to the old ones. Change: replies and acknowledgements are maps by name; recipients, all that have been remotes, are told how an attempt ends. The model hashes the same facts by name. Why it works: whoever was ever sent the intent is in recipients, whatever the list is now.

--- a/internal/takeover/completion.go
+++ b/internal/takeover/completion.go
@@ -41,14 +41,14 @@
 	c.sendCompletion(now, work)
 }
 
-// sendCompletion sends the completion to the replicas that have not
+// sendCompletion sends the completion to the recipients that have not
 // acknowledged it, and forgets the work once there is nothing left to send.
 func (c *Coordinator) sendCompletion(now time.Duration, work *pendingWork) {
 	work.completionSends++
 	work.completionSentAt = now
-	for i, remote := range work.remotes {
-		if !work.acknowledged[i] {
-			c.send(remote, Message{Completion: work.completion})
+	for _, recipient := range work.recipients {
+		if !work.acknowledged[recipient] {
+			c.send(recipient, Message{Completion: work.completion})
 		}
 	}
 	if work.allAcknowledged() || work.completionSends >= maxCompletionSends {
@@ -62,15 +62,15 @@
 	if work == nil || work.state != stateCompleted {
 		return
 	}
-	if remote := slices.Index(work.remotes, from); remote >= 0 {
-		work.acknowledged[remote] = true
+	if slices.Contains(work.recipients, from) {
+		work.acknowledged[from] = true
 	}
 	if work.allAcknowledged() {
 		delete(c.pending, work.attempt)
 	}
 }
 
-// allAcknowledged reports whether all remotes have acknowledged the completion.
+// allAcknowledged reports whether all recipients have acknowledged the completion.
 func (w *pendingWork) allAcknowledged() bool {
-	return !slices.Contains(w.acknowledged, false)
+	return len(w.acknowledged) == len(w.recipients)
 }
--- a/internal/takeover/consent.go
+++ b/internal/takeover/consent.go
@@ -52,11 +52,10 @@
 // chooseReplicas sets the replicas of work by the present members.
 func (c *Coordinator) chooseReplicas(now time.Duration, work *pendingWork) {
 	work.replicas = Replicas(work.Key, c.members)
-	work.remotes = slices.DeleteFunc(
+	work.setRemotes(slices.DeleteFunc(
 		c.remotesOf(now, work.replicas, work.Key),
 		func(name string) bool { return name == work.previousOwner },
-	)
-	work.acknowledged = make([]bool, len(work.remotes))
+	))
 }
 
 // remotesOf returns the other instances that receive the intents of a key: the first
@@ -88,7 +87,7 @@
 // attempt waits for their consent unless it is covered and already out.
 func (c *Coordinator) sendNewIntent(now time.Duration, work *pendingWork) {
 	work.requestedAt = now
-	work.replies = make([]*Reply, len(work.remotes))
+	work.replies = map[string]*Reply{}
 	if !work.covered || work.startedAt == 0 {
 		work.awaitReplicas()
 	} else {
@@ -108,8 +107,8 @@
 // sendIntent sends the intent to the remotes that have not replied to it.
 func (c *Coordinator) sendIntent(now time.Duration, work *pendingWork) {
 	work.lastSentAt = now
-	for i, remote := range work.remotes {
-		if work.replies[i] == nil {
+	for _, remote := range work.remotes {
+		if work.replies[remote] == nil {
 			c.send(remote, Message{Intent: c.intentFor(now, work, remote)})
 		}
 	}
@@ -144,13 +143,12 @@
 	if work == nil || work.Key != reply.Key || work.relocation != reply.Relocation {
 		return
 	}
-	remote := slices.Index(work.remotes, from)
-	if remote < 0 {
+	if !slices.Contains(work.remotes, from) {
 		return
 	}
 	switch {
 	case work.state == stateQuerying:
-		c.receiveQueryReply(work, remote, reply)
+		c.receiveQueryReply(work, from, reply)
 	case reply.Kind == ReplyStaleClock:
 		if work.state == stateAwaitingReplicas && !work.timedOut(now) {
 			intent := c.intentFor(now, work, from)
@@ -162,7 +160,7 @@
 			work.epoch = max(work.epoch, reply.Epoch)
 		}
 		if work.state == stateAwaitingReplicas {
-			work.replies[remote] = reply
+			work.replies[from] = reply
 			c.decide(now, work)
 		}
 	}
--- a/internal/takeover/coordinator.go
+++ b/internal/takeover/coordinator.go
@@ -241,7 +241,7 @@
 		}
 		c.resendIntent(now, work)
 	case stateAwaitingReplicas:
-		if work.anyReply() && c.decide(now, work) {
+		if len(work.replies) > 0 && c.decide(now, work) {
 			return
 		}
 		if work.timedOut(now) {
--- a/internal/takeover/decision.go
+++ b/internal/takeover/decision.go
@@ -22,10 +22,11 @@
 func (c *Coordinator) tallyReplies(now time.Duration, work *pendingWork) replyTally {
 	tally := replyTally{complete: true}
 	primaryConsents := work.primaryConsents(c.self.Name)
-	for i, reply := range work.replies {
+	for _, remote := range work.remotes {
+		reply := work.replies[remote]
 		if reply == nil {
 			tally.complete = false
-			_, departed := c.departed[work.remotes[i]]
+			_, departed := c.departed[remote]
 			if !departed || now-work.requestedAt < departedReplyTimeout {
 				tally.missing = true
 			}
@@ -155,20 +156,20 @@
 	}
 }
 
-// withdrawIntent reports to the replicas that have granted the intent, or may
+// withdrawIntent reports to the recipients that have granted the intent, or may
 // still do so, that the attempt never ran: another attempt or owner decides.
 func (c *Coordinator) withdrawIntent(now time.Duration, work *pendingWork) {
 	neverRan := Answer{Kind: AnswerNeverRan}
 	c.store.handleCompletion(now, c.self.Name, &Completion{work.Key, work.attempt, work.localEpoch, neverRan})
-	for i, remote := range work.remotes[:len(work.replies)] {
+	for _, recipient := range work.recipients {
 		epoch := work.epoch
-		if reply := work.replies[i]; reply != nil {
+		if reply := work.replies[recipient]; reply != nil {
 			if reply.Kind != ReplyGranted {
 				continue
 			}
 			epoch = reply.Epoch
 		}
-		c.send(remote, Message{Completion: &Completion{work.Key, work.attempt, epoch, neverRan}})
+		c.send(recipient, Message{Completion: &Completion{work.Key, work.attempt, epoch, neverRan}})
 	}
 }
 
--- a/internal/takeover/model_test.go
+++ b/internal/takeover/model_test.go
@@ -145,8 +145,9 @@
 func clonePendingWork(work *pendingWork) *pendingWork {
 	clone := *work
 	clone.remotes = slices.Clone(work.remotes)
-	clone.replies = slices.Clone(work.replies)
-	clone.acknowledged = slices.Clone(work.acknowledged)
+	clone.recipients = slices.Clone(work.recipients)
+	clone.replies = maps.Clone(work.replies)
+	clone.acknowledged = maps.Clone(work.acknowledged)
 	if work.completion != nil {
 		completion := *work.completion
 		clone.completion = &completion
@@ -240,9 +241,11 @@
 	h.ints(int64(w.startedAt), int64(w.requestedAt), int64(w.state))
 	h.bools(w.covered, w.adopted)
 	h.strings(w.remotes...)
-	h.bools(w.acknowledged...)
-	for _, reply := range w.replies {
-		if reply != nil {
+	h.strings(w.recipients...)
+	for _, recipient := range w.recipients {
+		h.bools(w.acknowledged[recipient])
+		if reply := w.replies[recipient]; reply != nil {
+			h.strings(recipient)
 			h.ints(int64(reply.Kind), int64(reply.Epoch))
 		}
 	}
--- a/internal/takeover/pending.go
+++ b/internal/takeover/pending.go
@@ -65,8 +65,11 @@
 	// remotes are the other instances that receive the intent: the first two of
 	// replicas, and those from before a recent departure.
 	remotes []string
-	// replies holds the latest reply to the current intent, by index of remotes.
-	replies []*Reply
+	// recipients are all instances that have been remotes. They may hold a
+	// record of the attempt, so they are notified of how it ends.
+	recipients []string
+	// replies holds the latest reply to the current intent, by replica.
+	replies map[string]*Reply
 	// requestedAt is when the current intent was first sent, lastSentAt when last.
 	requestedAt time.Duration
 	lastSentAt  time.Duration
@@ -87,14 +90,24 @@
 	// ScopeNone. Its consent isn't needed: it sends nothing without this one's.
 	previousOwner string
 
-	// completion is what the replicas are sent in stateCompleted, and
-	// acknowledged which of remotes have confirmed it.
+	// completion is what the recipients are sent in stateCompleted, and
+	// acknowledged which of them have confirmed it.
 	completion       *Completion
-	acknowledged     []bool
+	acknowledged     map[string]bool
 	completionSends  int
 	completionSentAt time.Duration
 }
 
+// setRemotes replaces the instances that receive the intent.
+func (w *pendingWork) setRemotes(remotes []string) {
+	w.remotes = remotes
+	for _, remote := range remotes {
+		if !slices.Contains(w.recipients, remote) {
+			w.recipients = append(w.recipients, remote)
+		}
+	}
+}
+
 // awaitReplicas begins the wait for the replies to a new intent. Work that has
 // joined another attempt, is queried for or has completed awaits no consent.
 func (w *pendingWork) awaitReplicas() {
@@ -119,6 +132,7 @@
 func (w *pendingWork) complete(completion *Completion) {
 	w.state = stateCompleted
 	w.completion = completion
+	w.acknowledged = map[string]bool{}
 }
 
 // sendsNothing reports whether another attempt's owner completes the key.
@@ -131,9 +145,9 @@
 	return now-w.requestedAt >= w.timeout
 }
 
-// anyReply reports whether a replica has replied to the current intent.
-func (w *pendingWork) anyReply() bool {
-	return slices.ContainsFunc(w.replies, func(reply *Reply) bool { return reply != nil })
+// allReplied reports whether all remotes have replied to the current intent.
+func (w *pendingWork) allReplied() bool {
+	return !slices.ContainsFunc(w.remotes, func(remote string) bool { return w.replies[remote] == nil })
 }
 
 // isPrimary reports whether instance is the key's primary.
@@ -142,8 +156,8 @@
 // remotePrimaryGranted reports whether the key's primary is another instance
 // and has granted the current intent.
 func (w *pendingWork) remotePrimaryGranted() bool {
-	reply := w.replies[0]
-	return w.isPrimary(w.remotes[0]) && reply != nil && reply.Kind == ReplyGranted
+	reply := w.replies[w.replicas[0]]
+	return reply != nil && reply.Kind == ReplyGranted
 }
 
 // primaryConsents reports whether the key's primary has not objected to the
--- a/internal/takeover/query.go
+++ b/internal/takeover/query.go
@@ -38,7 +38,7 @@
 		deadline:    deadline,
 		replicas:    replicas,
 		remotes:     remotes,
-		replies:     make([]*Reply, len(remotes)),
+		replies:     map[string]*Reply{},
 		requestedAt: now,
 		lastSentAt:  now,
 		timeout:     outcomeQueryTimeout,
@@ -61,13 +61,13 @@
 // receiveQueryReply takes in a replica's reply to an outcome query. The first
 // that knows of another attempt decides; the outcome is unknown once all have
 // replied that they know of none.
-func (c *Coordinator) receiveQueryReply(work *pendingWork, remote int, reply *Reply) {
-	work.replies[remote] = reply
+func (c *Coordinator) receiveQueryReply(work *pendingWork, from string, reply *Reply) {
+	work.replies[from] = reply
 	if reply.Kind == ReplyOtherAttempt {
 		c.endQueryKnown(work, reply)
 		return
 	}
-	if !slices.Contains(work.replies, nil) {
+	if work.allReplied() {
 		c.endQueryUnknown(work)
 	}
 }
