A replica's departure no longer ends a wait for consent without an action

Cause: sendNewIntent derived from covered and startedAt whether work waits; an adopted attempt has the other's start, a rejection may follow an attempt that surely never ran. Both were settled and no action was emitted. Change: waiting is the state alone; replaceReplicas handles a departure, awaitConsent begins a wait, and only settled work that was sent waits for nothing. Work that has lost its last remote is told to adopt where it adopts, and not to send.

--- a/internal/takeover/consent.go
+++ b/internal/takeover/consent.go
@@ -26,27 +26,59 @@
 	remoteReplicas = 2
 )
 
-// requestConsent chooses the replicas of work by the present members, has it
-// recorded here if this instance is one, and sends the intent to the others.
+// requestConsent chooses the replicas of new work by the present members, has it
+// recorded here if this instance is one, and requests the consent of the others.
 func (c *Coordinator) requestConsent(now time.Duration, work *pendingWork) {
 	c.chooseReplicas(now, work)
-	if slices.Contains(work.replicas, c.self.Name) {
-		intent := c.intentFor(now, work, c.self.Name)
-		reply := c.store.handleIntent(now, c.self.Name, c.store.incarnation, intent)
-		c.collectFromStore()
-		if reply.Kind != ReplyGranted && reply.Kind != ReplyFull {
-			c.applyDecision(now, work, reply, true)
-			return
-		}
-		work.epoch = max(work.epoch, reply.Epoch)
-		work.localEpoch = reply.Epoch
+	refusal := c.recordLocally(now, work)
+	switch {
+	case refusal != nil:
+		c.applyDecision(now, work, *refusal, true)
+	case len(work.remotes) == 0:
+		c.decideAlone(work)
+	default:
+		c.awaitConsent(now, work, work.consentTimeout(now))
+	}
+}
+
+// replaceReplicas has the present replicas of work store it, since one has left.
+// Work that waits awaits the consent of the new replicas; an attempt that may be
+// on the wire waits for nothing.
+func (c *Coordinator) replaceReplicas(now time.Duration, work *pendingWork) {
+	c.chooseReplicas(now, work)
+	refusal := c.recordLocally(now, work)
+	if refusal != nil {
+		c.applyDecision(now, work, *refusal, true)
+		return
+	}
+	if work.mayBeOnWire() {
+		c.sendNewIntent(now, work)
+		return
 	}
 	if len(work.remotes) == 0 {
-		c.counts.NoReplica++
-		c.emit(Action{Kind: ActionSend, Attempt: work.attempt, Relocation: work.relocation})
+		if work.state == stateAwaitingReplicas {
+			c.decideAlone(work)
+		}
 		return
 	}
-	c.sendNewIntent(now, work)
+	c.awaitConsent(now, work, work.consentTimeout(now))
+}
+
+// recordLocally has work recorded here if this instance is one of its replicas.
+// It returns the local replica's reply if that refuses the intent, else nil.
+func (c *Coordinator) recordLocally(now time.Duration, work *pendingWork) (refusal *Reply) {
+	if !slices.Contains(work.replicas, c.self.Name) {
+		return nil
+	}
+	intent := c.intentFor(now, work, c.self.Name)
+	reply := c.store.handleIntent(now, c.self.Name, c.store.incarnation, intent)
+	c.collectFromStore()
+	if reply.Kind != ReplyGranted && reply.Kind != ReplyFull {
+		return &reply
+	}
+	work.epoch = max(work.epoch, reply.Epoch)
+	work.localEpoch = reply.Epoch
+	return nil
 }
 
 // chooseReplicas sets the replicas of work by the present members.
@@ -83,17 +115,18 @@
 	return remotes
 }
 
-// sendNewIntent sends the intent in its present form to all remotes. An
-// attempt waits for their consent unless it is covered and already out.
+// awaitConsent sends the intent in its present form to all remotes and begins
+// to wait for their consent.
+func (c *Coordinator) awaitConsent(now time.Duration, work *pendingWork, timeout time.Duration) {
+	work.timeout = timeout
+	work.awaitReplicas()
+	c.sendNewIntent(now, work)
+}
+
+// sendNewIntent sends the intent in its present form to all remotes.
 func (c *Coordinator) sendNewIntent(now time.Duration, work *pendingWork) {
 	work.requestedAt = now
 	work.replies = map[string]*Reply{}
-	if !work.covered || work.startedAt == 0 {
-		work.awaitReplicas()
-	} else {
-		work.settle()
-	}
-	work.timeout = min(maxReplyTimeout, max(minReplyTimeout, (work.deadline-now)/replyTimeoutDivisor))
 	c.sendIntent(now, work)
 }
 
--- a/internal/takeover/coordinator.go
+++ b/internal/takeover/coordinator.go
@@ -111,7 +111,7 @@
 		work := c.pending[attempt]
 		movable := work.state != stateCompleted && work.state != stateJoined
 		if movable && work.covered && slices.Contains(work.remotes, name) {
-			c.requestConsent(now, work) // another replica stores it from now on
+			c.replaceReplicas(now, work) // another replica stores it from now on
 		}
 	}
 }
@@ -157,7 +157,7 @@
 		c.emit(Action{Kind: ActionSend, Attempt: attempt, Relocation: work.relocation})
 		return
 	}
-	c.sendNewIntent(now, work)
+	c.awaitConsent(now, work, work.consentTimeout(now))
 }
 
 // ConfirmRejection queries whether attempt, which is about to be rejected, has
@@ -178,9 +178,7 @@
 		c.emit(Action{Kind: ActionSend, Attempt: attempt, Relocation: work.relocation})
 		return
 	}
-	c.sendNewIntent(now, work)
-	work.awaitReplicas()
-	work.timeout = outcomeQueryTimeout
+	c.awaitConsent(now, work, outcomeQueryTimeout)
 }
 
 // AttemptSent reports that an attempt was sent: from now on it may have run.
--- a/internal/takeover/decision.go
+++ b/internal/takeover/decision.go
@@ -142,6 +142,17 @@
 	c.emit(Action{Kind: ActionSend, Attempt: work.attempt, Relocation: work.relocation})
 }
 
+// decideAlone lets an attempt go out whose key no other instance stores.
+func (c *Coordinator) decideAlone(work *pendingWork) {
+	work.settle()
+	if work.adopted {
+		c.adopt(work, false)
+		return
+	}
+	c.counts.NoReplica++
+	c.emit(Action{Kind: ActionSend, Attempt: work.attempt, Relocation: work.relocation})
+}
+
 // decideWithoutReplicas ends the wait for replicas that have not decided in
 // time.
 func (c *Coordinator) decideWithoutReplicas(work *pendingWork) {
@@ -213,8 +224,7 @@
 	}
 	work.relocation++
 	c.store.adoptScope(work)
-	c.sendNewIntent(now, work)
-	work.awaitReplicas()
+	c.awaitConsent(now, work, work.consentTimeout(now))
 }
 
 // adopt lets an attempt continue another in that one's scope.
--- /dev/null
+++ b/internal/takeover/departure_test.go
@@ -0,0 +1,52 @@
+package takeover
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// newWaitingWork returns an instance that is no replica of its work's key, and
+// has the consent of all remotes to the attempt 1 in ownScope("a").
+func newWaitingWork(t *testing.T, now time.Duration) *Coordinator {
+	t.Helper()
+	members := numberedMembers(9)
+	work := testWork()
+	for slices.Contains(Replicas(work.Key, members), members[0].Name) {
+		work.Key += "x"
+	}
+	c := NewCoordinator(members[0], 1, func(string) time.Duration { return now })
+	c.SetMembers(members)
+	c.RequestSend(now, work, 1, ownScope("a"), now+4*time.Second)
+	replyFromAll(c, now, 1, Reply{Kind: ReplyGranted, Epoch: 1})
+	if _, actions := c.Drain(); len(actions) != 1 || actions[0].Kind != ActionSend {
+		t.Fatalf("got %+v, want one %v", actions, ActionSend)
+	}
+	return c
+}
+
+// actionsWithin ticks for a span and returns the actions with their times.
+func actionsWithin(c *Coordinator, start, span time.Duration) (actions []Action, at []time.Duration) {
+	for now := start; now <= start+span; now += 10 * ms {
+		c.Tick(now)
+		_, emitted := c.Drain()
+		for _, action := range emitted {
+			actions, at = append(actions, action), append(at, now-start)
+		}
+	}
+	return actions, at
+}
+
+// Guards against a rejection that is never confirmed because a replica leaves
+// while the others are queried.
+func TestRejectionIsConfirmedWhenRemoteLeaves(t *testing.T) {
+	const now = time.Hour
+	c := newWaitingWork(t, now)
+	c.AttemptSent(now, 1)
+	c.ConfirmRejection(now, 1)
+	c.MemberLeft(now, c.pending[1].remotes[1], 1)
+	actions, at := actionsWithin(c, now, time.Second)
+	if len(actions) != 1 || actions[0].Kind != ActionAbort || at[0] > maxReplyTimeout {
+		t.Errorf("got %+v at %v, want one %v within %v", actions, at, ActionAbort, maxReplyTimeout)
+	}
+}
--- a/internal/takeover/pending.go
+++ b/internal/takeover/pending.go
@@ -116,8 +116,8 @@
 	}
 }
 
-// settle ends the wait for the replicas: they have decided, have timed out, or
-// a change of replicas needs no new consent.
+// settle ends the wait for the replicas: they have decided or have timed out, or
+// the attempt needs no consent.
 func (w *pendingWork) settle() {
 	if w.state == stateAwaitingReplicas {
 		w.state = stateSettled
@@ -140,6 +140,17 @@
 	return w.state == stateJoined || w.state == stateQuerying
 }
 
+// consentTimeout returns how long the consent to a new intent is awaited.
+func (w *pendingWork) consentTimeout(now time.Duration) time.Duration {
+	return min(maxReplyTimeout, max(minReplyTimeout, (w.deadline-now)/replyTimeoutDivisor))
+}
+
+// mayBeOnWire reports whether an attempt was sent, here or by the instance that
+// the work was taken over from, and nothing is awaited before a further one.
+func (w *pendingWork) mayBeOnWire() bool {
+	return w.state == stateSettled && w.startedAt > 0
+}
+
 // timedOut reports whether the replicas were waited for long enough.
 func (w *pendingWork) timedOut(now time.Duration) bool {
 	return now-w.requestedAt >= w.timeout
