Departures no longer prolong a wait for the replicas' consent

What callers saw, with [takeover]: members left one after another, and each departure began the wait of a request anew; 400 ms are the promised most. Cause: a departure sent a new intent, which reset the start of the wait and dropped the replies that had come. Evidence: TestDeparturesDoNotProlongTheWait, five departures 70 ms apart: the end came 400 ms after the last of them, 750 ms after the request. A rejection whose confirmation met a departure waited 400 ms in place of 25: TestRejectionIsConfirmedWhenRemoteLeaves asks for 25 from here on, and failed with 400. Change: replaceReplicas keeps the rest of the wait, and the replies of replicas that stay; a grant holds for the attempt and its relocation, not for one sending of the intent. Measured: both tests pass; all of takeover's tests are green.

--- a/internal/takeover/consent.go
+++ b/internal/takeover/consent.go
@@ -42,9 +42,11 @@
 }
 
 // replaceReplicas has the present replicas of work store it, since one has left.
-// Work that waits awaits the consent of the new replicas; an attempt that may be
-// on the wire waits for nothing.
+// A wait for consent goes on, and ends when it would have ended without that.
+// Work that waits unsent awaits the consent of the new replicas. An attempt that
+// may be on the wire waits for nothing.
 func (c *Coordinator) replaceReplicas(now time.Duration, work *pendingWork) {
+	previous := work.replies
 	c.chooseReplicas(now, work)
 	refusal := c.recordLocally(now, work)
 	if refusal != nil {
@@ -61,7 +63,16 @@
 		}
 		return
 	}
-	c.awaitConsent(now, work, work.consentTimeout(now))
+	timeout := work.consentTimeout(now)
+	if work.state == stateAwaitingReplicas {
+		timeout = max(0, work.requestedAt+work.timeout-now)
+	}
+	c.awaitConsent(now, work, timeout)
+	for _, remote := range work.remotes {
+		if reply := previous[remote]; reply != nil {
+			work.replies[remote] = reply
+		}
+	}
 }
 
 // recordLocally has work recorded here if this instance is one of its replicas.
--- a/internal/takeover/departure_test.go
+++ b/internal/takeover/departure_test.go
@@ -46,7 +46,22 @@
 	c.ConfirmRejection(now, 1)
 	c.MemberLeft(now, c.pending[1].remotes[1], 1)
 	actions, at := actionsWithin(c, now, time.Second)
-	if len(actions) != 1 || actions[0].Kind != ActionAbort || at[0] > maxReplyTimeout {
-		t.Errorf("got %+v at %v, want one %v within %v", actions, at, ActionAbort, maxReplyTimeout)
+	if len(actions) != 1 || actions[0].Kind != ActionAbort || at[0] > outcomeQueryTimeout+10*ms {
+		t.Errorf("got %+v at %v, want one %v within %v", actions, at, ActionAbort, outcomeQueryTimeout)
+	}
+}
+
+// Guards against a wait for consent that begins again with each departure.
+func TestDeparturesDoNotProlongTheWait(t *testing.T) {
+	now := time.Hour
+	c := newWaitingWork(t, now)
+	c.MigrateAttempt(now, 1, ownScope("b"))
+	for range 5 {
+		now += 70 * ms
+		c.MemberLeft(now, c.pending[1].remotes[0], 1)
+	}
+	actions, at := actionsWithin(c, now, time.Second)
+	if len(actions) != 1 || actions[0].Kind != ActionAbort || at[0] > maxReplyTimeout-5*70*ms+10*ms {
+		t.Errorf("got %+v at %v, want one %v within %v of its request", actions, at, ActionAbort, maxReplyTimeout)
 	}
 }
