An attempt on the wire is not withdrawn as if it had never run

The owner was believed dead and its accepted work taken over while its own attempt had just gone out; when a replica left after that, the owner told all replicas that the attempt never ran, which frees the key. Cause: on a departure the refusal of the instance's own replica store was carried out in any state, though those of other replicas are ignored once an attempt is out. Evidence: TestAttemptOnWireIsNotWithdrawn got one join, and three replicas were told "never ran", after AttemptSent. Change: for work that may be on the wire replaceReplicas sends the intent to the new replicas and decides nothing.

--- a/internal/takeover/consent.go
+++ b/internal/takeover/consent.go
@@ -44,19 +44,19 @@
 // replaceReplicas has the present replicas of work store it, since one has left.
 // A wait for consent goes on, and ends when it would have ended without that.
 // Work that waits unsent awaits the consent of the new replicas. An attempt that
-// may be on the wire waits for nothing.
+// may be on the wire waits for nothing, and is not withdrawn.
 func (c *Coordinator) replaceReplicas(now time.Duration, work *pendingWork) {
 	previous := work.replies
 	c.chooseReplicas(now, work)
 	refusal := c.recordLocally(now, work)
-	if refusal != nil {
-		c.applyDecision(now, work, *refusal, true)
-		return
-	}
 	if work.mayBeOnWire() {
 		c.sendNewIntent(now, work)
 		return
 	}
+	if refusal != nil {
+		c.applyDecision(now, work, *refusal, true)
+		return
+	}
 	if len(work.remotes) == 0 {
 		if work.state == stateAwaitingReplicas {
 			c.decideAlone(work)
--- a/internal/takeover/departure_test.go
+++ b/internal/takeover/departure_test.go
@@ -65,3 +65,40 @@
 		t.Errorf("got %+v at %v, want one %v within %v of its request", actions, at, ActionAbort, maxReplyTimeout)
 	}
 }
+
+// Guards against an attempt on the wire being withdrawn as if it had never run,
+// because a replica leaves and the instance's own record names another owner.
+func TestAttemptOnWireIsNotWithdrawn(t *testing.T) {
+	const now = time.Hour
+	members := numberedMembers(9)
+	work := workStoredBy(members[0].Name, members, "customer/")
+	c := NewCoordinator(members[0], 1, func(string) time.Duration { return now })
+	c.SetMembers(members)
+	c.RequestSend(now, work, 1, ScopeNone, now+4*time.Second)
+	replyFromAll(c, now, 1, Reply{Kind: ReplyGranted, Epoch: 1})
+	remotes := c.pending[1].remotes
+	c.MigrateAttempt(now, 1, ownScope("a"))
+	replyFromAll(c, now, 1, Reply{Kind: ReplyGranted, Epoch: 1})
+	c.AttemptSent(now, 1)
+	c.Receive(now, remotes[0], 1, Message{Intent: &Intent{
+		Work:       work,
+		Attempt:    1,
+		Epoch:      2,
+		Relocation: 1,
+		Scope:      ownScope("b"),
+		Remaining:  4 * time.Second,
+		Clock:      now,
+		Replicas:   Replicas(work.Key, members),
+	}})
+	c.Drain()
+	c.MemberLeft(now, remotes[1], 1)
+	outbox, actions := c.Drain()
+	if len(actions) != 0 {
+		t.Errorf("got %+v, want no action: the attempt goes on", actions)
+	}
+	for _, envelope := range outbox {
+		if completion := envelope.Message.Completion; completion != nil {
+			t.Errorf("%s is told %v of an attempt that is on the wire", envelope.To, completion.Answer.Kind)
+		}
+	}
+}
