A restarted request leaves the table of requests with pending work

What callers saw, with [takeover]: nothing at once; each request that was started anew and ended before it was replicated again was kept for the life of the process. Cause: ActionRestart cleared Request.pending, by which completeWork finds the entry in byAttempt, and left the entry. Evidence: TestRestartedWorkIsForgotten, 0 requests and 1 with pending work on each run. Change: the restart removes the entry as well, before the engine hears of the request. Measured: the listed test, unchanged, 200 of 200; the core's tests green.

--- a/internal/core/takeover_actions.go
+++ b/internal/core/takeover_actions.go
@@ -49,8 +49,9 @@
 			c.answerRequest(r, Answer{Kind: Failed})
 		}
 	case takeover.ActionRestart: // the attempt whose outcome was awaited never ran
-		c.resubmit(r, nil)
+		delete(c.takeover.byAttempt, r.ClientID)
 		r.pending = nil
+		c.resubmit(r, nil)
 	case takeover.ActionAdopt:
 		c.withdrawFromEngine(r)
 		r.pending.phase = workActive
