A restarted request that waits is stored by replicas again

What callers saw, with [takeover]: a request that was started anew, because the attempt that it had waited for never ran, and that then waited for capacity was lost with its instance; other work that waits longer than 30 ms is finished by a successor. Cause: the timer that has queued work recorded was set on arrival alone. Evidence: TestRestartedWorkIsReplicatedAgain found no pending work 60 ms after a restart; it fails with the new call taken out. Change: replicateIfQueued sets the timer on arrival and on a restart. Measured: the core's tests are green.

--- a/internal/core/replication.go
+++ b/internal/core/replication.go
@@ -41,6 +41,13 @@
 	}
 }
 
+// replicateIfQueued lets replicas hold a request if it still waits in the engine's queue after replicateQueuedAfter.
+func (c *Core) replicateIfQueued(r *Request) {
+	if c.takeover != nil && c.canReplicate(r) {
+		c.scheduleAfter(replicateQueuedAfter, func() { c.replicateQueued(r) })
+	}
+}
+
 // replicateQueued lets replicas hold a request that still waits in the engine's queue: if this instance ends, another
 // one sends it.
 func (c *Core) replicateQueued(r *Request) {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -73,9 +73,7 @@
 	c.requestBytes += r.Size
 	c.summary.add(summaryArrived, 1)
 	c.notifyEngine(policy.Arrival{Request: r.Request})
-	if c.takeover != nil && c.canReplicate(r) {
-		c.scheduleAfter(replicateQueuedAfter, func() { c.replicateQueued(r) })
-	}
+	c.replicateIfQueued(r)
 	c.scheduleAt(r.GiveUpAt+answerOverdueAfter, func() {
 		delete(c.clientIDs, r.ClientID)
 		c.answerOverdue(r)
--- a/internal/core/takeover_actions.go
+++ b/internal/core/takeover_actions.go
@@ -52,6 +52,7 @@
 		delete(c.takeover.byAttempt, r.ClientID)
 		r.pending = nil
 		c.resubmit(r, nil)
+		c.replicateIfQueued(r)
 	case takeover.ActionAdopt:
 		c.withdrawFromEngine(r)
 		r.pending.phase = workActive
--- /dev/null
+++ b/internal/core/takeover_test.go
@@ -0,0 +1,63 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"hitchspring/internal/takeover"
+	"hitchspring/policy"
+)
+
+// keyedCommand is a command that another instance could rebuild a request from.
+type keyedCommand struct{ testCommand }
+
+func (keyedCommand) Args() [][]byte { return [][]byte{[]byte("READ")} }
+
+// takeoverConfig returns a configuration with takeover whose class has idempotency keys.
+func takeoverConfig(name string, transport Transport) Config {
+	cfg := testConfig(endpointsAt()) // no backend: requests are queued
+	cfg.Settings.Classes[0].Effect = policy.Keyed
+	cfg.Settings.Classes[0].RepeatWindow = 3 * time.Second
+	cfg.Takeover = &TakeoverConfig{
+		Self:        takeover.Member{Name: name},
+		Incarnation: 1,
+		Transport:   transport,
+	}
+	return cfg
+}
+
+// arriveKeyed submits a request with an idempotency key.
+func arriveKeyed(c *Core, clientID uint64, key string) (*Request, *recordingSink) {
+	sink := &recordingSink{}
+	r := newRequest(c, clientID, sink)
+	r.Tenant = "tenant"
+	r.Command = keyedCommand{}
+	r.IdempotencyKey = key
+	c.handle(requestArrived{r})
+	return r, sink
+}
+
+// advanceTo lets the loop's timers fire up to a time, every takeoverTickInterval.
+func (c *Core) advanceTo(end time.Duration) {
+	for c.now < end {
+		c.now += takeoverTickInterval
+		c.fireTimers()
+		c.tickTakeover()
+		c.flushEvents()
+	}
+}
+
+// Guards against a request that waits unrecorded after a restart, and ends with its instance.
+func TestRestartedWorkIsReplicatedAgain(t *testing.T) {
+	c := newIdleCore(t, takeoverConfig("n0", unreachableTransport{}))
+	r, _ := arriveKeyed(c, 7, "key")
+	c.advanceTo(c.now + 2*replicateQueuedAfter)
+	if c.takeover.byAttempt[r.ClientID] != r {
+		t.Fatal("the queued request has no pending work, want it replicated")
+	}
+	c.performTakeoverAction(r, takeover.Action{Kind: takeover.ActionRestart, Attempt: r.ClientID})
+	c.advanceTo(c.now + 2*replicateQueuedAfter)
+	if c.takeover.byAttempt[r.ClientID] != r {
+		t.Error("the restarted request has no pending work, want it replicated again")
+	}
+}
