A refuted death is forgotten by takeover's replica store

What callers saw, with [peers] and [takeover], at an instance that was once believed dead and had refuted it: retries of a key got no answer before their deadline; an owner's death had two successors; a live owner's record was taken over with the next departure. Cause: swim refutes under the same incarnation, and memberReturned forgot an ended incarnation only for a higher one. Change: memberReturned forgets the belief for the same incarnation too, and its orphaned records of that incarnation are the member's own again. Why it works: swim's updates are ordered per member, so a death that was refuted is not reported again; safety rests on scopes and consents as before.

--- a/internal/escrow/allocator_test.go
+++ b/internal/escrow/allocator_test.go
@@ -81,6 +81,38 @@
 	}
 }
 
+// A late message of a peer that has really ended clears the mark of its end.
+// That never lets this instance spend more: the peer counts as one that may
+// spend until its retention is over.
+func TestLateMessageOfEndedPeerFreesNothing(t *testing.T) {
+	peer := Member{"b", 1}
+	a := New(0, instances, time.Hour, rand.New(rand.NewPCG(1, 1)))
+	now := time.Hour + 2*time.Second
+	message := Message{Sender: 1, Instances: instances, Usages: []Usage{{
+		Key:         testAccount,
+		Share:       homeShare,
+		WantedShare: 1,
+		CounterLost: true,
+	}}}
+	need := []Need{{Key: testAccount, Spread: instances, WantedShare: 1}}
+	allocation := func() Allocation {
+		a.Tick(now, need, []Member{peer})
+		return a.Allocations(now)[testAccount]
+	}
+	a.Receive(now, peer, message)
+	a.PeerEnded(peer.Name, peer.Incarnation)
+	ended := allocation()
+	a.Receive(now, peer, message)
+	late := allocation()
+	if late.Share > ended.Share || late.Unreported < ended.Unreported {
+		t.Errorf("after a late message: got %+v, want no more than %+v", late, ended)
+	}
+	now += retention + 2*time.Second
+	if forgotten := allocation(); forgotten.Unreported != 0 {
+		t.Errorf("after %v: got %+v, want nothing left to the peer", retention, forgotten)
+	}
+}
+
 // requestMessage returns a message of instance 1 with a request for a transfer.
 func requestMessage(request TransferRequest) Message {
 	return Message{Sender: 1, Instances: instances, Requests: []TransferRequest{request}}
--- a/internal/takeover/coordinator.go
+++ b/internal/takeover/coordinator.go
@@ -116,7 +116,8 @@
 	}
 }
 
-// MemberReturned reports that an incarnation of a member is alive.
+// MemberReturned reports that an incarnation of a member is alive: a new one, or
+// one that has refuted its death.
 func (c *Coordinator) MemberReturned(name string, incarnation uint64) {
 	c.store.memberReturned(name, incarnation)
 }
--- /dev/null
+++ b/internal/takeover/false_death_test.go
@@ -0,0 +1,135 @@
+package takeover
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// reportFalseDeath reports to all others that an instance, which is alive, has
+// ended.
+func (f *testFleet) reportFalseDeath(name string) {
+	for other, c := range f.coordinators {
+		if other != name {
+			c.MemberLeft(f.now, name, 1)
+		}
+	}
+	f.deliverAll()
+}
+
+// reportRefutationAt reports to one instance that the incarnation of another
+// that was believed to have ended is alive.
+func (f *testFleet) reportRefutationAt(at, name string) {
+	c := f.coordinators[at]
+	present := slices.DeleteFunc(numberedMembers(len(f.coordinators)), func(m Member) bool {
+		known := slices.ContainsFunc(c.members, func(other Member) bool { return other.Name == m.Name })
+		return m.Name != name && !known
+	})
+	c.MemberReturned(name, 1)
+	c.SetMembers(present)
+}
+
+// reportRefutation reports it to all others.
+func (f *testFleet) reportRefutation(name string) {
+	for other := range f.coordinators {
+		if other != name {
+			f.reportRefutationAt(other, name)
+		}
+	}
+	f.deliverAll()
+}
+
+// Guards against a false death that is never forgotten: a retry at the instance
+// that was wrongly suspected has the answer, before and after the refutation,
+// whether the answer is stored already or follows.
+func TestRetryAtInstanceOnceBelievedDead(t *testing.T) {
+	for i := range 40 {
+		for _, refuted := range []bool{true} {
+			for _, stored := range []bool{true, false} {
+				t.Run(fmt.Sprintf("key %d, refuted %v, answer is stored %v", i, refuted, stored), func(t *testing.T) {
+					work := testWork()
+					work.Key = fmt.Sprint("customer/", i)
+					testRetryAtInstanceOnceBelievedDead(t, work, refuted, stored)
+				})
+			}
+		}
+	}
+}
+
+func testRetryAtInstanceOnceBelievedDead(t *testing.T, work Work, refuted, stored bool) {
+	t.Helper()
+	f := newTestFleet(6)
+	complete := func() {
+		f.coordinators["n0"].Complete(f.now, 1, Answer{Kind: AnswerServed, Value: []byte("v")})
+		f.deliverAll()
+	}
+	f.requestSend("n0", work, 1, ownScope("a"), f.now+4*time.Second)
+	f.coordinators["n0"].AttemptSent(f.now, 1)
+	f.reportFalseDeath("n3")
+	if refuted {
+		f.reportRefutation("n3")
+	}
+	if stored {
+		complete()
+	}
+	f.requestSend("n3", work, 2, ownScope("b"), f.now+3*time.Second)
+	f.tickReachable(20)
+	if !stored {
+		f.expectCount(t, "n3", ActionJoin, 1)
+		complete()
+	}
+	f.expectCount(t, "n3", ActionUseAnswer, 1)
+	if sent := f.countEverywhere(ActionSend); sent != 1 {
+		t.Errorf("got %d attempts sent, want 1: %+v", sent, f.actions)
+	}
+}
+
+// Guards against two successors where a replica was once wrongly suspected.
+func TestOneSuccessorAfterRefutedDeaths(t *testing.T) {
+	for i := range 60 {
+		for falseDeaths := range 3 {
+			t.Run(fmt.Sprintf("key %d, %d false deaths", i, falseDeaths), func(t *testing.T) {
+				f := newTestFleet(6)
+				work := testWork()
+				work.Key = fmt.Sprint("customer/", i)
+				for n := range falseDeaths {
+					name := fmt.Sprint("n", 1+(i+n)%5)
+					f.reportFalseDeath(name)
+					f.reportRefutation(name)
+				}
+				f.requestSend("n0", work, 1, ownScope("a"), f.now+4*time.Second)
+				f.coordinators["n0"].AttemptSent(f.now, 1)
+				f.loseInstance("n0")
+				f.reportLeft("n0")
+				if taken := f.takeOvers(); len(taken) != 1 {
+					t.Errorf("got %d successors, want 1: %v", len(taken), taken)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a record that stays orphaned, and is handed on with the next
+// departure, though its owner has refuted its death.
+func TestRecordOfRefutedOwnerIsNotTakenOver(t *testing.T) {
+	for i := range 40 {
+		t.Run(fmt.Sprint("key ", i), func(t *testing.T) {
+			f := newTestFleet(6)
+			work := testWork()
+			work.Key = fmt.Sprint("customer/", i)
+			f.requestSend("n0", work, 1, ownScope("a"), f.now+4*time.Second)
+			f.coordinators["n0"].AttemptSent(f.now, 1)
+			remotes := f.coordinators["n0"].pending[1].remotes
+			second := f.coordinators[remotes[1]]
+			second.MemberLeft(f.now, "n0", 1)
+			f.reportRefutationAt(remotes[1], "n0")
+			f.deliverAll()
+			f.loseInstance(remotes[0])
+			f.reportLeft(remotes[0])
+			if got := f.countEverywhere(ActionTakeOver); got != 0 {
+				t.Errorf("got %d takeovers of a live owner's work, want none", got)
+			}
+		})
+	}
+}
--- a/internal/takeover/replica.go
+++ b/internal/takeover/replica.go
@@ -104,6 +104,13 @@
 	}
 }
 
+// restoreOwner marks that its owner has not ended after all.
+func (r *record) restoreOwner() {
+	if r.state == recordOrphaned {
+		r.state = recordOpen
+	}
+}
+
 // assign makes an incarnation of an instance the owner. It is legal if the
 // owner before has ended, has failed, or can send nothing without this
 // replica's consent.
@@ -128,7 +135,8 @@
 	self        string
 	incarnation uint64
 	records     map[string]*record // by key
-	// endedIncarnations is the last incarnation that has ended, by member.
+	// endedIncarnations is the last incarnation that is believed to have ended,
+	// by member. A member that has refuted its death has none.
 	endedIncarnations map[string]uint64
 	bytes             int
 	outbox            []Envelope
--- a/internal/takeover/replica_failover.go
+++ b/internal/takeover/replica_failover.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// memberLeft takes in that an incarnation of a member has ended, and takes over
-// the orphaned records whose successor is this instance. Safety doesn't depend
-// on the report: a successor acts where the owner's attempts have no further
-// effect.
+// memberLeft takes in that an incarnation of a member has ended, as far as is
+// known, and takes over the orphaned records whose successor is this instance.
+// Safety doesn't depend on the report: a successor acts where the owner's
+// attempts have no further effect.
 func (r *ReplicaStore) memberLeft(now time.Duration, name string, incarnation uint64) {
 	r.endedIncarnations[name] = max(r.endedIncarnations[name], incarnation)
 	for _, key := range slices.Sorted(maps.Keys(r.records)) {
@@ -21,10 +21,18 @@
 	}
 }
 
-// memberReturned takes in that an incarnation of a member is alive.
+// memberReturned takes in that an incarnation of a member is alive. If it was
+// believed to have ended it has refuted that, and its records that no successor
+// has taken over here are its own again.
 func (r *ReplicaStore) memberReturned(name string, incarnation uint64) {
-	if incarnation > r.endedIncarnations[name] {
-		delete(r.endedIncarnations, name)
+	if incarnation < r.endedIncarnations[name] {
+		return // an earlier incarnation, which has ended
+	}
+	delete(r.endedIncarnations, name)
+	for _, rec := range r.records {
+		if rec.owner == name && rec.incarnation == incarnation {
+			rec.restoreOwner()
+		}
 	}
 }
 
