Whoever is turned away as believed dead gets the answer of its key, or waits for it

Cause: the refusal named no primary, carried no answer and added nobody to those who wait. Evidence: TestRetryAtInstanceOnceBelievedDead, within the false death, 26 of 40 keys without an answer, stored or under way. Change: leaveToOwner serves former owners and those turned away alike. Such intents are counted: TurnedAway at the end of GET /work and of status work; an older command leaves the new field out, an older instance shows 0.

--- a/cmd/hitchspring/status_tables.go
+++ b/cmd/hitchspring/status_tables.go
@@ -121,8 +121,10 @@
 	fmt.Fprintf(out, "taken over from others: %d\n", s.TookOver)
 	r := s.Replica
 	fmt.Fprintf(out, "as keeper: %d granted, %d asked again for an old clock, %d joined, %d bound, "+
-		"%d refused after a takeover, %d without room, %d taken over, %d failed, %d whose end was never told\n",
-		r.Granted, r.StaleClocks, r.Joined, r.Adopted, r.RefusedOwners, r.Full, r.TookOver, r.Failed, r.Unreported)
+		"%d refused after a takeover, %d without room, %d taken over, %d failed, %d whose end was never told, "+
+		"%d turned away as believed dead\n",
+		r.Granted, r.StaleClocks, r.Joined, r.Adopted, r.RefusedOwners, r.Full, r.TookOver, r.Failed, r.Unreported,
+		r.TurnedAway)
 	_, err := fmt.Fprintf(out, "messages that could not be read: %d\n", s.Unreadable)
 	return err
 }
--- a/internal/takeover/false_death_test.go
+++ b/internal/takeover/false_death_test.go
@@ -45,7 +45,7 @@
 // whether the answer is stored already or follows.
 func TestRetryAtInstanceOnceBelievedDead(t *testing.T) {
 	for i := range 40 {
-		for _, refuted := range []bool{true} {
+		for _, refuted := range []bool{true, false} {
 			for _, stored := range []bool{true, false} {
 				t.Run(fmt.Sprintf("key %d, refuted %v, answer is stored %v", i, refuted, stored), func(t *testing.T) {
 					work := testWork()
--- a/internal/takeover/replica.go
+++ b/internal/takeover/replica.go
@@ -155,6 +155,8 @@
 	TookOver      int `json:"Taken"`   // records taken over by this instance
 	Failed        int `json:"Failed"`  // orphaned records that could not be taken over
 	Unreported    int `json:"Late"`    // records whose owners reported nothing in time
+	// TurnedAway counts intents for other instances' keys, of instances that were believed to have ended.
+	TurnedAway int `json:"TurnedAway"`
 }
 
 // newReplicaStore returns an empty store of an incarnation of self.
--- a/internal/takeover/replica_intent.go
+++ b/internal/takeover/replica_intent.go
@@ -13,10 +13,12 @@
 		return reply
 	}
 	rec := r.records[intent.Key]
+	if rec != nil && rec.state == recordCompleted && rec.answer.Kind == AnswerNeverRan {
+		r.removeRecord(rec)
+		rec = nil
+	}
 	if r.incarnationEnded(from, incarnation) && rec != nil && rec.owner != from {
-		// The sender may be alive after all. Where nobody took its work over
-		// it may continue.
-		reply.Kind = ReplyTakenOver
+		r.turnAway(from, intent, rec, &reply)
 		return reply
 	}
 	sentAt := now
@@ -28,10 +30,6 @@
 		}
 		sentAt = intent.Clock // no earlier
 	}
-	if rec != nil && rec.state == recordCompleted && rec.answer.Kind == AnswerNeverRan {
-		r.removeRecord(rec)
-		rec = nil
-	}
 	switch {
 	case rec == nil:
 		r.createRecord(from, incarnation, intent, sentAt, &reply)
@@ -107,10 +105,25 @@
 	}
 }
 
+// turnAway decides on an intent of an incarnation that is believed to have ended,
+// for a key that another instance owns. It isn't given the record, which nobody
+// would take over from it any more. It may be alive after all, so it gets the
+// answer.
+func (r *ReplicaStore) turnAway(from string, intent *Intent, rec *record, reply *Reply) {
+	r.counts.TurnedAway++
+	r.leaveToOwner(from, intent, rec, reply)
+}
+
 // refuseFormerOwner decides on an intent of an instance whose attempt was
 // taken over. It is notified of the answer.
 func (r *ReplicaStore) refuseFormerOwner(from string, intent *Intent, rec *record, reply *Reply) {
 	r.counts.RefusedOwners++
+	r.leaveToOwner(from, intent, rec, reply)
+}
+
+// leaveToOwner replies that the record's owner completes the key, and has the
+// sender notified of the answer if the reply can't carry it.
+func (r *ReplicaStore) leaveToOwner(from string, intent *Intent, rec *record, reply *Reply) {
 	reply.Kind, reply.Primary = ReplyTakenOver, rec.primary()
 	r.addWaiter(rec, from, intent.Attempt)
 	if rec.state == recordCompleted {
