Deaths and refutations reach the core in the order in which they happened

What callers could see, with [takeover]: as with a refuted death that is never forgotten, at one instance, where a death and its refutation are heard within moments. Cause: peers took changes under its lock and passed them on outside it from two goroutines; the core handled all ended incarnations of a batch before all begun ones; the members were read by a third goroutine at a start. Change: one goroutine at a time reports the changes that all have found, the others do not wait; MemberChange is one ordered list; view and post are under one lock.

--- a/internal/core/escrow.go
+++ b/internal/core/escrow.go
@@ -78,8 +78,10 @@
 	for _, member := range ev.members {
 		e.members = append(e.members, escrow.Member{Name: member.Name})
 	}
-	for _, ended := range ev.surelyEnded {
-		e.allocator.PeerEnded(ended.Name, ended.Number)
+	for _, change := range ev.changes {
+		if change.Surely {
+			e.allocator.PeerEnded(change.Name, change.Number)
+		}
 	}
 }
 
--- a/internal/core/members.go
+++ b/internal/core/members.go
@@ -38,22 +38,28 @@
 		data        []byte
 	}
 	membersChanged struct {
-		members     []takeover.Member // who is there, without this instance
-		ended       []Incarnation
-		begun       []Incarnation
-		surelyEnded []Incarnation // those of ended that are known to have ended, and not only suspected
+		members []takeover.Member // who is there, without this instance
+		changes []MemberChange    // in the order in which they happened
 	}
 )
 
+// MemberChange is news of one incarnation of a member: it is alive, or has ended as far as is known. A later change of
+// the same member takes back an earlier one.
+type MemberChange struct {
+	Incarnation
+	Ended  bool // else it is alive
+	Surely bool // it is known to have ended, and not only suspected
+}
+
 // ReceiveMessage takes in a message of another instance's incarnation.
 func (c *Core) ReceiveMessage(from string, incarnation uint64, data []byte) {
 	c.post(messageReceived{from, incarnation, data})
 }
 
-// UpdateMembers reports which other members are there now, and which incarnations have ended and begun since the last
-// call. surelyEnded are those of ended that are known to have ended, and not only suspected.
-func (c *Core) UpdateMembers(members []takeover.Member, ended, begun, surelyEnded []Incarnation) {
-	c.post(membersChanged{members, ended, begun, surelyEnded})
+// UpdateMembers reports which other members are there now, and what has changed since the last call, in the order in
+// which it happened.
+func (c *Core) UpdateMembers(members []takeover.Member, changes []MemberChange) {
+	c.post(membersChanged{members, changes})
 }
 
 func (c *Core) handleMessage(ev messageReceived) {
@@ -83,11 +89,12 @@
 	if t == nil {
 		return
 	}
-	for _, ended := range ev.ended { // before begun, so that a later incarnation that is there already counts
-		t.coordinator.MemberLeft(c.now, ended.Name, ended.Number)
-	}
-	for _, begun := range ev.begun {
-		t.coordinator.MemberReturned(begun.Name, begun.Number)
+	for _, change := range ev.changes {
+		if change.Ended {
+			t.coordinator.MemberLeft(c.now, change.Name, change.Number)
+		} else {
+			t.coordinator.MemberReturned(change.Name, change.Number)
+		}
 	}
 	t.coordinator.SetMembers(append([]takeover.Member{t.cfg.Self}, ev.members...))
 	c.drainCoordinator()
--- a/internal/ingress/peers.go
+++ b/internal/ingress/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,9 @@
 type peerLink struct {
 	name   string // of this instance among its peers
 	joined atomic.Pointer[peers.Peers]
+	// changeMu is held while the members are read and passed to the core, so
+	// that an earlier view never follows a later one.
+	changeMu sync.Mutex
 }
 
 // Publish implements core.Peers.
@@ -123,26 +127,34 @@
 	if p == nil {
 		return
 	}
+	i.peers.changeMu.Lock()
+	defer i.peers.changeMu.Unlock()
 	var members []takeover.Member
 	for _, m := range p.Members() {
 		members = append(members, takeover.Member{Name: m.Name, Zone: m.Zone})
 	}
-	var ended, started, left []core.Incarnation
+	i.core.UpdateMembers(members, memberChanges(changes))
+}
+
+// memberChanges returns what changes of the membership mean for the core, in
+// their order.
+func memberChanges(changes []swim.Change) []core.MemberChange {
+	var out []core.MemberChange
 	for _, c := range changes {
+		incarnation := core.Incarnation{Name: c.Name, Number: c.Incarnation}
 		switch {
 		case c.State > swim.Suspect:
-			ended = append(ended, core.Incarnation{Name: c.Name, Number: c.Incarnation})
-			if c.State == swim.Left || c.Confirmed {
-				left = append(left, core.Incarnation{Name: c.Name, Number: c.Incarnation})
-			}
+			surely := c.State == swim.Left || c.Confirmed
+			out = append(out, core.MemberChange{Incarnation: incarnation, Ended: true, Surely: surely})
 		case c.State == swim.Alive:
 			if c.New && c.Incarnation > 0 { // an earlier incarnation has ended, whether or not that was seen
-				ended = append(ended, core.Incarnation{Name: c.Name, Number: c.Incarnation - 1})
+				earlier := core.Incarnation{Name: c.Name, Number: c.Incarnation - 1}
+				out = append(out, core.MemberChange{Incarnation: earlier, Ended: true})
 			}
-			started = append(started, core.Incarnation{Name: c.Name, Number: c.Incarnation})
+			out = append(out, core.MemberChange{Incarnation: incarnation})
 		}
 	}
-	i.core.UpdateMembers(members, ended, started, left)
+	return out
 }
 
 // errNoFront says that requests cannot be rebuilt before clients are accepted.
--- /dev/null
+++ b/internal/ingress/peers_test.go
@@ -0,0 +1,47 @@
+package ingress
+
+import (
+	"slices"
+	"testing"
+
+	"hitchspring/internal/core"
+	"hitchspring/internal/swim"
+)
+
+// The core is told of deaths and refutations in their order, and of the end of
+// the incarnation before a new one, in whatever state that one is first heard.
+func TestMemberChangesKeepTheirOrder(t *testing.T) {
+	change := func(state swim.State, incarnation uint64, added bool) swim.Change {
+		return swim.Change{Update: swim.Update{Name: "n1", Incarnation: incarnation, State: state}, New: added}
+	}
+	alive := func(incarnation uint64) core.MemberChange {
+		return core.MemberChange{Incarnation: core.Incarnation{Name: "n1", Number: incarnation}}
+	}
+	ended := func(incarnation uint64) core.MemberChange {
+		return core.MemberChange{Incarnation: core.Incarnation{Name: "n1", Number: incarnation}, Ended: true}
+	}
+	tests := map[string]struct {
+		changes []swim.Change
+		want    []core.MemberChange
+	}{
+		"a refuted death, and another": {
+			changes: []swim.Change{
+				change(swim.Dead, 5, false),
+				change(swim.Alive, 5, false),
+				change(swim.Dead, 5, false),
+			},
+			want: []core.MemberChange{ended(5), alive(5), ended(5)},
+		},
+		"a new incarnation": {
+			changes: []swim.Change{change(swim.Alive, 6, true)},
+			want:    []core.MemberChange{ended(5), alive(6)},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := memberChanges(test.changes); !slices.Equal(got, test.want) {
+				t.Errorf("got %+v, want %+v", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -54,8 +54,9 @@
 	// at a time. It may block. Nil: they are dropped.
 	OnMessages func([]Message)
 
-	// OnChange is called with changes of the membership, by several goroutines.
-	// It may block. Nil: nobody needs them.
+	// OnChange is called with changes of the membership in the order in which
+	// they happened, by one goroutine at a time. It may block. Nil: nobody
+	// needs them.
 	OnChange func([]swim.Change)
 
 	// Seed is that of the random numbers.
@@ -94,7 +95,9 @@
 	dialAddrs  map[string]netip.AddrPort // what is dialed, by advertised address; an invalid one is not dialed
 	advertised map[netip.AddrPort]string // the inverse of dialAddrs
 	rejected   rejectedDatagrams
-	unsent     int // datagrams that could not be written
+	unsent     int           // datagrams that could not be written
+	unreported []swim.Change // what the goroutine that is reporting will report next
+	reporting  bool          // a goroutine is in reportNewChanges
 }
 
 // outgoingMessage is a message that waits to be sent.
--- a/internal/peers/report.go
+++ b/internal/peers/report.go
@@ -12,6 +12,30 @@
 // each of which says how often it occurred.
 const summaryInterval = 10 * time.Second
 
+// reportNewChanges reports the changes of the membership since it was last
+// called, and whether there were any. Several goroutines find changes; one at a
+// time reports those of all, so that a death doesn't overtake its refutation,
+// and the others don't wait for it.
+func (p *Peers) reportNewChanges() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changes := p.engine.membership.Changes()
+	p.unreported = append(p.unreported, changes...)
+	if p.reporting {
+		return len(changes) > 0
+	}
+	p.reporting = true
+	for len(p.unreported) > 0 {
+		batch := p.unreported
+		p.unreported = nil
+		p.mu.Unlock()
+		p.reportChanges(batch)
+		p.mu.Lock()
+	}
+	p.reporting = false
+	return len(changes) > 0
+}
+
 // reportChanges logs changes of the membership and passes them on.
 func (p *Peers) reportChanges(changes []swim.Change) {
 	if len(changes) == 0 {
--- a/internal/peers/socket.go
+++ b/internal/peers/socket.go
@@ -95,11 +95,10 @@
 		}
 		p.mu.Lock()
 		packets := p.engine.Tick(now)
-		changes := p.engine.membership.Changes()
 		next := p.engine.NextTick()
 		p.mu.Unlock()
 		p.send(packets)
-		p.reportChanges(changes)
+		p.reportNewChanges()
 		p.reportBounds(now)
 		timer.Reset(min(max(next-p.cfg.Clock(), 0), maxTickInterval))
 	}
@@ -155,7 +154,6 @@
 		if err != nil {
 			p.rejected.add(err, from)
 		}
-		changes := p.engine.membership.Changes()
 		messages := p.engine.TakeMessages()
 		synced := p.engine.Synced()
 		p.mu.Unlock()
@@ -164,12 +162,12 @@
 			close(p.synced)
 		}
 		p.send(packets)
-		p.reportChanges(changes)
+		changed := p.reportNewChanges()
 		p.reportRejected(now)
 		if len(messages) > 0 && p.cfg.OnMessages != nil {
 			p.cfg.OnMessages(messages)
 		}
-		if len(changes) > 0 {
+		if changed {
 			p.wakeRun()
 		}
 	}
@@ -184,11 +182,9 @@
 		if addr := p.advertised[to]; addr != "" {
 			packets = p.engine.HandleRefusal(p.cfg.Clock(), addr)
 		}
-		changes := p.engine.membership.Changes()
 		p.mu.Unlock()
 		p.send(packets)
-		p.reportChanges(changes)
-		if len(changes) > 0 {
+		if p.reportNewChanges() {
 			p.wakeRun()
 		}
 	}
