A new incarnation counts also where it is first heard as suspected

Cause: ends and beginnings of incarnations were read from changes to alive alone; the change from suspected to alive that follows is no new incarnation any more. Evidence: two new cases of TestMemberChangesKeepTheirOrder got no end of the former incarnation, and no beginning after a refuted death. Not seen in a run of processes. Change: alive and suspected both say that the incarnation is there. Measured: the test passes.

--- a/internal/ingress/peers.go
+++ b/internal/ingress/peers.go
@@ -142,17 +142,16 @@
 	var out []core.MemberChange
 	for _, c := range changes {
 		incarnation := core.Incarnation{Name: c.Name, Number: c.Incarnation}
-		switch {
-		case c.State > swim.Suspect:
+		if c.State > swim.Suspect {
 			surely := c.State == swim.Left || c.Confirmed
 			out = append(out, core.MemberChange{Incarnation: incarnation, Ended: true, Surely: surely})
-		case c.State == swim.Alive:
-			if c.New && c.Incarnation > 0 { // an earlier incarnation has ended, whether or not that was seen
-				earlier := core.Incarnation{Name: c.Name, Number: c.Incarnation - 1}
-				out = append(out, core.MemberChange{Incarnation: earlier, Ended: true})
-			}
-			out = append(out, core.MemberChange{Incarnation: incarnation})
+			continue
+		}
+		if c.New && c.Incarnation > 0 { // an earlier incarnation has ended, whether or not that was seen
+			earlier := core.Incarnation{Name: c.Name, Number: c.Incarnation - 1}
+			out = append(out, core.MemberChange{Incarnation: earlier, Ended: true})
 		}
+		out = append(out, core.MemberChange{Incarnation: incarnation})
 	}
 	return out
 }
--- a/internal/ingress/peers_test.go
+++ b/internal/ingress/peers_test.go
@@ -36,6 +36,14 @@
 			changes: []swim.Change{change(swim.Alive, 6, true)},
 			want:    []core.MemberChange{ended(5), alive(6)},
 		},
+		"a new incarnation that is suspected when it is first heard": {
+			changes: []swim.Change{change(swim.Suspect, 6, true), change(swim.Alive, 6, false)},
+			want:    []core.MemberChange{ended(5), alive(6), alive(6)},
+		},
+		"a death that is refuted, and a suspicion after it": {
+			changes: []swim.Change{change(swim.Dead, 5, false), change(swim.Suspect, 5, false)},
+			want:    []core.MemberChange{ended(5), alive(5)},
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
