Bytes of the listen queue are as old as their connection, unless they are one segment

What callers saw at a full instance: a client that went on writing while its connection waited to be accepted had its requests counted from its last bytes. Backends were told up to 0.95 s more than was left; answers came late or not at all. Cause: the kernel tells the age of the last bytes alone, and all that lay there counted from them. TestAgeOfCommandsInListenQueue with three writes counted a command of 0.6 ms from 382 ms; its case of one write is as it was. Change: where the first read finds bytes at once, and more than one data segment came, their age is bounded by the connection's (socket.SinceFirstReceived).

--- a/internal/front/resp/reader.go
+++ b/internal/front/resp/reader.go
@@ -123,15 +123,15 @@
 
 // receive reads from the connection and notes when the bytes arrived.
 func (c *connection) receive(b []byte) (int, error) {
-	var began time.Time // matters only after reading had stopped
-	if !c.receipts.stoppedAt.IsZero() {
+	var began time.Time // matters only for the first read, and after reading had stopped
+	if c.receipts.totalBytes == 0 || !c.receipts.stoppedAt.IsZero() {
 		began = time.Now()
 	}
 	n, err := c.conn.Read(b)
 	if n > 0 {
 		now := time.Now()
-		if c.receipts.totalBytes == 0 { // the first bytes may have waited in the listen queue for a slot
-			if waited := min(socket.SinceReceived(c.conn), maxListenQueueWait); waited >= receiptGap {
+		if c.receipts.totalBytes == 0 {
+			if waited := c.listenQueueWait(now.Sub(began)); waited >= receiptGap {
 				c.receipts.noteStop(now.Add(-waited))
 				began = now
 			}
@@ -141,6 +141,17 @@
 	return n, err
 }
 
+// listenQueueWait returns how long the first bytes may have waited in the listen
+// queue for a slot. The first read has taken readFor: what it had to wait for came
+// after the connection was accepted, and only the last bytes are of known age.
+func (c *connection) listenQueueWait(readFor time.Duration) time.Duration {
+	waited := socket.SinceReceived(c.conn)
+	if readFor < receiptGap {
+		waited = socket.SinceFirstReceived(c.conn)
+	}
+	return min(waited, maxListenQueueWait)
+}
+
 // skipCommand reads past a command for which there is no memory now, and rejects
 // it if its end is known. The command's time is limited like that of any other, so
 // that a client that stops within it is not waited for.
--- a/internal/front/resp/receipts_test.go
+++ b/internal/front/resp/receipts_test.go
@@ -15,6 +15,13 @@
 // counts from their arrival and not from when the slot was free, so that backends
 // aren't given time that the client no longer has.
 func TestAgeOfCommandsInListenQueue(t *testing.T) {
+	for _, writes := range []int{1, 3} { // the last of them just before the connection is accepted
+		t.Run(fmt.Sprint(writes, " writes"), func(t *testing.T) { testAgeOfCommandsInListenQueue(t, writes) })
+	}
+}
+
+func testAgeOfCommandsInListenQueue(t *testing.T, writes int) {
+	t.Helper()
 	const waited = 400 * time.Millisecond
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -23,7 +30,7 @@
 	fake := arrivalCore{newManualCore(200), time.Now()}
 	f := New(ln, fake, 1, 1<<20)
 	f.Start()
-	dial := func(id int) {
+	dial := func(id, writes int) {
 		conn, err := net.Dial("tcp", ln.Addr().String())
 		if err != nil {
 			t.Fatal(err)
@@ -33,6 +40,11 @@
 		if _, err := io.WriteString(conn, commands); err != nil {
 			t.Fatal(err)
 		}
+		for n := 1; n < writes; n++ { // a part of a further command
+			time.AfterFunc(waited*time.Duration(n)/time.Duration(writes-1)-waited/20, func() {
+				io.WriteString(conn, encodeRequest(id + 10*n)[:n])
+			})
+		}
 	}
 	const commandsPerConnection = 41
 	answer := func(n int, check func(*core.Request)) {
@@ -46,11 +58,11 @@
 			}
 		}
 	}
-	dial(1)
+	dial(1, 1)
 	answer(commandsPerConnection-1, func(*core.Request) {})
 	last := <-fake.submitted // its connection has the one slot until it is answered
 	sent := time.Since(fake.start)
-	dial(2)
+	dial(2, writes)
 	time.AfterFunc(waited, func() { last.Sink.Deliver(core.Answer{Kind: core.Failed}) })
 	answer(commandsPerConnection, func(request *core.Request) {
 		if request.GiveUpAt-sent > waited/2 {
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -65,14 +65,33 @@
 // SinceReceived returns the time since the last bytes arrived on a connection, read
 // or not. It is 0 if the kernel does not know.
 func SinceReceived(conn net.Conn) time.Duration {
-	var since time.Duration
+	info := tcpInfo(conn)
+	return time.Duration(info.Last_data_recv) * time.Millisecond
+}
+
+// SinceFirstReceived returns an upper bound of the time since the first bytes
+// arrived on an accepted connection that nothing was sent on yet. If they came in
+// one segment it is exact; else they may have come as soon as the connection was
+// established. It is 0 if the kernel does not know.
+func SinceFirstReceived(conn net.Conn) time.Duration {
+	info := tcpInfo(conn)
+	since := info.Last_data_recv
+	if info.Data_segs_in > 1 {
+		since = max(since, info.Last_data_sent) // counts from when it was established
+	}
+	return time.Duration(since) * time.Millisecond
+}
+
+// tcpInfo returns what the kernel knows of a connection; all is 0 if it knows
+// nothing.
+func tcpInfo(conn net.Conn) unix.TCPInfo {
+	var known unix.TCPInfo
 	control(conn, func(fd int) {
-		info, err := unix.GetsockoptTCPInfo(fd, unix.SOL_TCP, unix.TCP_INFO)
-		if err == nil {
-			since = time.Duration(info.Last_data_recv) * time.Millisecond
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.SOL_TCP, unix.TCP_INFO); err == nil {
+			known = *info
 		}
 	})
-	return since
+	return known
 }
 
 // CloseWrite ends the sending side of a connection, if connections of its kind
