Soak: signals in series within shutdowns, clients that press on until the kill

Change: a SIGTERM comes with up to two SIGHUP before and six SIGHUP, SIGTERM or SIGINT after it, at any gap; a pressing client sends without waiting for answers until its connection ends; the line of a run counts both, and the least time left to SIGKILL.

--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -331,6 +331,89 @@
 	}
 }
 
+// Bounds of a connection that is pressed on.
+const (
+	pressGap  = 60 * time.Millisecond // the longest between two requests
+	mostPress = 400                   // requests on one connection
+)
+
+// pressing sends request after request on one connection, without waiting for the answers, until the instance ends the
+// connection: also after a SIGTERM, up to the SIGKILL.
+func (r *run) pressing(ctx context.Context, in *instance, rng *rand.Rand) {
+	for sleep(ctx, time.Duration(100+rng.IntN(400))*time.Millisecond) {
+		if !in.open() {
+			continue
+		}
+		c, err := in.dial()
+		if err != nil {
+			continue
+		}
+		r.pressOn(ctx, c, in, rng)
+		c.Close()
+	}
+}
+
+// pressOn sends requests on a connection and reads their answers, until it ends or the load does.
+func (r *run) pressOn(ctx context.Context, c *conn, in *instance, rng *rand.Rand) {
+	sent := make(chan *asked, mostPress)
+	var reading sync.WaitGroup
+	ended := make(chan struct{})
+	reading.Go(func() {
+		defer close(ended)
+		r.readPressed(c, sent)
+	})
+	for n := range mostPress {
+		q := r.newRequest("pressing", in, rng)
+		a := &q.asked
+		a.sent, a.fresh = r.clock(), n == 0
+		sent <- a
+		if _, err := io.WriteString(c, q.text); err != nil {
+			break
+		}
+		if !r.pressAgain(ctx, ended, rng) {
+			break
+		}
+	}
+	close(sent)
+	reading.Wait()
+}
+
+// pressAgain waits until the next request is due. It reports false if the connection has ended or the load has.
+func (r *run) pressAgain(ctx context.Context, ended <-chan struct{}, rng *rand.Rand) bool {
+	timer := time.NewTimer(time.Duration(rng.Int64N(int64(pressGap))))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-ended:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// readPressed reads the answers of a connection in their order. Once it has ended, a request that no backend has seen is
+// sent to another instance, as the protocol has it; the others are owed their answers.
+func (r *run) readPressed(c *conn, sent <-chan *asked) {
+	var err error
+	before := time.Duration(0)
+	for a := range sent {
+		if err == nil {
+			err = r.reads(c, a, before)
+			before = r.clock()
+		} else {
+			a.ended = r.clock()
+		}
+		if a.ended > 0 && !a.fresh && !r.forwarded(a.id) {
+			a.noConnect = true
+		}
+		r.note(*a)
+		if err != nil {
+			c.Close()
+		}
+	}
+}
+
 // slow sends a request in pieces.
 func (r *run) slow(ctx context.Context, in *instance, rng *rand.Rand) {
 	for sleep(ctx, time.Duration(300+rng.IntN(1500))*time.Millisecond) {
--- a/internal/lab/soak/instance.go
+++ b/internal/lab/soak/instance.go
@@ -32,20 +32,24 @@
 	agents [2]string // of discovery: a new configuration moves from one to the other
 	acting sync.Mutex
 
-	mu       sync.Mutex
-	kills    []time.Duration // by the run, of a process that owed nothing any more
-	terms    []time.Duration
-	ends     []time.Duration
-	starts   []time.Duration
-	hangups  []time.Duration
-	overrun  []time.Duration // kills of a process that had not ended by the time that the platform leaves it
-	startup  []time.Duration // how long each start took
-	drains   []span          // by operators, until it is surely back at work
-	crowds   []span          // in which all its places may be taken; r.mu
-	told     int             // which agent its configuration names
-	expected bool            // its end is
-	crashed  []string
-	violated []string // lines of its log about an invariant
+	mu          sync.Mutex
+	kills       []time.Duration // by the run, of a process that owed nothing any more
+	terms       []time.Duration
+	ends        []time.Duration
+	starts      []time.Duration
+	hangups     []time.Duration
+	overrun     []time.Duration // kills of a process that had not ended by the time that the platform leaves it
+	startup     []time.Duration // how long each start took
+	drains      []span          // by operators, until it is surely back at work
+	crowds      []span          // in which all its places may be taken; r.mu
+	told        int             // which agent its configuration names
+	expected    bool            // its end is
+	ending      bool            // it has been sent a SIGTERM
+	activations int             // calls of operators that ended a drain
+	lateSignals int             // sent to it after a first SIGTERM
+	nearestKill time.Duration   // the least time that was left to SIGKILL when it had ended after a SIGTERM; 0: it never has
+	crashed     []string
+	violated    []string // lines of its log about an invariant
 }
 
 // lineWriter hands whole lines to a function, and passes everything on.
@@ -175,15 +179,23 @@
 	in.startAgain(ctx, pause)
 }
 
-// terminate ends the process as a planned restart does, and starts it again after a while. Once it is held up for a time, near the end
-// of what it has.
-func (in *instance) terminate(ctx context.Context, pause, hold time.Duration) {
+// terminate ends the process as a planned restart does, and starts it again after a while. Further signals come before and after the
+// first SIGTERM. Once it is held up for a time, near the end of what it has.
+func (in *instance) terminate(ctx context.Context, pause, hold time.Duration, signals signalSeries) {
 	in.acting.Lock()
 	defer in.acting.Unlock()
 	limit := min(in.run.deployment.longest(), 3*time.Second) + killAfter
+	in.sendSeries(ctx, signals.before)
 	in.expect(&in.terms)
+	in.setEnding(true)
+	defer in.setEnding(false)
 	began := in.run.clock()
 	in.SendSignal(syscall.SIGTERM)
+	var sent sync.WaitGroup
+	defer sent.Wait()
+	sending, stop := context.WithCancel(ctx)
+	defer stop()
+	sent.Go(func() { in.sendSeries(sending, signals.after) })
 	if hold > 0 {
 		sleep(ctx, limit-killAfter+450*time.Millisecond)
 		in.holdUp(ctx, hold)
@@ -198,10 +210,24 @@
 		in.overrun = append(in.overrun, in.run.clock())
 		in.mu.Unlock()
 		in.Stop(syscall.SIGKILL)
+	} else {
+		in.noteEnd(limit - (in.run.clock() - began))
 	}
+	stop()
+	sent.Wait()
+	in.setEnding(false)
 	in.startAgain(ctx, pause)
 }
 
+// noteEnd notes how much time was left to SIGKILL when the process had ended.
+func (in *instance) noteEnd(left time.Duration) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.nearestKill == 0 || left < in.nearestKill {
+		in.nearestKill = left
+	}
+}
+
 func (in *instance) startAgain(ctx context.Context, pause time.Duration) {
 	if !sleep(ctx, pause) {
 		return
@@ -232,15 +258,9 @@
 			in.SendSignal(syscall.SIGHUP)
 			sleep(ctx, gap)
 		}
-		in.mu.Lock()
-		next := 1 - in.told
-		in.mu.Unlock()
-		if in.write(next) != nil || in.SendSignal(syscall.SIGHUP) != nil {
+		if !in.moveAgent() {
 			return
 		}
-		in.mu.Lock()
-		in.hangups = append(in.hangups, in.run.clock())
-		in.mu.Unlock()
 		sleep(ctx, gap)
 	}
 }
--- a/internal/lab/soak/operator.go
+++ b/internal/lab/soak/operator.go
@@ -36,7 +36,15 @@
 func (in *instance) generation() int {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	return len(in.terms) + len(in.kills) + len(in.starts) + len(in.drains)
+	return len(in.terms) + len(in.kills) + len(in.starts) + len(in.drains) + in.activations
+}
+
+// activate puts the instance back to work. From the call on that may end the drain of another operator.
+func (in *instance) activate() bool {
+	in.mu.Lock()
+	in.activations++
+	in.mu.Unlock()
+	return in.call("/v1/ingress/activate")
 }
 
 // drawDrainedInstances has operators drain some instances and put them back to work.
@@ -62,9 +70,10 @@
 	if sleep(ctx, drainShows) && in.ping() && in.generation() == before {
 		in.run.found(rulecheck.NoRequestLost, in.run.clock(), fmt.Sprintf("%s says yes to PING %v after it was drained", in.Name, drainShows))
 	}
-	if !sleep(ctx, d) || !in.call("/v1/ingress/activate") {
+	if !sleep(ctx, d) || !in.activate() {
 		return
 	}
+	before++ // by this call alone
 	if sleep(ctx, activeShows) && in.generation() == before && !in.ping() && in.generation() == before {
 		in.run.found(RuleReady, in.run.clock(), fmt.Sprintf("%s says no to PING %v after it was put back to work", in.Name, activeShows))
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -301,7 +301,9 @@
 	defer end()
 	var clients sync.WaitGroup
 	for n, in := range r.instances {
-		for k, client := range []func(context.Context, *instance, *rand.Rand){r.steady, r.resting, r.pipelining, r.leaving, r.slow, r.stalling} {
+		for k, client := range []func(context.Context, *instance, *rand.Rand){
+			r.steady, r.resting, r.pipelining, r.leaving, r.slow, r.stalling, r.pressing,
+		} {
 			own := rand.New(rand.NewPCG(r.cfg.Seed, uint64(1000+n*10+k)))
 			clients.Go(func() { client(playing, in, own) })
 		}
@@ -324,6 +326,9 @@
 	NoConnection      int
 	Starts            int
 	Overruns          int
+	LateSignals       int           // sent after a first SIGTERM
+	PressedOn         int           // requests sent after a SIGTERM on a connection that was open
+	NearestToKill     time.Duration // the least time that was left to SIGKILL at an end after SIGTERM
 	SlowestStart      time.Duration
 	LatestObserver    time.Duration
 	Faults            []string
@@ -337,7 +342,11 @@
 		Seed: r.cfg.Seed, Instances: r.cfg.Instances, Requests: len(r.asked), Faults: r.notes.lines, Findings: r.findings, LatestObserver: v.WorstDelay,
 		NearestToCeiling: v.Margins.Ceiling, NearestToOverload: v.Margins.SlowStartPush,
 	}
-	for _, a := range r.asked {
+	for i := range r.asked {
+		a := &r.asked[i]
+		if !a.fresh && !a.noConnect && a.in.leavingFor(a.sent) > 0 {
+			out.PressedOn++
+		}
 		switch {
 		case a.noConnect:
 			out.NoConnection++
@@ -353,6 +362,10 @@
 	for _, in := range r.instances {
 		out.Starts += len(in.startup)
 		out.Overruns += len(in.overrun)
+		out.LateSignals += in.lateSignals
+		if in.nearestKill > 0 && (out.NearestToKill == 0 || in.nearestKill < out.NearestToKill) {
+			out.NearestToKill = in.nearestKill
+		}
 		for _, took := range in.startup {
 			out.SlowestStart = max(out.SlowestStart, took)
 		}
@@ -372,8 +385,9 @@
 
 // Line sums a run up.
 func (r *Report) Line() string {
-	return fmt.Sprintf("seed %d: %d requests at %d instances, served %d, refused %d, failed %d, not connected %d; %d starts, slowest %v, %d killed at the end of their time; ceiling %+.2f, cold %.2f, observers late by %v: %d breaks, %d certain",
-		r.Seed, r.Requests, r.Instances, r.Served, r.Refused, r.Failed, r.NoConnection, r.Starts, r.SlowestStart.Round(time.Millisecond), r.Overruns, r.NearestToCeiling, r.NearestToOverload,
+	return fmt.Sprintf("seed %d: %d requests at %d instances, served %d, refused %d, failed %d, not connected %d; %d starts, slowest %v, %d killed at the end of their time, nearest %v; %d signals and %d requests in shutdowns; ceiling %+.2f, cold %.2f, observers late by %v: %d breaks, %d certain",
+		r.Seed, r.Requests, r.Instances, r.Served, r.Refused, r.Failed, r.NoConnection, r.Starts, r.SlowestStart.Round(time.Millisecond), r.Overruns, r.NearestToKill.Round(time.Millisecond), r.LateSignals, r.PressedOn,
+		r.NearestToCeiling, r.NearestToOverload,
 		r.LatestObserver.Round(time.Millisecond), len(r.Findings), r.Certain())
 }
 
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"os/exec"
 	"path/filepath"
@@ -17,6 +18,9 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
+// shortSeeds are those that CI plays.
+var shortSeeds = []uint64{3, 4, 5, 6}
+
 // mostPlays is how often a run is played whose observers were late: that says nothing.
 const mostPlays = 3
 
@@ -26,8 +30,25 @@
 	if out, err := exec.Command("go", "build", "-o", program, "hitchspring/cmd/hitchspring").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
+	lateSignals, pressedOn := 0, 0
+	for _, seed := range shortSeeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			report := playShort(t, program, seed)
+			lateSignals += report.LateSignals
+			pressedOn += report.PressedOn
+		})
+	}
+	if lateSignals == 0 || pressedOn == 0 {
+		t.Errorf("got %d signals and %d requests within shutdowns, want some of each", lateSignals, pressedOn)
+	}
+}
+
+// playShort plays a seed with few processes, again while its observers were late, and fails for each break.
+func playShort(t *testing.T, program string, seed uint64) *Report {
+	t.Helper()
 	for play := 1; ; play++ {
-		report, err := Run(context.Background(), Config{Program: program, Seed: 3, Instances: 5, Length: 7 * time.Second})
+		cfg := Config{Program: program, Seed: seed, Instances: 5, Length: 7 * time.Second}
+		report, err := Run(context.Background(), cfg)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -41,7 +62,7 @@
 		if report.Served < 100 || report.Refused == 0 || report.Starts <= report.Instances {
 			t.Error("the run forces nothing")
 		}
-		return
+		return report
 	}
 }
 
--- a/internal/lab/soak/trouble.go
+++ b/internal/lab/soak/trouble.go
@@ -78,16 +78,21 @@
 	which := pick(rng, r.cfg.Instances, 1, max(1, r.cfg.Instances/5))
 	gap, hold := drawSpan(rng, 0, 400*time.Millisecond), time.Duration(rng.IntN(2))*drawSpan(rng, 100*time.Millisecond, 150*time.Millisecond)
 	pause := drawSpan(rng, 0, time.Second)
+	signals := make([]signalSeries, len(which))
+	for i := range signals {
+		signals[i] = drawSignals(rng)
+	}
 	var hang []int
 	if rng.IntN(4) > 0 {
 		hang = pick(rng, r.deployment.backends, r.deployment.backends/4, r.deployment.backends)
 	}
-	return trouble{text: fmt.Sprintf("SIGTERM to %v, %v apart, held up for %v near the end, while %v hang", which, gap, hold, hang), do: func(ctx context.Context) {
+	text := fmt.Sprintf("SIGTERM to %v, %v apart, held up for %v near the end, while %v hang; with it %v", which, gap, hold, hang, signals)
+	return trouble{text: text, do: func(ctx context.Context) {
 		for _, b := range hang {
 			r.backend(b).Pause(4500 * time.Millisecond)
 		}
-		for _, i := range which {
-			r.wg.Go(func() { r.instances[i].terminate(ctx, pause, hold) })
+		for n, i := range which {
+			r.wg.Go(func() { r.instances[i].terminate(ctx, pause, hold, signals[n]) })
 			if !sleep(ctx, gap) {
 				return
 			}
