Of two successors of queued work one sends it; they no longer wait for each other

What callers saw, with [takeover]: an owner ended with queued work while one replica believed the other dead; both took the work over, each refused and joined the other, and nobody sent it. Cause: both are in the same epoch, and a record goes to a later epoch only. Change: in one epoch the higher rendezvous rank for the key prevails, and an unmoved record yields to it. An instance's own record moves to the scope of its work with the consent, and does not yield then. Why it works: the rank does not depend on views, and nothing is sent without the consent of all remotes, as before.

--- a/internal/takeover/consent.go
+++ b/internal/takeover/consent.go
@@ -199,6 +199,8 @@
 			intent.Clock = max(intent.Clock, reply.Clock)
 			c.send(from, Message{Intent: intent})
 		}
+	case c.prevailsOver(work, reply):
+		// The other one withdraws. Until then the replica is asked again.
 	default:
 		if reply.Kind == ReplyGranted {
 			work.epoch = max(work.epoch, reply.Epoch)
@@ -209,3 +211,10 @@
 		}
 	}
 }
+
+// prevailsOver reports whether a reply names another instance that takes the same
+// unsent work over in the same epoch and is outranked by this one.
+func (c *Coordinator) prevailsOver(work *pendingWork, reply *Reply) bool {
+	return work.previousOwner != "" && reply.Kind == ReplyTakenOver && reply.Owner != "" &&
+		reply.Owner != c.self.Name && reply.Epoch == work.epoch && outranks(work.Key, c.self.Name, reply.Owner)
+}
--- a/internal/takeover/coordinator.go
+++ b/internal/takeover/coordinator.go
@@ -297,6 +297,7 @@
 		relocation: taken.Relocation,
 		scope:      taken.Scope,
 		deadline:   taken.Deadline,
+		localEpoch: taken.Epoch,
 		covered:    true,
 	}
 	if taken.Scope == ScopeNone {
--- a/internal/takeover/decision.go
+++ b/internal/takeover/decision.go
@@ -108,8 +108,13 @@
 		c.abort(work)
 		return
 	}
+	if work.previousOwner != "" && c.joinIfYielded(work) {
+		return
+	}
 	if work.scope == ScopeNone {
 		work.unsentEverywhere = complete
+	} else if work.startedAt == 0 {
+		c.store.moveOwnRecord(work, c.now)
 	}
 	covered := complete
 	if work.leavingScopeNone {
@@ -130,6 +135,22 @@
 	})
 }
 
+// joinIfYielded joins the instance that this one's record of work has yielded to,
+// if any: it takes the work over too, and prevails. It reports whether it did.
+func (c *Coordinator) joinIfYielded(work *pendingWork) bool {
+	if !c.store.ownedByOther(work) {
+		return false
+	}
+	reply := c.store.handleIntent(c.now, c.self.Name, c.store.incarnation, c.intentFor(c.now, work, c.self.Name))
+	c.collectFromStore()
+	if !reply.namesOther() {
+		return false
+	}
+	c.withdrawIntent(c.now, work)
+	c.joinOther(work, &reply)
+	return true
+}
+
 // primarySuffices reports whether the primary's consent to the current intent
 // is enough, and was given.
 func (c *Coordinator) primarySuffices(work *pendingWork) bool {
@@ -223,7 +244,7 @@
 		return
 	}
 	work.relocation++
-	c.store.adoptScope(work)
+	c.store.moveOwnRecord(work, work.startedAt)
 	c.awaitConsent(now, work, work.consentTimeout(now))
 }
 
--- a/internal/takeover/false_death_test.go
+++ b/internal/takeover/false_death_test.go
@@ -133,3 +133,45 @@
 		})
 	}
 }
+
+// sendTaken has all instances that have taken unsent work over request the
+// consent to send it, as the core does, until a time is over.
+func (f *testFleet) sendTaken(span time.Duration) {
+	requested := map[string]bool{}
+	for end := f.now + span; f.now < end; {
+		for name, action := range f.takeOvers() {
+			if !requested[name] {
+				requested[name] = true
+				f.coordinators[name].MigrateAttempt(f.now, action.Attempt, ownScope(name))
+			}
+		}
+		f.deliverAll()
+		f.tickReachable(1)
+	}
+}
+
+// Guards against two successors of queued work that wait for each other, or
+// both send it: a replica believes the other one dead when the owner ends.
+func TestOneSuccessorSendsQueuedWork(t *testing.T) {
+	for i := range 60 {
+		t.Run(fmt.Sprint("key ", i), func(t *testing.T) {
+			f := newTestFleet(6)
+			work := testWork()
+			work.Key = fmt.Sprint("customer/", i)
+			f.requestSend("n0", work, 1, ScopeNone, f.now+4*time.Second)
+			remotes := f.coordinators["n0"].pending[1].remotes
+			f.coordinators[remotes[1]].MemberLeft(f.now, remotes[0], 1) // it is alive
+			f.deliverAll()
+			f.loseInstance("n0")
+			f.reportLeft("n0")
+			sent := f.countEverywhere(ActionSend)
+			if got := len(f.takeOvers()); got != 2 {
+				t.Fatalf("got %d successors, want 2 that differ in their view", got)
+			}
+			f.sendTaken(maxReplyTimeout + 100*ms)
+			if got := f.countEverywhere(ActionSend) - sent; got != 1 {
+				t.Errorf("got %d senders, want 1: %+v", got, f.actions)
+			}
+		})
+	}
+}
--- a/internal/takeover/messages.go
+++ b/internal/takeover/messages.go
@@ -117,6 +117,9 @@
 	// Primary is the key's primary as the other attempt's owner saw it; it
 	// is set with ReplyOtherAttempt and ReplyTakenOver.
 	Primary string `cbor:"10,keyasint,omitempty"`
+	// Owner is the instance that has taken the work over, in Epoch; it is set
+	// with ReplyTakenOver.
+	Owner string `cbor:"11,keyasint,omitempty"`
 }
 
 // namesOther reports whether the reply says that another attempt or another
--- a/internal/takeover/placement.go
+++ b/internal/takeover/placement.go
@@ -56,6 +56,13 @@
 	return ranked
 }
 
+// outranks reports whether an instance precedes another among those that take
+// the same work over in the same epoch. It doesn't depend on anybody's view of
+// the members.
+func outranks(key, name, other string) bool {
+	return rankMembers(key, []Member{{Name: name}, {Name: other}})[0].Name == name
+}
+
 // mixBits is the finalizer of MurmurHash3. FNV alone ranks names alike that
 // differ only in their last letter.
 func mixBits(h uint64) uint64 {
--- a/internal/takeover/replica.go
+++ b/internal/takeover/replica.go
@@ -215,19 +215,26 @@
 	delete(r.records, rec.Key)
 }
 
-// adoptScope moves this instance's own record to the scope of the attempt that
-// it continues.
-func (r *ReplicaStore) adoptScope(work *pendingWork) {
+// moveOwnRecord moves this instance's own record, if it has one, to the scope of
+// its work, whose first attempt was sent no earlier than startedAt.
+func (r *ReplicaStore) moveOwnRecord(work *pendingWork, startedAt time.Duration) {
 	rec := r.records[work.Key]
 	if rec == nil || rec.owner != r.self || rec.attempt != work.attempt {
 		return
 	}
 	rec.scope = work.scope
-	rec.startedAt = work.startedAt
+	rec.startedAt = startedAt
 	rec.relocation = work.relocation
 	rec.epoch = max(rec.epoch, work.epoch)
 }
 
+// ownedByOther reports whether another instance owns the record of an attempt
+// that this one has taken over.
+func (r *ReplicaStore) ownedByOther(work *pendingWork) bool {
+	rec := r.records[work.Key]
+	return rec != nil && rec.attempt == work.attempt && rec.owner != r.self
+}
+
 // expireRecords fails the records whose owners reported nothing in time, and
 // forgets completed ones that no attempt can use any more.
 func (r *ReplicaStore) expireRecords(now time.Duration) {
--- a/internal/takeover/replica_intent.go
+++ b/internal/takeover/replica_intent.go
@@ -37,8 +37,7 @@
 		r.handleOtherAttempt(now, from, incarnation, intent, rec, &reply)
 	case rec.owner == from:
 		rec.handleOwnerIntent(incarnation, intent, sentAt, &reply)
-	case rec.scope == ScopeNone && rec.state != recordCompleted && intent.Epoch > rec.epoch:
-		// Another replica takes it over before anything went out.
+	case rec.yieldsTo(from, intent): // another replica takes it over before anything went out
 		rec.assign(from, incarnation)
 		rec.epoch = intent.Epoch
 		rec.relocate(intent, sentAt)
@@ -50,6 +49,19 @@
 	return reply
 }
 
+// yieldsTo reports whether a replica that takes the record's work over becomes
+// its owner: nothing of it was sent, and that one's epoch is later, or the same
+// and it outranks the owner, which has taken the work over too.
+func (r *record) yieldsTo(from string, intent *Intent) bool {
+	if r.scope != ScopeNone || r.state == recordCompleted {
+		return false
+	}
+	if intent.Epoch == r.epoch {
+		return r.epoch > 1 && outranks(r.Key, from, r.owner)
+	}
+	return intent.Epoch > r.epoch
+}
+
 // incarnationEnded reports whether an incarnation of another member is believed to
 // have ended.
 func (r *ReplicaStore) incarnationEnded(name string, incarnation uint64) bool {
@@ -125,6 +137,7 @@
 // sender notified of the answer if the reply can't carry it.
 func (r *ReplicaStore) leaveToOwner(from string, intent *Intent, rec *record, reply *Reply) {
 	reply.Kind, reply.Primary = ReplyTakenOver, rec.primary()
+	reply.Owner, reply.Epoch = rec.owner, rec.epoch
 	r.addWaiter(rec, from, intent.Attempt)
 	if rec.state == recordCompleted {
 		reply.Kind, reply.Answer = ReplyOtherAttempt, &rec.answer
