Two retries of one key no longer restart each other without a pause

What callers saw, with [takeover]: nothing in their answers, but a storm of messages between two instances, where a first attempt was stored at one replica alone and two retries came in at two others. Cause: each retry withdrew its intent when it was refused, which told the other, which had joined both, that an attempt it waited for never ran; it began again at once. Change: a joined attempt begins again no sooner than 50 ms after its own request.

--- a/internal/takeover/consent.go
+++ b/internal/takeover/consent.go
@@ -22,6 +22,10 @@
 	// departedReplicaSpan is how long after a departure the replicas from
 	// before it receive its intents too.
 	departedReplicaSpan = 8 * time.Second
+	// minRestartInterval is the least time between the request of an attempt and
+	// its restart. Two attempts that know of each other at different replicas
+	// would else restart each other without a pause.
+	minRestartInterval = 50 * time.Millisecond
 	// remoteReplicas is the number of a key's present replicas that receive its intents.
 	remoteReplicas = 2
 )
--- a/internal/takeover/coordinator.go
+++ b/internal/takeover/coordinator.go
@@ -251,7 +251,9 @@
 	case stateSettled, stateJoined:
 		if now > work.deadline+completionGrace {
 			delete(c.pending, work.attempt)
+			return
 		}
+		c.restartIfDue(now, work)
 	}
 }
 
--- a/internal/takeover/decision.go
+++ b/internal/takeover/decision.go
@@ -221,16 +221,28 @@
 }
 
 // useJoinedAnswer ends an attempt that has joined another by that one's answer.
+// If that one never ran it begins again, no sooner than minRestartInterval after
+// its request.
 func (c *Coordinator) useJoinedAnswer(work *pendingWork, answer Answer) {
-	delete(c.pending, work.attempt)
 	if answer.Kind == AnswerNeverRan {
-		c.emit(Action{Kind: ActionRestart, Attempt: work.attempt})
+		work.restartAt = work.requestedAt + minRestartInterval
+		c.restartIfDue(c.now, work)
 		return
 	}
+	delete(c.pending, work.attempt)
 	c.counts.Answered++
 	c.emit(Action{Kind: ActionUseAnswer, Attempt: work.attempt, Answer: answer})
 }
 
+// restartIfDue lets an attempt begin again whose joined attempt never ran, if it is
+// time.
+func (c *Coordinator) restartIfDue(now time.Duration, work *pendingWork) {
+	if work.restartAt > 0 && now >= work.restartAt {
+		delete(c.pending, work.attempt)
+		c.emit(Action{Kind: ActionRestart, Attempt: work.attempt})
+	}
+}
+
 // applyAdoption makes work continue another attempt. If that one's scope isn't
 // the chosen one, the replicas must record the change first.
 func (c *Coordinator) applyAdoption(now time.Duration, work *pendingWork, reply *Reply, complete bool) {
--- a/internal/takeover/model_test.go
+++ b/internal/takeover/model_test.go
@@ -238,7 +238,7 @@
 
 func (h *stateHasher) pendingWork(w *pendingWork) {
 	h.ints(int64(w.attempt), int64(w.epoch), int64(w.relocation), int64(w.scope.Rack))
-	h.ints(int64(w.startedAt), int64(w.requestedAt), int64(w.state))
+	h.ints(int64(w.startedAt), int64(w.requestedAt), int64(w.state), int64(w.restartAt))
 	h.bools(w.covered, w.adopted)
 	h.strings(w.remotes...)
 	h.strings(w.recipients...)
--- a/internal/takeover/pending.go
+++ b/internal/takeover/pending.go
@@ -90,6 +90,10 @@
 	// ScopeNone. Its consent isn't needed: it sends nothing without this one's.
 	previousOwner string
 
+	// restartAt is when it begins again in stateJoined, since the joined attempt
+	// never ran; 0: it doesn't.
+	restartAt time.Duration
+
 	// completion is what the recipients are sent in stateCompleted, and
 	// acknowledged which of them have confirmed it.
 	completion       *Completion
