A partial command's error comes within 3 s also where it waited for a place

What callers saw: behind clients that had all stopped within a command, a client that did the same had its error after 3.03 to 3.1 s; 3 s are promised. Cause: 2.4 s until another's end, 0.25 s until its place, 0.25 s for the rest of a command that had waited, 0.05 s of pause add up; no limit counted from the command's first byte. Change: the deadline is at most 2.85 s after the first byte, unless that is over already.

--- a/internal/front/resp/limits.go
+++ b/internal/front/resp/limits.go
@@ -18,6 +18,7 @@
 	firstCommandTimeout = 2400 * time.Millisecond // for the first command, and after each progress of a partial one
 	commandTimeout      = 10 * time.Second        // from the first byte of a command to its last
 	minRestTimeout      = 250 * time.Millisecond  // for the rest of a command whose beginning had waited unread
+	stalledLimit        = 2850 * time.Millisecond // from a partial command's first byte to its error
 	maxListenQueueWait  = 10 * time.Second        // that a first command is believed to have waited in the listen queue
 	writeStallTimeout   = 10 * time.Second        // for a client to take some of what it is owed
 	protocolErrorPause  = 50 * time.Millisecond   // before the answer to a protocol error, times their number
--- a/internal/front/resp/reader.go
+++ b/internal/front/resp/reader.go
@@ -114,6 +114,9 @@
 				progress.beganAt = arrivedAt
 			}
 			deadline = later(progress.beganAt.Add(firstCommandTimeout), now.Add(minRestTimeout))
+			if limit := progress.beganAt.Add(stalledLimit); now.Before(limit) {
+				deadline = earlier(deadline, limit)
+			}
 		}
 		progress.arrivedBytes = c.inbox.BufferedBytes()
 		c.partialCommand.Store(true)
