--- a/internal/lab/soak/operator.go
+++ b/internal/lab/soak/operator.go
@@ -74,7 +74,11 @@
 		return
 	}
 	before++ // by this call alone
-	if sleep(ctx, activeShows) && in.generation() == before && !in.ping() && in.generation() == before {
+	if !sleep(ctx, activeShows) || in.generation() != before {
+		return
+	}
+	asked := in.run.clock()
+	if !in.ping() && in.generation() == before && !in.crowdedSince(asked) { // a PING may wait for a place
 		in.run.found(RuleReady, in.run.clock(), fmt.Sprintf("%s says no to PING %v after it was put back to work", in.Name, activeShows))
 	}
 }
--- a/internal/lab/soak/trouble.go
+++ b/internal/lab/soak/trouble.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -267,7 +268,7 @@
 func drawCrowd(r *run, rng *rand.Rand) trouble {
 	in, clients, d := r.instances[rng.IntN(r.cfg.Instances)], mostSockets+rng.IntN(100), drawSpan(rng, time.Second, 4*time.Second)
 	return trouble{text: fmt.Sprintf("%d idle clients at %s for %v", clients, in.Name, d), do: func(ctx context.Context) {
-		from := r.clock()
+		crowd := in.beginCrowd(r.clock())
 		var open []net.Conn
 		for i := range clients {
 			nc, err := net.DialTimeout("tcp", in.addr, 100*time.Millisecond)
@@ -283,8 +284,28 @@
 		for _, nc := range open {
 			nc.Close()
 		}
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		in.crowds = append(in.crowds, span{from, r.clock() + crowdEnds})
+		in.endCrowd(crowd, r.clock()+crowdEnds)
 	}}
 }
+
+// beginCrowd notes that all places of an instance may be taken from now on, and returns the number of the crowd.
+func (in *instance) beginCrowd(from time.Duration) int {
+	in.run.mu.Lock()
+	defer in.run.mu.Unlock()
+	in.crowds = append(in.crowds, span{from: from, to: math.MaxInt64})
+	return len(in.crowds) - 1
+}
+
+// endCrowd notes when a crowd has gone.
+func (in *instance) endCrowd(crowd int, to time.Duration) {
+	in.run.mu.Lock()
+	defer in.run.mu.Unlock()
+	in.crowds[crowd].to = to
+}
+
+// crowdedSince reports whether all places may have been taken at some time since then.
+func (in *instance) crowdedSince(from time.Duration) bool {
+	in.run.mu.Lock()
+	defer in.run.mu.Unlock()
+	return in.crowded(from, in.run.clock())
+}
