Progress of a partial command counts from when its bytes came, not when they are read

What callers saw: half of a command with a large body, sent to an instance whose places were all taken, had its error up to 5.2 s after the client had stopped; 3 s are promised. Cause: 2.4 s more for each 256 bytes, counted from the read; what the client's own kernel held until the connection was accepted came at that moment and counted as new. Change: the arrival of the bytes by the connection's receipts counts, as for a command's age.

--- a/internal/front/resp/reader.go
+++ b/internal/front/resp/reader.go
@@ -97,9 +97,9 @@
 // with each progress, and removes it behind the command's end. Between commands
 // there is none, since setting one for each read would cost CPU time.
 //
-// arrivedAt is when the first bytes of the command came, which may have waited
-// for this process: its time counts from then, but what has come behind them is
-// read first.
+// arrivedAt is when the first of the bytes that were read last came, which may
+// have waited for this process: the command's time counts from then, but what has
+// come behind them is read first.
 func (c *connection) limitPartialCommand(progress *commandProgress, arrivedAt time.Time) {
 	partial := c.inbox.Partial()
 	switch {
@@ -108,15 +108,17 @@
 		c.partialCommand.Store(false)
 	case partial && (progress.beganAt.IsZero() || c.inbox.BufferedBytes()-progress.arrivedBytes >= minProgressBytes):
 		now := time.Now()
-		deadline := earlier(now.Add(firstCommandTimeout), progress.beganAt.Add(commandTimeout))
+		if arrivedAt.IsZero() {
+			arrivedAt = now
+		}
+		deadline := later(arrivedAt.Add(firstCommandTimeout), now.Add(minRestTimeout))
+		if limit := arrivedAt.Add(stalledLimit); now.Before(limit) {
+			deadline = earlier(deadline, limit)
+		}
 		if progress.beganAt.IsZero() {
-			if progress.beganAt = now; !arrivedAt.IsZero() {
-				progress.beganAt = arrivedAt
-			}
-			deadline = later(progress.beganAt.Add(firstCommandTimeout), now.Add(minRestTimeout))
-			if limit := progress.beganAt.Add(stalledLimit); now.Before(limit) {
-				deadline = earlier(deadline, limit)
-			}
+			progress.beganAt = arrivedAt
+		} else {
+			deadline = earlier(deadline, progress.beganAt.Add(commandTimeout))
 		}
 		progress.arrivedBytes = c.inbox.BufferedBytes()
 		c.partialCommand.Store(true)
