Plans whose rate fills the burst in no time, or hardly ever, are refused or bounded

What callers could see: the end of the process by a division by zero at the first counted request of a plan with rate 1e10 and burst 1, which passed the settings' check; windows of negative length at rate 1e-12. Cause: burst / rate in nanoseconds rounds to 0 or overflows. Evidence: TestExtremeRatesAreDecided got a window of -2562047 h, and no error at 1e10; the new case of TestUnusableSettingsGiveAnError got none either. Change: the check refuses what fills in under 1 ns and names plan, rate and burst; the engine bounds the span from 1 ns to 10 years.

--- a/policy/settings.go
+++ b/policy/settings.go
@@ -64,6 +64,23 @@
 		if !(slices.Min(numbers) >= 0) || math.IsInf(slices.Max(numbers), 1) { // NaN is not >= 0
 			return fmt.Errorf("logic: plan %q: unusable figures %v", p.Name, numbers)
 		}
+		if p.Rate > 0 && p.refillTime(s.MaxUnits) < minRefillTime {
+			return fmt.Errorf("logic: plan %q: rate %v refills burst %v in under %v", p.Name, p.Rate, p.Burst,
+				minRefillTime)
+		}
 	}
 	return nil
 }
+
+// Bounds of the time in which a plan's rate fills its burst.
+const (
+	minRefillTime = time.Nanosecond
+	maxRefillTime = 10 * 365 * 24 * time.Hour
+)
+
+// refillTime is how long the plan's rate takes to fill its burst. A burst has at
+// least the units of one request, the largest of which has maxUnits.
+func (p Plan) refillTime(maxUnits float64) time.Duration {
+	seconds := max(p.Burst, maxUnits, 1) / p.Rate
+	return time.Duration(min(seconds*float64(time.Second), float64(maxRefillTime)))
+}
--- a/policy/settings_test.go
+++ b/policy/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 )
 
@@ -12,6 +13,7 @@
 		"classes":   func(s *Settings) { s.Classes = nil },
 		"objective": func(s *Settings) { s.Classes[0].LatencyObjective = 0 },
 		"rate":      func(s *Settings) { s.Plans[0].Rate = -1 },
+		"refill":    func(s *Settings) { s.Plans[0].Rate, s.Plans[0].Burst, s.MaxUnits = 1e10, 1, 1 },
 	} {
 		t.Run(name, func(t *testing.T) {
 			settings := testSettings()
@@ -46,6 +48,35 @@
 	}
 }
 
+// Guards against a division by zero, and a window beyond what a time span holds,
+// where a plan's rate fills its burst in next to no time or hardly ever.
+func TestExtremeRatesAreDecided(t *testing.T) {
+	for _, rate := range []float64{1e9, 1e-12} {
+		t.Run(fmt.Sprint("rate ", rate), func(t *testing.T) {
+			settings := testSettings()
+			settings.MaxUnits = 1
+			settings.Plans = []Plan{{Name: "small", Price: 1, Rate: rate, Burst: 1}}
+			h := newHarness(t, settings, runningBackends("s")...)
+			for id := RequestID(1); id <= 20; id++ {
+				h.arrive(id, "read", "small")
+				h.pass(200 * ms)
+			}
+			for _, tenant := range h.engine.tenants {
+				if tenant.sparse && tenant.grantWindow <= 0 {
+					t.Errorf("got a window of %v, want a positive one", tenant.grantWindow)
+				}
+			}
+		})
+	}
+	settings := testSettings()
+	settings.MaxUnits = 1
+	settings.Plans = []Plan{{Name: "fast", Price: 1, Rate: 1e10, Burst: 1}}
+	_, err := New(settings, 1)
+	if err == nil || !strings.Contains(err.Error(), "fast") || !strings.Contains(err.Error(), "1e+10") {
+		t.Errorf("got %v, want an error that names the plan and its rate", err)
+	}
+}
+
 func TestEnginesShareNoState(t *testing.T) {
 	play := func(beside bool) string {
 		first := newHarness(t, testSettings(), runningBackends("s", "u")...)
--- a/policy/tenant.go
+++ b/policy/tenant.go
@@ -95,7 +95,7 @@
 	t.level = max(0, e.settings.MaxUnits-t.leasedUnits, 1-t.leasedUnits)
 	if t.sparse {
 		t.counterSilent = true
-		t.grantWindow = time.Duration(t.plan.Burst / t.plan.Rate * float64(time.Second))
+		t.grantWindow = max(minRefillTime, t.plan.refillTime(e.settings.MaxUnits))
 		t.leasedUnits += e.rng.Float64() * max(1, e.settings.MaxUnits)
 	}
 	e.tenants[account] = t
