A folder that could not be synced is an error, not a kept override

What callers could see: an operator's suspension answered with a yes that a crash of the machine undid. Cause: the error of syncing the folder after the rename was dropped. Evidence: TestSaveReportsUnsyncedDirectory got no error before; read, with no failing disk. Change: the error is returned and names itself; EINVAL and "not supported" of file systems that sync no folders are no errors.

--- a/internal/handover/dir.go
+++ b/internal/handover/dir.go
@@ -38,6 +38,8 @@
 	log        *slog.Logger
 	slot       *os.File // locked
 	slotNumber int
+	// syncDirectory is the function of that name, but in tests.
+	syncDirectory func(path string) error
 
 	mu   sync.Mutex // guards lock, and the override file within this process
 	lock *os.File   // of Lock; nil: not held
@@ -47,7 +49,12 @@
 
 // Open takes a slot among the processes of the instance at an address. It returns an error if all slots are taken.
 func Open(dir, listen string, log *slog.Logger) (*Dir, error) {
-	d := &Dir{base: filepath.Join(dir, "hitchspring-"+fileName(listen)), listen: listen, log: log}
+	d := &Dir{
+		base:          filepath.Join(dir, "hitchspring-"+fileName(listen)),
+		listen:        listen,
+		log:           log,
+		syncDirectory: syncDirectory,
+	}
 	for range slotAttempts {
 		for number := range maxProcesses {
 			slot, err := os.OpenFile(d.slotPath(number), os.O_CREATE|os.O_RDWR, 0o600)
--- a/internal/handover/dir_test.go
+++ b/internal/handover/dir_test.go
@@ -1,8 +1,10 @@
 package handover
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -106,3 +108,20 @@
 		t.Fatalf("got overrides %v, want one", got)
 	}
 }
+
+// Guards against overrides that are said to be kept though the folder was not synced.
+func TestSaveReportsUnsyncedDirectory(t *testing.T) {
+	d := open(t, t.TempDir(), "127.0.0.1:1")
+	d.syncDirectory = func(string) error { return syscall.EIO }
+	err := d.Save([]override.Override{{ID: "s1", Suspended: true, At: 1}})
+	if !errors.Is(err, syscall.EIO) {
+		t.Errorf("got %v, want %v", err, syscall.EIO)
+	}
+	d.syncDirectory = syncDirectory
+	if err := d.Save([]override.Override{{ID: "s2", Suspended: true, At: 2}}); err != nil {
+		t.Fatal(err)
+	}
+	if got := d.Overrides(); len(got) != 2 {
+		t.Errorf("got overrides %v, want both", got)
+	}
+}
--- a/internal/handover/files.go
+++ b/internal/handover/files.go
@@ -9,7 +9,8 @@
 	"syscall"
 )
 
-// write puts a complete file into the directory and syncs it, or leaves the previous one.
+// write puts a complete file into the directory and syncs both, or returns an error. The previous file is left unless
+// the error is that of syncing the directory: then the new one is in its place, and may be gone after a crash.
 func (d *Dir) write(suffix string, data []byte) error {
 	temporary := fmt.Sprintf("%s%s.%d", d.base, suffix, d.slotNumber)
 	f, err := os.OpenFile(temporary, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
@@ -25,13 +26,27 @@
 		os.Remove(temporary)
 		return fmt.Errorf("handover: %w", err)
 	}
-	if dir, err := os.Open(filepath.Dir(d.base)); err == nil { // the rename should be on the disk, too
-		_ = dir.Sync()
-		dir.Close()
+	if err := d.syncDirectory(filepath.Dir(d.base)); err != nil {
+		return fmt.Errorf("handover: file not surely on the disk: %w", err)
 	}
 	return nil
 }
 
+// syncDirectory has the directory's entries on the disk. File systems that can't sync a directory keep them in their
+// own way.
+func syncDirectory(path string) error {
+	dir, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer dir.Close()
+	err = dir.Sync()
+	if errors.Is(err, syscall.EINVAL) || errors.Is(err, errors.ErrUnsupported) {
+		return nil
+	}
+	return err
+}
+
 // readFile reads a file, up to one byte more than it may have.
 func readFile(path string) ([]byte, error) {
 	f, err := os.Open(path)
