An instance that waits for its peer address outlives other errors of the system

What callers could see, with [peers]: a replacement met ENFILE or ENOBUFS while it waited for its predecessor's address, logged one line and stayed alone for good. Cause: waitForAddress took any error but EADDRINUSE for final. Evidence: TestWaitForAddressOutlivesSystemErrors gave up at ENFILE. Change: it goes on at the same pace, and logs the first such error. Measured: the test 3 of 3; peers' tests green.

--- a/internal/peers/loglimit.go
+++ b/internal/peers/loglimit.go
@@ -14,7 +14,8 @@
 	changeLines lineKind = iota // changes of the membership
 	keyFileLines
 	seedsFileLines
-	leftLines // this instance has left the group
+	leftLines   // this instance has left the group
+	listenLines // its address can't be used
 	lineKindCount
 )
 
@@ -28,6 +29,8 @@
 		return "seeds file"
 	case leftLines:
 		return "left"
+	case listenLines:
+		return "listen"
 	default:
 		return "unknown"
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -81,6 +81,9 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
+	// openSocket is net.ListenUDP, but in tests.
+	openSocket func(network string, addr *net.UDPAddr) (*net.UDPConn, error)
+
 	wake      chan struct{}        // capacity 1: the next tick may have come closer
 	sendQueue chan outgoingMessage // those that find it full are dropped
 	synced    chan struct{}        // closed by read when another instance has sent all that it knows
@@ -158,6 +161,7 @@
 		cfg:        cfg,
 		log:        log,
 		sealer:     sealer,
+		openSocket: net.ListenUDP,
 		wake:       make(chan struct{}, 1),
 		sendQueue:  make(chan outgoingMessage, maxQueuedSends),
 		synced:     make(chan struct{}),
--- a/internal/peers/socket.go
+++ b/internal/peers/socket.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return err
 	}
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	conn, err := p.openSocket("udp", net.UDPAddrFromAddrPort(addr))
 	if err != nil {
 		return err
 	}
@@ -60,7 +60,8 @@
 }
 
 // waitForAddress opens the socket if Start could not, once the address is free.
-// It reports false if ctx ends before, or the address cannot be used at all.
+// Other errors of the system may pass as well, so only the first of them is
+// logged. It reports false if ctx ends before.
 func (p *Peers) waitForAddress(ctx context.Context) bool {
 	for p.conn == nil {
 		select {
@@ -68,9 +69,9 @@
 			return false
 		case <-time.After(listenRetryInterval):
 		}
-		if err := p.listen(); err != nil && !errors.Is(err, syscall.EADDRINUSE) {
-			p.log.Error("peer group not joined", "err", p.listenError(err))
-			return false
+		err := p.listen()
+		if err != nil && !errors.Is(err, syscall.EADDRINUSE) && p.logLimit.once(listenLines) {
+			p.log.Error("peer group not joined yet, retrying", "err", p.listenError(err))
 		}
 	}
 	return true
