The order of changes is tested without sockets

Change: the test hands in a death and its refutation itself while a change is being passed on, and checks as strictly: one call at once, the order, and that finders do not wait.

--- a/internal/peers/change_order_test.go
+++ b/internal/peers/change_order_test.go
@@ -1,41 +1,73 @@
 package peers
 
 import (
-	"log/slog"
-	"sync"
+	"slices"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"hitchspring/internal/swim"
 )
 
+// hear has an instance receive what a member says of itself, or others of it.
+func hear(p *Peers, update swim.Update) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	message := &swim.Message{Self: update}
+	if update.State != swim.Alive {
+		message = &swim.Message{Self: swim.Update{Name: "other", Addr: "127.0.0.1:2"}, Updates: []swim.Update{update}}
+	}
+	p.engine.membership.Receive(p.cfg.Clock(), message)
+}
+
 // Guards against a refutation that is passed on before the death that it
-// refutes: while one change is being passed on, a later one that another
-// goroutine finds waits, and that goroutine doesn't.
+// refutes: while one change is being passed on, later ones that other goroutines
+// find wait, in their order, and these goroutines don't.
 func TestChangesArePassedOnOneAtATime(t *testing.T) {
-	key := keyFile(t, "the key that all of them have")
-	addrs := freeAddrs(t, 2)
-	held := make(chan struct{})
-	release := sync.OnceFunc(func() { close(held) })
-	defer release()
-	var calls, atOnce, most atomic.Int32
-	cfg := testConfig("a", addrs[0], key, addrs[1])
-	cfg.OnChange = func([]swim.Change) {
+	now := time.Hour
+	p := newUnstarted(t, &logBuffer{}, &now)
+	entered, held := make(chan struct{}), make(chan struct{})
+	var atOnce, most atomic.Int32
+	var states []swim.State // of b; written by one call at a time, if all is well
+	p.cfg.OnChange = func(changes []swim.Change) {
 		most.Store(max(most.Load(), atOnce.Add(1)))
-		if calls.Add(1) == 1 {
+		defer atOnce.Add(-1)
+		for _, change := range changes {
+			if change.Name == "b" {
+				states = append(states, change.State)
+			}
+		}
+		if len(states) == 1 {
+			close(entered)
 			<-held
 		}
-		atOnce.Add(-1)
 	}
-	a := startPeers(t, cfg, slog.New(slog.DiscardHandler))
-	startPeers(t, testConfig("b", addrs[1], key, addrs[0]), slog.New(slog.DiscardHandler))
-	eventually(t, "a passes on that b has joined", func() bool { return calls.Load() > 0 })
-	eventually(t, "a declares b dead, whose answers it does not read meanwhile", func() bool {
-		return memberState(a, "b") == "dead"
-	})
-	release()
-	eventually(t, "a passes on what has changed meanwhile", func() bool { return calls.Load() > 1 })
-	if got := most.Load(); got != 1 {
-		t.Errorf("got %d calls of OnChange at once, want one after another", got)
+	b := swim.Update{Name: "b", Addr: "127.0.0.1:1", Incarnation: 1}
+	hear(p, b)
+	passedOn := make(chan struct{})
+	go func() {
+		defer close(passedOn)
+		p.reportNewChanges()
+	}()
+	<-entered
+	dead, refuted := b, b
+	dead.State, dead.SuspectedBy, refuted.Refutation = swim.Dead, "other", 1
+	for _, update := range []swim.Update{dead, refuted} {
+		hear(p, update)
+		found := make(chan struct{})
+		go func() {
+			defer close(found)
+			p.reportNewChanges()
+		}()
+		select {
+		case <-found:
+		case <-time.After(10 * time.Second):
+			t.Error("a goroutine that finds a change waits for another that passes one on")
+		}
+	}
+	close(held)
+	<-passedOn
+	if want := []swim.State{swim.Alive, swim.Dead, swim.Alive}; !slices.Equal(states, want) || most.Load() != 1 {
+		t.Errorf("got %v with %d calls at once, want %v one after another", states, most.Load(), want)
 	}
 }
