Peer reads that keep failing are paused, and logged once

What callers could see, with [peers]: a lasting read error took a whole core. Cause: each error was taken for a host's refusal, and the read retried at once. Change: after 64 in a row, 10 ms between reads, and one log line.

--- a/internal/peers/loglimit.go
+++ b/internal/peers/loglimit.go
@@ -16,6 +16,7 @@
 	seedsFileLines
 	leftLines   // this instance has left the group
 	listenLines // its address can't be used
+	readLines   // its socket can't be read
 	lineKindCount
 )
 
@@ -31,6 +32,8 @@
 		return "left"
 	case listenLines:
 		return "listen"
+	case readLines:
+		return "read"
 	default:
 		return "unknown"
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -91,6 +91,7 @@
 	logLimit     logLimiter
 	boundReports boundReports // used by run alone
 	unqueued     atomic.Int64 // messages that found sendQueue full
+	readErrors   atomic.Int64 // reads that failed
 
 	// mu guards the fields below. It is not locked during I/O.
 	mu         sync.Mutex
--- a/internal/peers/socket.go
+++ b/internal/peers/socket.go
@@ -19,6 +19,9 @@
 	readBufferBytes   = 64 << 10 // the largest datagram that there is
 	socketBufferBytes = 1 << 20
 	maxDialAddrs      = 8192 // that are cached
+
+	maxErrorsWithoutPause = 64 // failed reads in a row
+	readErrorPause        = 10 * time.Millisecond
 )
 
 // listen opens the socket.
@@ -140,15 +143,19 @@
 func (p *Peers) read() {
 	buffer := make([]byte, readBufferBytes)
 	notifiedSynced := false
+	errorsInRow := 0
 	for {
 		n, from, err := p.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil { // a host has refused an earlier datagram
+		if err != nil { // mostly, a host has refused an earlier datagram
 			p.handleRefusals()
+			errorsInRow++
+			p.pauseAfterError(errorsInRow, err)
 			continue
 		}
+		errorsInRow = 0
 		now := p.cfg.Clock()
 		p.mu.Lock()
 		packets, err := p.engine.Receive(now, buffer[:n])
@@ -174,6 +181,19 @@
 	}
 }
 
+// pauseAfterError waits for a moment if reads have failed too often in a row for
+// refusals, each of which fails one read.
+func (p *Peers) pauseAfterError(errorsInRow int, err error) {
+	p.readErrors.Add(1)
+	if errorsInRow <= maxErrorsWithoutPause {
+		return
+	}
+	if p.logLimit.once(readLines) {
+		p.log.Error("peer datagrams can't be read, retrying", "err", err)
+	}
+	time.Sleep(readErrorPause)
+}
+
 // handleRefusals takes in which datagrams were refused by the hosts of their
 // receivers.
 func (p *Peers) handleRefusals() {
--- a/internal/peers/system_errors_test.go
+++ b/internal/peers/system_errors_test.go
@@ -47,3 +47,27 @@
 		t.Errorf("got %d lines, want one with %v:\n%s", got, syscall.ENFILE, log.String())
 	}
 }
+
+// Guards against a reader that takes a whole core while reads fail, and is blind
+// after that: it pauses, says so once, and reads again once it can.
+func TestReadErrorsThatLastArePaused(t *testing.T) {
+	const (
+		failing  = 300 * time.Millisecond
+		maxReads = maxErrorsWithoutPause + int(2*failing/readErrorPause)
+	)
+	addrs := freeAddrs(t, 2)
+	key := keyFile(t, "the key that all of them have")
+	log := &logBuffer{}
+	a := startPeers(t, testConfig("a", addrs[0], key, addrs[1]), slog.New(slog.NewTextHandler(log, nil)))
+	a.conn.SetReadDeadline(time.Unix(1, 0)) // each read fails at once
+	time.Sleep(failing)
+	if got := a.readErrors.Load(); got > int64(maxReads) {
+		t.Errorf("got %d failed reads in %v, want %d at the most", got, failing, maxReads)
+	}
+	if got := log.count("peer datagrams can't be read"); got != 1 {
+		t.Errorf("got %d lines, want one:\n%s", got, log.String())
+	}
+	a.conn.SetReadDeadline(time.Time{})
+	b := startPeers(t, testConfig("b", addrs[1], key, addrs[0]), slog.New(slog.DiscardHandler))
+	eventually(t, "the instances find one another", func() bool { return allAlive([]*Peers{a, b}, 1) })
+}
