Trial and test: an owner is killed after two instances were wrongly believed dead

Change: the case "false deaths" of lab trial takeover, and one of TestTakeover (with HITCHSPRING_TRIALS): two instances are stopped for 1.7 s and woken, then an owner is killed.

--- a/internal/lab/takeover_test.go
+++ b/internal/lab/takeover_test.go
@@ -27,6 +27,7 @@
 		"cut from its peers": {[]string{"link/0|1,2,3,4,5:cut 3s at 3s"}, false},
 		"two killed at once": {[]string{"ingress/0:kill at 3s", "ingress/1:kill at 3s"}, true},
 		"restarted in turn":  {[]string{"ingress/0:restart 300ms at 2s", "ingress/1:restart 300ms at 3s", "ingress/2:restart 300ms at 4s"}, true},
+		"two woken before":   {[]string{"ingress/1:pause 1700ms at 500ms", "ingress/2:pause 1700ms at 800ms", "ingress/0:kill at 3s"}, true},
 		"lossy and late":     {[]string{"link/0,1,2,3,4,5>0,1,2,3,4,5:drop 0.1 5s at 2s", "link/0,1,2,3,4,5>0,1,2,3,4,5:repeat 0.2 5s at 2s", "link/0,1,2,3,4,5>0,1,2,3,4,5:jitter 20ms 5s at 2s", "ingress/0:kill at 4s"}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/lab/trial/takeover.go
+++ b/internal/lab/trial/takeover.go
@@ -23,7 +23,7 @@
 	table:        takeoverTable,
 }
 
-var takeoverCases = []string{"killed", "stopped", "two killed", "cut off", "lossy"}
+var takeoverCases = []string{"killed", "stopped", "two killed", "cut off", "lossy", "false deaths"}
 
 const (
 	lossAt           = 4 * time.Second
@@ -48,6 +48,8 @@
 		return []string{"ingress/0:kill" + at, "ingress/1:kill" + at}
 	case "cut off":
 		return []string{"link/0|1,2,3,4,5:cut 3s" + at}
+	case "false deaths": // two instances are believed dead for a while, and serve again
+		return []string{"ingress/1:pause 1700ms at 1s", "ingress/2:pause 1700ms at 1500ms", "ingress/0:kill" + at}
 	}
 	return []string{
 		"ingress/0:kill" + at,
