Deaths of others that were refuted are counted and shown

Need: a false death showed at the instance that refuted it alone; those who believed it, and acted on it, had one log line.

--- a/internal/ingress/peer_metrics.go
+++ b/internal/ingress/peer_metrics.go
@@ -17,6 +17,7 @@
 	traffic  *prometheus.Desc
 	ignored  *prometheus.Desc
 	refuted  *prometheus.Desc
+	deaths   *prometheus.Desc
 	stalls   *prometheus.Desc
 }
 
@@ -31,6 +32,8 @@
 		ignored:  describe("peers_left_aside_total", "Datagrams and parts of them that were left aside.", "why"),
 		refuted: describe("peers_refuted_total",
 			"Times that others took this instance for gone and were told otherwise."),
+		deaths: describe("peers_refuted_deaths_total",
+			"Times that this instance took another for gone which was there."),
 		stalls: describe("peers_stalls_total", "Times that this process did not run for long."),
 	}
 }
@@ -72,5 +75,6 @@
 		put(c.ignored, prometheus.CounterValue, float64(n), reason)
 	}
 	put(c.refuted, prometheus.CounterValue, float64(s.Swim.Refuted))
+	put(c.deaths, prometheus.CounterValue, float64(s.Swim.RefutedDeaths))
 	put(c.stalls, prometheus.CounterValue, float64(s.Swim.Stalls))
 }
--- a/internal/swim/members.go
+++ b/internal/swim/members.go
@@ -179,6 +179,9 @@
 	case !sameIncarnation:
 		x.hintsIgnoredUntil = 0
 	}
+	if !added && sameIncarnation && previous.State == Dead && update.State.present() {
+		m.counts.RefutedDeaths++
+	}
 	confirmed := update.State == Dead && len(x.refusedBy) >= refusalQuorum
 	x.refusedBy, x.suspectedBy = nil, nil
 	if update.Zone == "" && sameIncarnation {
--- a/internal/swim/swim.go
+++ b/internal/swim/swim.go
@@ -60,6 +60,8 @@
 	Stray int `json:"Stray"`
 	// Full counts updates about members for which there was no capacity.
 	Full int `json:"Full"`
+	// RefutedDeaths counts the deaths of others that these have refuted.
+	RefutedDeaths int `json:"RefutedDeaths"`
 }
 
 // Machine is the protocol and the view of one member. Only one goroutine may use
--- a/internal/swim/swim_test.go
+++ b/internal/swim/swim_test.go
@@ -118,6 +118,9 @@
 	if m.Counts().Refuted == 0 {
 		t.Fatal("got no refutation, want one of its own death")
 	}
+	if got := c.members["at-m000"].Counts().RefutedDeaths; got == 0 {
+		t.Fatal("got no refuted death at another member, want one")
+	}
 }
 
 // A restart under the same name is a new incarnation, even if its clock is
