Overdue work that replicas may hold has failed; it is not rejected

Cause: the timer for overdue requests looked at this instance's attempts alone. Logs: "no answer in time, attempts=0", refused at 2.636 s, while another instance had taken the work over and served it. Change: what replicas may hold has failed; what none holds is rejected as before.

--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -118,8 +118,8 @@
 	}
 }
 
-// answerOverdue answers a request that the engine has left open past its deadline. One that was never sent is rejected,
-// since a retry is harmless then.
+// answerOverdue answers a request that the engine has left open past its deadline. One that was surely never sent is
+// rejected, since a retry is harmless then.
 func (c *Core) answerOverdue(r *Request) {
 	if r.finished {
 		return
@@ -127,7 +127,7 @@
 	c.log.Warn("no answer in time", append(r.logAttrs(), "attempts", len(r.attempts))...)
 	c.summary.add(summaryOverdue, 1)
 	a := Answer{Kind: Failed}
-	if len(r.attempts) == 0 && r.Prior == nil {
+	if len(r.attempts) == 0 && r.Prior == nil && !r.pending.mayBeTakenOver() {
 		a = Answer{Kind: Rejected, RetryAfter: OverloadRetryAfter}
 	}
 	c.answerRequest(r, a)
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -60,6 +60,10 @@
 	return w.phase == workActive && w.awaiting == nil && w.mayHaveRun <= 0
 }
 
+// mayBeTakenOver reports whether replicas may hold the request, so that another instance may have sent it, for all that
+// this one knows without asking them.
+func (w *pendingWork) mayBeTakenOver() bool { return w != nil && w.phase != workQuerying }
+
 // takeAwaiting returns the attempt that waits for replicas, if any, and no longer holds it.
 func (w *pendingWork) takeAwaiting() *backend.Attempt {
 	attempt := w.awaiting
--- a/internal/core/takeover_test.go
+++ b/internal/core/takeover_test.go
@@ -61,3 +61,27 @@
 		t.Error("the restarted request has no pending work, want it replicated again")
 	}
 }
+
+// Guards against a rejection by a process that was stopped past its client's deadline: meanwhile another instance may
+// have taken the queued work over and sent it. What no replica holds is still rejected.
+func TestOverdueWorkIsRejectedOnlyIfNoReplicaHoldsIt(t *testing.T) {
+	tests := map[string]struct {
+		waits time.Duration // before the process is stopped
+		want  AnswerKind
+	}{
+		"replicas may hold it": {2 * replicateQueuedAfter, Failed},
+		"no replica holds it":  {0, Rejected},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newIdleCore(t, takeoverConfig("n0", unreachableTransport{}))
+			r, sink := arriveKeyed(c, 7, "key")
+			c.advanceTo(c.now + test.waits)
+			c.now = r.GiveUpAt + time.Second // the process was stopped
+			c.answerOverdue(r)
+			if sink.answers != 1 || sink.answer.Kind != test.want {
+				t.Errorf("got %d answers, the last %v, want one %v", sink.answers, sink.answer.Kind, test.want)
+			}
+		})
+	}
+}
