Work that may not go out for want of consent has failed; it is not rejected

Cause: nothing had been sent here; whether another had taken the work over was what the silent replica would have told. Change: an aborted attempt's request has failed. Where a replica is silent and not known to be gone, waiting work now fails where it was refused with a Retry-After.

--- a/internal/core/takeover_actions.go
+++ b/internal/core/takeover_actions.go
@@ -58,9 +58,9 @@
 		r.pending.phase = workActive
 		r.pending.scope = action.Scope
 		c.resubmit(r, &policy.Prior{Zone: action.Scope.Zone, Cell: action.Scope.Rack, SentAt: action.StartedAt})
-	case takeover.ActionAbort:
+	case takeover.ActionAbort: // its replicas did not answer, and one may have taken it over
 		c.withdrawFromEngine(r)
-		c.answerRequest(r, Answer{Kind: Rejected, RetryAfter: OverloadRetryAfter})
+		c.answerRequest(r, Answer{Kind: Failed})
 	case takeover.ActionUnknown, takeover.ActionTakeOver: // of requests being rejected, and of other instances' work
 	}
 }
--- a/internal/core/takeover_test.go
+++ b/internal/core/takeover_test.go
@@ -85,3 +85,14 @@
 		})
 	}
 }
+
+// Guards against a rejection of work whose replicas did not answer in time: another instance may have taken it over.
+func TestAbortedWorkHasFailed(t *testing.T) {
+	c := newIdleCore(t, takeoverConfig("n0", unreachableTransport{}))
+	r, sink := arriveKeyed(c, 7, "key")
+	c.advanceTo(c.now + 2*replicateQueuedAfter)
+	c.performTakeoverAction(r, takeover.Action{Kind: takeover.ActionAbort, Attempt: r.ClientID})
+	if sink.answers != 1 || sink.answer.Kind != Failed {
+		t.Errorf("got %d answers, the last %v, want one %v", sink.answers, sink.answer.Kind, Failed)
+	}
+}
--- a/internal/takeover/actions.go
+++ b/internal/takeover/actions.go
@@ -13,7 +13,7 @@
 	ActionAdopt                           // continue another attempt, which may have run, in Action.Scope
 	ActionRestart                         // the attempt that was waited for surely never ran: begin again
 	ActionTakeOver                        // complete Action.Taken, another instance's work
-	ActionAbort                           // the attempt may not go out; nothing of it has run
+	ActionAbort                           // the attempt may not go out; another instance may have sent it
 	ActionUnknown                         // to QueryOutcome: no other attempt of the key has an answer
 )
 
