--- a/internal/core/known_faults_test.go
+++ b/internal/core/known_faults_test.go
@@ -8,7 +8,7 @@
 	"hitchspring/policy"
 )
 
-// Tests of faults that are known and not mended yet: see KNOWN-RED.txt.
+// Tests of faults that were listed in KNOWN-RED.txt until they were mended.
 
 // unreachableTransport delivers nothing.
 type unreachableTransport struct{}
--- a/internal/core/members_test.go
+++ b/internal/core/members_test.go
@@ -29,7 +29,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			c := newIdleCore(t, takeoverConfig("n2", unreachableTransport{}))
+			c := newIdleCore(t, takeoverConfig("n2"))
 			members := []takeover.Member{memberNamed("n0"), memberNamed("n1")}
 			c.handle(membersChanged{members, nil})
 			receiveIntent(c, "n0", takeover.Intent{
--- a/internal/core/takeover_test.go
+++ b/internal/core/takeover_test.go
@@ -13,15 +13,15 @@
 
 func (keyedCommand) Args() [][]byte { return [][]byte{[]byte("READ")} }
 
-// takeoverConfig returns a configuration with takeover whose class has idempotency keys.
-func takeoverConfig(name string, transport Transport) Config {
+// takeoverConfig returns a configuration with takeover whose class has idempotency keys; no other instance is reached.
+func takeoverConfig(name string) Config {
 	cfg := testConfig(endpointsAt()) // no backend: requests are queued
 	cfg.Settings.Classes[0].Effect = policy.Keyed
 	cfg.Settings.Classes[0].RepeatWindow = 3 * time.Second
 	cfg.Takeover = &TakeoverConfig{
 		Self:        takeover.Member{Name: name},
 		Incarnation: 1,
-		Transport:   transport,
+		Transport:   unreachableTransport{},
 	}
 	return cfg
 }
@@ -49,7 +49,7 @@
 
 // Guards against a request that waits unrecorded after a restart, and ends with its instance.
 func TestRestartedWorkIsReplicatedAgain(t *testing.T) {
-	c := newIdleCore(t, takeoverConfig("n0", unreachableTransport{}))
+	c := newIdleCore(t, takeoverConfig("n0"))
 	r, _ := arriveKeyed(c, 7, "key")
 	c.advanceTo(c.now + 2*replicateQueuedAfter)
 	if c.takeover.byAttempt[r.ClientID] != r {
@@ -74,7 +74,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			c := newIdleCore(t, takeoverConfig("n0", unreachableTransport{}))
+			c := newIdleCore(t, takeoverConfig("n0"))
 			r, sink := arriveKeyed(c, 7, "key")
 			c.advanceTo(c.now + test.waits)
 			c.now = r.GiveUpAt + time.Second // the process was stopped
@@ -88,7 +88,7 @@
 
 // Guards against a rejection of work whose replicas did not answer in time: another instance may have taken it over.
 func TestAbortedWorkHasFailed(t *testing.T) {
-	c := newIdleCore(t, takeoverConfig("n0", unreachableTransport{}))
+	c := newIdleCore(t, takeoverConfig("n0"))
 	r, sink := arriveKeyed(c, 7, "key")
 	c.advanceTo(c.now + 2*replicateQueuedAfter)
 	c.performTakeoverAction(r, takeover.Action{Kind: takeover.ActionAbort, Attempt: r.ClientID})
--- a/internal/takeover/known_faults_test.go
+++ b/internal/takeover/known_faults_test.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// Tests of faults that are known and not mended yet: see KNOWN-RED.txt.
+// Tests of faults that were listed in KNOWN-RED.txt until they were mended.
 
 // replyFromAll lets all remotes of a pending attempt send one reply.
 func replyFromAll(c *Coordinator, now time.Duration, attempt uint64, reply Reply) {
