Soak and takeover's tests: names in the field's terms

Need: the new clients and checks had words of the former style, and the soak's type of a client's request one from before. Change: clientRequest, configuredAgent, unpaced clients, actions that are due; nothing else.

--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -29,7 +29,7 @@
 )
 
 // asked is one request as its client saw it.
-type asked struct {
+type clientRequest struct {
 	id, class string
 	kind      string // of the client
 	in        *instance
@@ -65,7 +65,7 @@
 
 // request is a request that is about to be sent.
 type request struct {
-	asked
+	clientRequest
 	text string
 }
 
@@ -92,7 +92,7 @@
 		words = append(words, strings.Repeat("b", 1+rng.IntN(mostBody)))
 	}
 	text := respclient.EncodeCommand(words...)
-	return request{asked: asked{id: id, class: c.name, kind: kind, in: in, wait: wait}, text: text}
+	return request{clientRequest: clientRequest{id: id, class: c.name, kind: kind, in: in, wait: wait}, text: text}
 }
 
 // conn is a client's connection.
@@ -118,14 +118,14 @@
 }
 
 // note records a request as it went.
-func (r *run) note(a asked) {
+func (r *run) note(a clientRequest) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.asked = append(r.asked, a)
+	r.clientRequests = append(r.clientRequests, a)
 }
 
 // reads awaits the answer of a request that was sent on a connection; before is when the answer ahead of it came.
-func (r *run) reads(c *conn, a *asked, before time.Duration) error {
+func (r *run) reads(c *conn, a *clientRequest, before time.Duration) error {
 	a.owed = max(a.wait, before-a.sent)
 	until := time.Now().Add(a.sent + a.owed + answerWait - r.clock())
 	answer, err := c.answer(until)
@@ -145,7 +145,7 @@
 // once sends one request on a connection and reads its answer. Where a connection that was used before ends under it and the request
 // was not forwarded, it is sent once more on a new one, as the protocol has it.
 func (r *run) once(c *conn, q request) (*conn, bool) {
-	a := q.asked
+	a := q.clientRequest
 	for {
 		if c == nil {
 			var err error
@@ -277,7 +277,7 @@
 		_, err = io.WriteString(c, text.String())
 		before := time.Duration(0)
 		for i := range list {
-			a := &list[i].asked
+			a := &list[i].clientRequest
 			a.sent, a.fresh = sent, true
 			for err == nil {
 				if err = r.reads(c, a, before); err == nil && a.value != "" && strings.Contains(a.value, "unknown command") { // the nonsense's
@@ -326,20 +326,20 @@
 		left := r.clock()
 		for _, q := range list {
 			q.sent, q.left, q.fresh = sent, left, true
-			r.note(q.asked)
+			r.note(q.clientRequest)
 		}
 	}
 }
 
-// Bounds of a connection that is pressed on.
+// Bounds of a connection on which requests are sent unpaced.
 const (
-	pressGap  = 60 * time.Millisecond // the longest between two requests
-	mostPress = 400                   // requests on one connection
+	maxUnpacedGap      = 60 * time.Millisecond // the longest between two requests
+	maxUnpacedRequests = 400                   // requests on one connection
 )
 
-// pressing sends request after request on one connection, without waiting for the answers, until the instance ends the
+// unpaced sends request after request on one connection, without waiting for the answers, until the instance ends the
 // connection: also after a SIGTERM, up to the SIGKILL.
-func (r *run) pressing(ctx context.Context, in *instance, rng *rand.Rand) {
+func (r *run) unpaced(ctx context.Context, in *instance, rng *rand.Rand) {
 	for sleep(ctx, time.Duration(100+rng.IntN(400))*time.Millisecond) {
 		if !in.open() {
 			continue
@@ -348,29 +348,29 @@
 		if err != nil {
 			continue
 		}
-		r.pressOn(ctx, c, in, rng)
+		r.sendUnpaced(ctx, c, in, rng)
 		c.Close()
 	}
 }
 
-// pressOn sends requests on a connection and reads their answers, until it ends or the load does.
-func (r *run) pressOn(ctx context.Context, c *conn, in *instance, rng *rand.Rand) {
-	sent := make(chan *asked, mostPress)
+// sendUnpaced sends requests on a connection and reads their answers, until it ends or the load does.
+func (r *run) sendUnpaced(ctx context.Context, c *conn, in *instance, rng *rand.Rand) {
+	sent := make(chan *clientRequest, maxUnpacedRequests)
 	var reading sync.WaitGroup
 	ended := make(chan struct{})
 	reading.Go(func() {
 		defer close(ended)
-		r.readPressed(c, sent)
+		r.readUnpaced(c, sent)
 	})
-	for n := range mostPress {
-		q := r.newRequest("pressing", in, rng)
-		a := &q.asked
+	for n := range maxUnpacedRequests {
+		q := r.newRequest("unpaced", in, rng)
+		a := &q.clientRequest
 		a.sent, a.fresh = r.clock(), n == 0
 		sent <- a
 		if _, err := io.WriteString(c, q.text); err != nil {
 			break
 		}
-		if !r.pressAgain(ctx, ended, rng) {
+		if !r.awaitNextUnpaced(ctx, ended, rng) {
 			break
 		}
 	}
@@ -378,9 +378,9 @@
 	reading.Wait()
 }
 
-// pressAgain waits until the next request is due. It reports false if the connection has ended or the load has.
-func (r *run) pressAgain(ctx context.Context, ended <-chan struct{}, rng *rand.Rand) bool {
-	timer := time.NewTimer(time.Duration(rng.Int64N(int64(pressGap))))
+// awaitNextUnpaced waits until the next request is due. It reports false if the connection has ended or the load has.
+func (r *run) awaitNextUnpaced(ctx context.Context, ended <-chan struct{}, rng *rand.Rand) bool {
+	timer := time.NewTimer(time.Duration(rng.Int64N(int64(maxUnpacedGap))))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -392,9 +392,9 @@
 	}
 }
 
-// readPressed reads the answers of a connection in their order. Once it has ended, a request that no backend has seen is
+// readUnpaced reads the answers of a connection in their order. Once it has ended, a request that no backend has seen is
 // sent to another instance, as the protocol has it; the others are owed their answers.
-func (r *run) readPressed(c *conn, sent <-chan *asked) {
+func (r *run) readUnpaced(c *conn, sent <-chan *clientRequest) {
 	var err error
 	before := time.Duration(0)
 	for a := range sent {
@@ -425,7 +425,7 @@
 			continue
 		}
 		q := r.newRequest("slow", in, rng)
-		a, rest := q.asked, q.text
+		a, rest := q.clientRequest, q.text
 		a.fresh, a.since = true, r.clock()
 		for len(rest) > 0 && err == nil {
 			n := min(len(rest), 1+rng.IntN(2*len(q.text)/slowPieces))
--- a/internal/lab/soak/instance.go
+++ b/internal/lab/soak/instance.go
@@ -32,24 +32,24 @@
 	agents [2]string // of discovery: a new configuration moves from one to the other
 	acting sync.Mutex
 
-	mu          sync.Mutex
-	kills       []time.Duration // by the run, of a process that owed nothing any more
-	terms       []time.Duration
-	ends        []time.Duration
-	starts      []time.Duration
-	hangups     []time.Duration
-	overrun     []time.Duration // kills of a process that had not ended by the time that the platform leaves it
-	startup     []time.Duration // how long each start took
-	drains      []span          // by operators, until it is surely back at work
-	crowds      []span          // in which all its places may be taken; r.mu
-	told        int             // which agent its configuration names
-	expected    bool            // its end is
-	ending      bool            // it has been sent a SIGTERM
-	activations int             // calls of operators that ended a drain
-	lateSignals int             // sent to it after a first SIGTERM
-	nearestKill time.Duration   // the least time that was left to SIGKILL when it had ended after a SIGTERM; 0: it never has
-	crashed     []string
-	violated    []string // lines of its log about an invariant
+	mu              sync.Mutex
+	kills           []time.Duration // by the run, of a process that owed nothing any more
+	terms           []time.Duration
+	ends            []time.Duration
+	starts          []time.Duration
+	hangups         []time.Duration
+	overrun         []time.Duration // kills of a process that had not ended by the time that the platform leaves it
+	startup         []time.Duration // how long each start took
+	drains          []span          // by operators, until it is surely back at work
+	crowds          []span          // in which all its places may be taken; r.mu
+	configuredAgent int             // which agent its configuration names
+	expected        bool            // its end is
+	ending          bool            // it has been sent a SIGTERM
+	activations     int             // calls of operators that ended a drain
+	lateSignals     int             // sent to it after a first SIGTERM
+	nearestKill     time.Duration   // the least time that was left to SIGKILL when it had ended after a SIGTERM; 0: it never has
+	crashed         []string
+	violated        []string // lines of its log about an invariant
 }
 
 // lineWriter hands whole lines to a function, and passes everything on.
@@ -141,7 +141,7 @@
 		return err
 	}
 	in.mu.Lock()
-	in.told = agent
+	in.configuredAgent = agent
 	in.mu.Unlock()
 	return os.WriteFile(in.config, text, 0o600)
 }
--- a/internal/lab/soak/judge.go
+++ b/internal/lab/soak/judge.go
@@ -57,10 +57,10 @@
 	for _, rec := range records {
 		byID[rec.ID] = append(byID[rec.ID], rec)
 	}
-	list := make([]rulecheck.ClientRequest, len(r.asked))
-	requests := map[string]*asked{}
-	for i := range r.asked {
-		a := &r.asked[i]
+	list := make([]rulecheck.ClientRequest, len(r.clientRequests))
+	requests := map[string]*clientRequest{}
+	for i := range r.clientRequests {
+		a := &r.clientRequests[i]
 		requests[a.id] = a
 		list[i] = r.asAudited(a, byID[a.id])
 	}
@@ -91,7 +91,7 @@
 }
 
 // asAudited is a request as package audit judges it: excused where nobody owes it an answer.
-func (r *run) asAudited(a *asked, sent []backend.Record) rulecheck.ClientRequest {
+func (r *run) asAudited(a *clientRequest, sent []backend.Record) rulecheck.ClientRequest {
 	out := rulecheck.ClientRequest{ID: a.id, Instance: a.in.Name, Class: a.class, SentAt: a.sent, Timeout: max(a.wait, a.owed) + lateBy, Answers: a.answers}
 	out.ForeignAnswer = len(a.answers) > 0 && a.answers[0].Kind == "served" && a.value != "value of "+a.id
 	end := max(a.ended, a.waited)
@@ -113,7 +113,7 @@
 }
 
 // judgeRecords judges what attempts told, and what was sent for clients that had gone.
-func (r *run) judgeRecords(records []backend.Record, requests map[string]*asked) {
+func (r *run) judgeRecords(records []backend.Record, requests map[string]*clientRequest) {
 	for _, rec := range records {
 		a := requests[rec.ID]
 		if a == nil {
@@ -245,7 +245,7 @@
 }
 
 // tellStory adds to a finding what client and backends saw of the request that it names.
-func (r *run) tellStory(f *Finding, requests map[string]*asked, byID map[string][]backend.Record) {
+func (r *run) tellStory(f *Finding, requests map[string]*clientRequest, byID map[string][]backend.Record) {
 	for _, word := range strings.Fields(f.Detail) {
 		a := requests[word]
 		if a == nil {
--- a/internal/lab/soak/operator.go
+++ b/internal/lab/soak/operator.go
@@ -77,8 +77,8 @@
 	if !sleep(ctx, activeShows) || in.generation() != before {
 		return
 	}
-	asked := in.run.clock()
-	if !in.ping() && in.generation() == before && !in.crowdedSince(asked) { // a PING may wait for a place
+	pingedAt := in.run.clock()
+	if !in.ping() && in.generation() == before && !in.crowdedSince(pingedAt) { // a PING may wait for a place
 		in.run.found(RuleReady, in.run.clock(), fmt.Sprintf("%s says no to PING %v after it was put back to work", in.Name, activeShows))
 	}
 }
--- a/internal/lab/soak/signals.go
+++ b/internal/lab/soak/signals.go
@@ -11,10 +11,10 @@
 
 // Bounds of the signals around a SIGTERM.
 const (
-	mostHangupsBefore = 2
-	mostSignalsAfter  = 6
-	signalGapBefore   = 30 * time.Millisecond
-	signalGapAfter    = 700 * time.Millisecond
+	maxHangupsBefore = 2
+	maxSignalsAfter  = 6
+	maxGapBefore     = 30 * time.Millisecond
+	maxGapAfter      = 700 * time.Millisecond
 )
 
 // timedSignal is a signal that follows another after a gap.
@@ -35,29 +35,29 @@
 	if rng.IntN(4) == 0 {
 		return series
 	}
-	gap := func(most time.Duration) time.Duration {
-		return time.Duration(rng.IntN(2)) * time.Duration(rng.Int64N(int64(most))).Round(time.Millisecond)
+	gap := func(limit time.Duration) time.Duration {
+		return time.Duration(rng.IntN(2)) * time.Duration(rng.Int64N(int64(limit))).Round(time.Millisecond)
 	}
-	for range rng.IntN(mostHangupsBefore + 1) {
-		series.before = append(series.before, timedSignal{gap(signalGapBefore), syscall.SIGHUP})
+	for range rng.IntN(maxHangupsBefore + 1) {
+		series.before = append(series.before, timedSignal{gap(maxGapBefore), syscall.SIGHUP})
 	}
 	kinds := []syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT}
-	for range 1 + rng.IntN(mostSignalsAfter) {
-		series.after = append(series.after, timedSignal{gap(signalGapAfter), kinds[rng.IntN(len(kinds))]})
+	for range 1 + rng.IntN(maxSignalsAfter) {
+		series.after = append(series.after, timedSignal{gap(maxGapAfter), kinds[rng.IntN(len(kinds))]})
 	}
 	return series
 }
 
 // String names the signals with their gaps.
 func (s signalSeries) String() string {
-	var words []string
+	var parts []string
 	for _, x := range s.before {
-		words = append(words, fmt.Sprintf("%v before by %v", x.signal, x.gap))
+		parts = append(parts, fmt.Sprintf("%v before by %v", x.signal, x.gap))
 	}
 	for _, x := range s.after {
-		words = append(words, fmt.Sprintf("%v after %v", x.signal, x.gap))
+		parts = append(parts, fmt.Sprintf("%v after %v", x.signal, x.gap))
 	}
-	return strings.Join(words, ", ")
+	return strings.Join(parts, ", ")
 }
 
 // sendSeries sends signals one after another, until the process has ended. A
@@ -80,7 +80,7 @@
 // moveAgent gives the process a configuration that names its other agent.
 func (in *instance) moveAgent() bool {
 	in.mu.Lock()
-	next := 1 - in.told
+	next := 1 - in.configuredAgent
 	in.mu.Unlock()
 	if in.write(next) != nil || in.SendSignal(syscall.SIGHUP) != nil {
 		return false
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -94,14 +94,14 @@
 	wg         sync.WaitGroup // of troubles
 	closers    []func()
 
-	mu       sync.Mutex // of all below
-	backends []*backend.Backend
-	targets  []discovery.Target
-	hosts    int
-	asked    []asked
-	failures []failure
-	said     []rulecheck.Notification // by operators
-	findings []Finding
+	mu             sync.Mutex // of all below
+	backends       []*backend.Backend
+	targets        []discovery.Target
+	hosts          int
+	clientRequests []clientRequest
+	failures       []failure
+	said           []rulecheck.Notification // by operators
+	findings       []Finding
 }
 
 // Run plays a run. An error means that it could not be played.
@@ -302,7 +302,7 @@
 	var clients sync.WaitGroup
 	for n, in := range r.instances {
 		for k, client := range []func(context.Context, *instance, *rand.Rand){
-			r.steady, r.resting, r.pipelining, r.leaving, r.slow, r.stalling, r.pressing,
+			r.steady, r.resting, r.pipelining, r.leaving, r.slow, r.stalling, r.unpaced,
 		} {
 			own := rand.New(rand.NewPCG(r.cfg.Seed, uint64(1000+n*10+k)))
 			clients.Go(func() { client(playing, in, own) })
@@ -317,35 +317,35 @@
 
 // Report is what a run comes to.
 type Report struct {
-	Seed              uint64
-	Instances         int
-	Requests          int
-	Served            int
-	Refused           int
-	Failed            int
-	NoConnection      int
-	Starts            int
-	Overruns          int
-	LateSignals       int           // sent after a first SIGTERM
-	PressedOn         int           // requests sent after a SIGTERM on a connection that was open
-	NearestToKill     time.Duration // the least time that was left to SIGKILL at an end after SIGTERM
-	SlowestStart      time.Duration
-	LatestObserver    time.Duration
-	Faults            []string
-	Findings          []Finding
-	NearestToCeiling  float64
-	NearestToOverload float64
+	Seed               uint64
+	Instances          int
+	Requests           int
+	Served             int
+	Refused            int
+	Failed             int
+	NoConnection       int
+	Starts             int
+	Overruns           int
+	LateSignals        int           // sent after a first SIGTERM
+	RequestsInShutdown int           // requests sent after a SIGTERM on a connection that was open
+	NearestToKill      time.Duration // the least time that was left to SIGKILL at an end after SIGTERM
+	SlowestStart       time.Duration
+	LatestObserver     time.Duration
+	Faults             []string
+	Findings           []Finding
+	NearestToCeiling   float64
+	NearestToOverload  float64
 }
 
 func (r *run) report(v rulecheck.Result) *Report {
 	out := &Report{
-		Seed: r.cfg.Seed, Instances: r.cfg.Instances, Requests: len(r.asked), Faults: r.notes.lines, Findings: r.findings, LatestObserver: v.WorstDelay,
+		Seed: r.cfg.Seed, Instances: r.cfg.Instances, Requests: len(r.clientRequests), Faults: r.notes.lines, Findings: r.findings, LatestObserver: v.WorstDelay,
 		NearestToCeiling: v.Margins.Ceiling, NearestToOverload: v.Margins.SlowStartPush,
 	}
-	for i := range r.asked {
-		a := &r.asked[i]
+	for i := range r.clientRequests {
+		a := &r.clientRequests[i]
 		if !a.fresh && !a.noConnect && a.in.leavingFor(a.sent) > 0 {
-			out.PressedOn++
+			out.RequestsInShutdown++
 		}
 		switch {
 		case a.noConnect:
@@ -386,7 +386,7 @@
 // Line sums a run up.
 func (r *Report) Line() string {
 	return fmt.Sprintf("seed %d: %d requests at %d instances, served %d, refused %d, failed %d, not connected %d; %d starts, slowest %v, %d killed at the end of their time, nearest %v; %d signals and %d requests in shutdowns; ceiling %+.2f, cold %.2f, observers late by %v: %d breaks, %d certain",
-		r.Seed, r.Requests, r.Instances, r.Served, r.Refused, r.Failed, r.NoConnection, r.Starts, r.SlowestStart.Round(time.Millisecond), r.Overruns, r.NearestToKill.Round(time.Millisecond), r.LateSignals, r.PressedOn,
+		r.Seed, r.Requests, r.Instances, r.Served, r.Refused, r.Failed, r.NoConnection, r.Starts, r.SlowestStart.Round(time.Millisecond), r.Overruns, r.NearestToKill.Round(time.Millisecond), r.LateSignals, r.RequestsInShutdown,
 		r.NearestToCeiling, r.NearestToOverload,
 		r.LatestObserver.Round(time.Millisecond), len(r.Findings), r.Certain())
 }
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -30,16 +30,16 @@
 	if out, err := exec.Command("go", "build", "-o", program, "hitchspring/cmd/hitchspring").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	lateSignals, pressedOn := 0, 0
+	lateSignals, requestsInShutdown := 0, 0
 	for _, seed := range shortSeeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			report := playShort(t, program, seed)
 			lateSignals += report.LateSignals
-			pressedOn += report.PressedOn
+			requestsInShutdown += report.RequestsInShutdown
 		})
 	}
-	if lateSignals == 0 || pressedOn == 0 {
-		t.Errorf("got %d signals and %d requests within shutdowns, want some of each", lateSignals, pressedOn)
+	if lateSignals == 0 || requestsInShutdown == 0 {
+		t.Errorf("got %d signals and %d requests within shutdowns, want some of each", lateSignals, requestsInShutdown)
 	}
 }
 
@@ -112,26 +112,30 @@
 func TestWhoIsExcused(t *testing.T) {
 	forwarded := []backend.Record{{ID: "1"}}
 	for name, c := range map[string]struct {
-		change func(*asked, *instance)
+		change func(*clientRequest, *instance)
 		sent   []backend.Record
 		want   bool
 	}{
-		"no answer":                       {func(*asked, *instance) {}, nil, false},
-		"killed under it":                 {func(a *asked, in *instance) { in.kills = []time.Duration{sentAt + waits/2} }, nil, true},
-		"killed before":                   {func(a *asked, in *instance) { in.kills = []time.Duration{sentAt - waits} }, nil, false},
-		"told to end under it":            {func(a *asked, in *instance) { in.terms = []time.Duration{sentAt + waits/2} }, nil, false},
-		"killed at the end of its time":   {func(a *asked, in *instance) { in.overrun = []time.Duration{sentAt + waits/2} }, nil, false},
-		"not connected":                   {func(a *asked, _ *instance) { a.noConnect = true }, nil, true},
-		"left":                            {func(a *asked, _ *instance) { a.left = sentAt + waits/2 }, forwarded, true},
-		"reset unread long after SIGTERM": {func(a *asked, in *instance) { a.fresh, in.terms = true, []time.Duration{sentAt - frontNotice - 1} }, nil, true},
-		"closed on a new connection after SIGTERM":    {func(a *asked, in *instance) { a.fresh, in.terms = true, []time.Duration{sentAt - 2*frontNotice} }, forwarded, false},
-		"closed on a kept connection after SIGTERM":   {func(a *asked, in *instance) { in.terms = []time.Duration{sentAt - 2*frontNotice} }, nil, false},
-		"closed on a new connection, nothing wrong":   {func(a *asked, _ *instance) { a.fresh = true }, nil, false},
-		"closed on a new connection, in a crowd":      {func(a *asked, in *instance) { a.fresh, in.crowds = true, []span{{sentAt, sentAt + waits}} }, nil, true},
-		"forwarded in a crowd, and closed unanswered": {func(a *asked, in *instance) { a.fresh, in.crowds = true, []span{{sentAt, sentAt + waits}} }, forwarded, false},
+		"no answer":                     {func(*clientRequest, *instance) {}, nil, false},
+		"killed under it":               {func(a *clientRequest, in *instance) { in.kills = []time.Duration{sentAt + waits/2} }, nil, true},
+		"killed before":                 {func(a *clientRequest, in *instance) { in.kills = []time.Duration{sentAt - waits} }, nil, false},
+		"told to end under it":          {func(a *clientRequest, in *instance) { in.terms = []time.Duration{sentAt + waits/2} }, nil, false},
+		"killed at the end of its time": {func(a *clientRequest, in *instance) { in.overrun = []time.Duration{sentAt + waits/2} }, nil, false},
+		"not connected":                 {func(a *clientRequest, _ *instance) { a.noConnect = true }, nil, true},
+		"left":                          {func(a *clientRequest, _ *instance) { a.left = sentAt + waits/2 }, forwarded, true},
+		"reset unread long after SIGTERM": {func(a *clientRequest, in *instance) {
+			a.fresh, in.terms = true, []time.Duration{sentAt - frontNotice - 1}
+		}, nil, true},
+		"closed on a new connection after SIGTERM": {func(a *clientRequest, in *instance) {
+			a.fresh, in.terms = true, []time.Duration{sentAt - 2*frontNotice}
+		}, forwarded, false},
+		"closed on a kept connection after SIGTERM":   {func(a *clientRequest, in *instance) { in.terms = []time.Duration{sentAt - 2*frontNotice} }, nil, false},
+		"closed on a new connection, nothing wrong":   {func(a *clientRequest, _ *instance) { a.fresh = true }, nil, false},
+		"closed on a new connection, in a crowd":      {func(a *clientRequest, in *instance) { a.fresh, in.crowds = true, []span{{sentAt, sentAt + waits}} }, nil, true},
+		"forwarded in a crowd, and closed unanswered": {func(a *clientRequest, in *instance) { a.fresh, in.crowds = true, []span{{sentAt, sentAt + waits}} }, forwarded, false},
 	} {
 		r, in := newJudged()
-		a := &asked{id: "1", class: "look", in: in, sent: sentAt, wait: waits, ended: sentAt + waits}
+		a := &clientRequest{id: "1", class: "look", in: in, sent: sentAt, wait: waits, ended: sentAt + waits}
 		c.change(a, in)
 		if got := r.asAudited(a, c.sent).Excused; got != c.want {
 			t.Errorf("%s: excused %v, want %v", name, got, c.want)
@@ -154,7 +158,7 @@
 	} {
 		r, in := newJudged()
 		c.rec.ID = "1"
-		r.judgeRecords([]backend.Record{c.rec}, map[string]*asked{"1": {id: "1", in: in, sent: sentAt, wait: waits, left: c.left}})
+		r.judgeRecords([]backend.Record{c.rec}, map[string]*clientRequest{"1": {id: "1", in: in, sent: sentAt, wait: waits, left: c.left}})
 		got := ""
 		for _, f := range r.findings {
 			got += f.Rule
--- a/internal/peers/change_order_test.go
+++ b/internal/peers/change_order_test.go
@@ -26,11 +26,11 @@
 func TestChangesArePassedOnOneAtATime(t *testing.T) {
 	now := time.Hour
 	p := newUnstarted(t, &logBuffer{}, &now)
-	entered, held := make(chan struct{}), make(chan struct{})
-	var atOnce, most atomic.Int32
+	entered, resume := make(chan struct{}), make(chan struct{})
+	var atOnce, maxAtOnce atomic.Int32
 	var states []swim.State // of b; written by one call at a time, if all is well
 	p.cfg.OnChange = func(changes []swim.Change) {
-		most.Store(max(most.Load(), atOnce.Add(1)))
+		maxAtOnce.Store(max(maxAtOnce.Load(), atOnce.Add(1)))
 		defer atOnce.Add(-1)
 		for _, change := range changes {
 			if change.Name == "b" {
@@ -39,7 +39,7 @@
 		}
 		if len(states) == 1 {
 			close(entered)
-			<-held
+			<-resume
 		}
 	}
 	b := swim.Update{Name: "b", Addr: "127.0.0.1:1", Incarnation: 1}
@@ -65,9 +65,9 @@
 			t.Error("a goroutine that finds a change waits for another that passes one on")
 		}
 	}
-	close(held)
+	close(resume)
 	<-passedOn
-	if want := []swim.State{swim.Alive, swim.Dead, swim.Alive}; !slices.Equal(states, want) || most.Load() != 1 {
-		t.Errorf("got %v with %d calls at once, want %v one after another", states, most.Load(), want)
+	if want := []swim.State{swim.Alive, swim.Dead, swim.Alive}; !slices.Equal(states, want) || maxAtOnce.Load() != 1 {
+		t.Errorf("got %v with %d calls at once, want %v one after another", states, maxAtOnce.Load(), want)
 	}
 }
--- a/internal/takeover/random_fleet_test.go
+++ b/internal/takeover/random_fleet_test.go
@@ -17,8 +17,8 @@
 	randomClientTime = 3 * time.Second
 	randomTick       = 10 * ms
 	maxRandomPackets = 400
-	// wordSlack is how long after its time-out a wait may end, by the tick.
-	wordSlack = randomTick
+	// tickSlack is how long after its time-out a wait may end, by the tick.
+	tickSlack = randomTick
 )
 
 // randomPacket is a message on its way, from an incarnation of its sender.
@@ -34,11 +34,11 @@
 	work     Work
 	scope    Scope // of the last request
 	deadline time.Duration
-	// wordBy is when the coordinator must have emitted an action; 0: none is
+	// actionDueAt is when the coordinator must have emitted an action; 0: none is
 	// awaited.
-	wordBy time.Duration
-	joined bool
-	out    bool // it may be on the wire
+	actionDueAt time.Duration
+	joined      bool
+	out         bool // it may be on the wire
 }
 
 // randomInstance is one instance with its own view of the others.
@@ -150,13 +150,13 @@
 	f.drain(name)
 }
 
-// await notes that a word is due.
+// await notes that an action is due.
 func (f *randomFleet) await(attempt *randomAttempt, timeout time.Duration) {
-	attempt.wordBy = f.now + timeout + wordSlack
+	attempt.actionDueAt = f.now + timeout + tickSlack
 }
 
 // isIdle reports whether nothing of an attempt is out, awaited or left to another.
-func isIdle(a *randomAttempt) bool { return a.wordBy == 0 && !a.joined && !a.out }
+func isIdle(a *randomAttempt) bool { return a.actionDueAt == 0 && !a.joined && !a.out }
 
 // migrate moves an attempt of which surely nothing has run.
 func (f *randomFleet) migrate() {
@@ -203,7 +203,7 @@
 // complete ends an attempt.
 func (f *randomFleet) complete() {
 	name := f.drawName("owner")
-	number, attempt := f.drawAttempt(name, func(a *randomAttempt) bool { return a.wordBy == 0 })
+	number, attempt := f.drawAttempt(name, func(a *randomAttempt) bool { return a.actionDueAt == 0 })
 	if attempt == nil {
 		return
 	}
@@ -339,8 +339,8 @@
 	if attempt == nil {
 		return
 	}
-	awaited := attempt.wordBy > 0
-	attempt.wordBy = 0
+	awaited := attempt.actionDueAt > 0
+	attempt.actionDueAt = 0
 	switch action.Kind {
 	case ActionSend:
 		if awaited && attempt.scope != ScopeNone && !attempt.out {
@@ -393,17 +393,17 @@
 	f.loose[key] = f.loose[key] || !covered
 }
 
-// checkWords fails if a wait has lasted for too long.
-func (f *randomFleet) checkWords() {
+// checkActionsInTime fails if a wait has lasted for too long.
+func (f *randomFleet) checkActionsInTime() {
 	for _, m := range f.members {
 		attempts := f.instances[m.Name].attempts
 		for _, number := range slices.Sorted(maps.Keys(attempts)) {
-			if attempt := attempts[number]; attempt.wordBy > 0 && f.now > attempt.wordBy {
+			if attempt := attempts[number]; attempt.actionDueAt > 0 && f.now > attempt.actionDueAt {
 				state := "no pending work"
 				if work := f.instances[m.Name].coordinator.pending[number]; work != nil {
 					state = work.state.String()
 				}
-				f.t.Fatalf("%s has had no word of attempt %d of %s: %+v, %s",
+				f.t.Fatalf("%s has had no action for attempt %d of %s: %+v, %s",
 					m.Name, number, attempt.work.Key, *attempt, state)
 			}
 		}
@@ -422,7 +422,7 @@
 	for f.now < end {
 		f.deliverAll()
 		f.tick()
-		f.checkWords()
+		f.checkActionsInTime()
 		f.endOverdue()
 	}
 	f.deliverAll()
@@ -458,7 +458,7 @@
 
 // Fleets whose members come and go under pending work, in each instance's own
 // view, with messages that are lost, late, duplicated and out of order: nobody
-// panics, sends to nobody, waits for a word for too long or keeps anything.
+// panics, sends to nobody, waits for an action for too long or keeps anything.
 // A longer search: go test -run TestRandomFleets -rapid.checks=10000.
 func TestRandomFleets(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -470,7 +470,7 @@
 		}
 		for range rapid.IntRange(20, 300).Draw(t, "steps") {
 			steps[rapid.IntRange(0, len(steps)-1).Draw(t, "step")]()
-			f.checkWords()
+			f.checkActionsInTime()
 		}
 		f.settle()
 		f.checkNothingLeft()
