--- a/internal/ingress/descriptors_test.go
+++ b/internal/ingress/descriptors_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -10,7 +11,6 @@
 	"net/http/httptest"
 	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -271,11 +271,11 @@
 }
 
 // countSockets counts this process's open TCP connections in the kernel's
-// table: those at a listener's own port, and those to other ports. Connections
+// table: those at a listener's own address, and those to other addresses. Connections
 // in the listen queue have no descriptor and are not counted. The table changes
 // while it is read, and may then have a connection more than once: each counts
 // once, by the inode of its descriptor.
-func countSockets(table string, local int, remote []int) (open int) {
+func countSockets(table, local string, remote []string) (open int) {
 	counted := map[string]bool{}
 	for text := range strings.Lines(table) {
 		fields := strings.Fields(text)
@@ -283,7 +283,7 @@
 		if len(fields) < 10 || fields[3] == stateListen || fields[9] == noInode || counted[fields[9]] {
 			continue
 		}
-		if tablePort(fields[1]) == local || slices.Contains(remote, tablePort(fields[2])) {
+		if fields[1] == local || slices.Contains(remote, fields[2]) {
 			counted[fields[9]] = true
 			open++
 		}
@@ -291,20 +291,48 @@
 	return open
 }
 
-// tablePort is the port of an address in the kernel's table.
-func tablePort(addr string) int {
-	_, port, _ := strings.Cut(addr, ":")
-	n, _ := strconv.ParseInt(port, 16, 32)
-	return int(n)
+// tableAddr is an address as the kernel's table has it: the IPv4 address in the
+// byte order of the machine, and the port.
+func tableAddr(t *testing.T, addr string) string {
+	t.Helper()
+	a, err := net.ResolveTCPAddr("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("%08X:%04X", binary.NativeEndian.Uint32(a.IP.To4()), a.Port)
 }
 
-func portOf(t *testing.T, addr string) int {
-	t.Helper()
-	a, err := net.ResolveTCPAddr("tcp", addr)
+// The table is that of the whole machine: connections of other processes at the
+// same port of another loopback address don't count.
+func TestSocketsAtOtherAddressesAreNotCounted(t *testing.T) {
+	accept := func(addr string) net.Listener {
+		ln, err := net.Listen("tcp4", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { ln.Close() })
+		client, err := net.Dial("tcp4", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { client.Close() })
+		server, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { server.Close() })
+		return ln
+	}
+	own := accept("127.0.0.1:0")
+	_, port, _ := net.SplitHostPort(own.Addr().String())
+	accept("127.0.0.3:" + port)
+	table, err := os.ReadFile("/proc/self/net/tcp")
 	if err != nil {
 		t.Fatal(err)
 	}
-	return a.Port
+	if got := countSockets(string(table), tableAddr(t, own.Addr().String()), nil); got != 1 {
+		t.Errorf("got %d connections, want the one at the listener's own address", got)
+	}
 }
 
 // The limit on descriptors is reached by idle clients that keep coming while
@@ -362,13 +390,13 @@
 	return f.front.OpenConnections() == f.front.MaxConnections()
 }
 
-// remotePorts are those that the instance itself connects to.
-func (f *outageFixture) remotePorts(t *testing.T) (ports []int) {
+// remoteAddrs are those that the instance itself connects to.
+func (f *outageFixture) remoteAddrs(t *testing.T) (addrs []string) {
 	t.Helper()
 	for _, addr := range []string{f.first.Addr, f.second.Addr, f.counter.Addr(), f.registry.addr} {
-		ports = append(ports, portOf(t, addr))
+		addrs = append(addrs, tableAddr(t, addr))
 	}
-	return ports
+	return addrs
 }
 
 // runOutage has discovery fail and the counter's connections cut, and checks that
@@ -421,7 +449,7 @@
 		running.Go(func() { sendUntilStopped(f.addr, i*100_000, 0, &persistent, stop) })
 	}
 	running.Go(func() { sendUntilStopped(f.addr, 500_000, newcomerInterval, &newcomers, stop) })
-	peak, local, remote := 0, portOf(t, f.addr), f.remotePorts(t)
+	peak, local, remote := 0, tableAddr(t, f.addr), f.remoteAddrs(t)
 	running.Go(func() { peak = peakSockets(stop, local, remote) })
 	f.runOutage(t)
 	end()
@@ -457,7 +485,7 @@
 
 // peakSockets samples the connections of an ingress until stop closes; 0 if the
 // kernel's table can't be read.
-func peakSockets(stop <-chan struct{}, local int, remote []int) (peak int) {
+func peakSockets(stop <-chan struct{}, local string, remote []string) (peak int) {
 	tick := time.NewTicker(50 * time.Millisecond)
 	defer tick.Stop()
 	for {
