Soak: the end of a terminated process is written once

Need: read once more, terminate stopped its signals, waited for them and cleared the ending mark twice, by defer and again before the restart; it has no return in between. Change: the three defers go, the explicit steps in their order stay.

--- a/internal/lab/soak/instance.go
+++ b/internal/lab/soak/instance.go
@@ -188,13 +188,10 @@
 	in.sendSeries(ctx, signals.before)
 	in.expect(&in.terms)
 	in.setEnding(true)
-	defer in.setEnding(false)
 	began := in.run.clock()
 	in.SendSignal(syscall.SIGTERM)
 	var sent sync.WaitGroup
-	defer sent.Wait()
 	sending, stop := context.WithCancel(ctx)
-	defer stop()
 	sent.Go(func() { in.sendSeries(sending, signals.after) })
 	if hold > 0 {
 		sleep(ctx, limit-killAfter+450*time.Millisecond)
