--- a/review/cmd/second/main.go
+++ b/review/cmd/second/main.go
@@ -37,9 +37,7 @@
 		time.Sleep(25*time.Millisecond + rand.N(20*time.Millisecond))
 		answer := stand.Served(stand.Value(command.ID, 100))
 		taken := c.Taken.Load()
-		if troubled.Load() {
-			record.Line("%s ran and answers %s on %s", b.Name, command.ID, c.RemoteAddr())
-		}
+		record.Line("%s ran and answers %s on %s", b.Name, command.ID, c.RemoteAddr())
 		if troubled.Load() && rand.N(oneOf) == 0 {
 			late := time.Millisecond + rand.N(time.Millisecond)
 			go func() {
@@ -95,15 +93,14 @@
 					}
 				}
 				r := stand.Request{Command: "Q.ASK", Tenant: n*100 + rand.N(20), ID: stand.NewID(), Class: "guide-read", Plan: "by", Millis: 1000, First: to}
+				record.Line("client %d at ingress %d sends %s %s for customer %d", n, to, r.IDText(), r.Class, r.Tenant)
 				c.Conn.Write(r.Encode())
 				answer := c.Read(3 * time.Second)
 				kind := answer.Kind
 				if kind == "served" && answer.Value != stand.Value(r.IDText(), 100) {
 					kind = "served with another's value"
 				}
-				if troubled.Load() || kind == "lost" {
-					record.Line("client %d at ingress %d: %s %s %s", n, to, r.IDText(), kind, strings.TrimSpace(answer.Text+" "+head(answer.Value)))
-				}
+				record.Line("client %d at ingress %d: %s %s %s", n, to, r.IDText(), kind, strings.TrimSpace(answer.Text+" "+head(answer.Value)))
 				mu.Lock()
 				counts[kind]++
 				if kind == "served with another's value" {
--- a/review/cmd/spoilt/main.go
+++ b/review/cmd/spoilt/main.go
@@ -67,6 +67,7 @@
 					}
 				}
 				r := stand.Request{Command: "Q.ASK", Tenant: n*100 + k%10, ID: stand.NewID(), Class: "guide-read", Plan: "by", Millis: 1000}
+				record.Line("client %d sends %s %s", n, r.IDText(), r.Class)
 				c.Conn.Write(r.Encode())
 				answer := c.Read(3 * time.Second)
 				kind := answer.Kind
