--- a/review/cmd/second/main.go
+++ b/review/cmd/second/main.go
@@ -17,11 +17,11 @@
 const (
 	ingresses = 3
 	backends  = 4
-	workers   = 17                     // client connections of an ingress
+	workers   = 14                     // client connections of an ingress
 	quiet     = 55 * time.Second       // before the first second answer
 	trouble   = 30 * time.Second       // with second answers
 	way       = 700 * time.Microsecond // between ingress and backend: the site names 0.42 to 0.78 ms
-	held      = 4                      // connections that a backend holds
+	held      = 3                      // connections that a backend holds
 	oneOf     = 20                     // answers has a second one
 )
 
