--- a/review/cmd/bodies/main.go
+++ b/review/cmd/bodies/main.go
@@ -69,8 +69,10 @@
 				if stand.Trouble() {
 					size = shortest + rand.N(longest-shortest)
 				}
-				r := stand.Request{Command: "Q.DO", Tenant: n*100 + rand.N(50), ID: stand.NewID(), Class: "clip-publish", Plan: "storby",
-					Millis: 5000, Key: fmt.Sprintf("%016x", stand.NewID()), Body: strings.Repeat("x", size)}
+				r := stand.Request{
+					Command: "Q.DO", Tenant: n*100 + rand.N(50), ID: stand.NewID(), Class: "clip-publish", Plan: "storby",
+					Millis: 5000, Key: fmt.Sprintf("%016x", stand.NewID()), Body: strings.Repeat("x", size),
+				}
 				b := r.Encode()
 				record.Line("client %d sends %s with a body of %d bytes", n, r.IDText(), size)
 				for sum := open.Add(int64(size)); ; {
--- a/review/cmd/second/main.go
+++ b/review/cmd/second/main.go
@@ -57,8 +57,10 @@
 	}
 	list := stand.List{Rev: 1, All: true}
 	for n := range backends {
-		b := &stand.Backend{Name: fmt.Sprintf("s-%d", n), Zone: []string{"hall-a", "hall-b", "hall-c"}[n%3], Group: n / 2, Record: record,
-			Answers: answers, Way: way, Cap: held}
+		b := &stand.Backend{
+			Name: fmt.Sprintf("s-%d", n), Zone: []string{"hall-a", "hall-b", "hall-c"}[n%3], Group: n / 2, Record: record,
+			Answers: answers, Way: way, Cap: held,
+		}
 		b.Start()
 		list.Targets = append(list.Targets, b.Target())
 	}
--- a/review/stand/ingress.go
+++ b/review/stand/ingress.go
@@ -78,9 +78,11 @@
 	i := &Ingress{Addr: FreeAddr(), dir: dir, Exited: make(chan struct{})}
 	tmp := filepath.Join(dir, "tmp")
 	os.Mkdir(tmp, 0o700)
-	config := map[string]any{"name": "n0", "listen": i.Addr, "discovery": discovery, "counter": counter,
+	config := map[string]any{
+		"name": "n0", "listen": i.Addr, "discovery": discovery, "counter": counter,
 		"seed": fmt.Sprintf("%016x", time.Now().UnixNano()), "known": list, "settings": settings,
-		"limits": map[string]any{"cores": 1.0, "memory_mb": limits.MemoryMB, "sockets": limits.Sockets}}
+		"limits": map[string]any{"cores": 1.0, "memory_mb": limits.MemoryMB, "sockets": limits.Sockets},
+	}
 	text, _ := json.Marshal(config)
 	path := filepath.Join(dir, "config.json")
 	if err := os.WriteFile(path, text, 0o600); err != nil {
@@ -91,8 +93,10 @@
 	}
 	i.cmd = exec.Command("/bin/sh", "-c", runCommand(Root()))
 	i.cmd.Dir = Root()
-	i.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "TMPDIR=" + tmp, "ROUTER_NAME=n0", "ROUTER_LISTEN=" + i.Addr,
-		"ROUTER_DISCOVERY=" + discovery, "ROUTER_CONFIG=" + path}
+	i.cmd.Env = []string{
+		"PATH=" + os.Getenv("PATH"), "TMPDIR=" + tmp, "ROUTER_NAME=n0", "ROUTER_LISTEN=" + i.Addr,
+		"ROUTER_DISCOVERY=" + discovery, "ROUTER_CONFIG=" + path,
+	}
 	i.cmd.Stdout, i.cmd.Stderr = i.log, i.log
 	i.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := i.cmd.Start(); err != nil {
--- a/review/stand/platform.go
+++ b/review/stand/platform.go
@@ -139,12 +139,16 @@
 // Settings returns the settings of a small deployment with the classes and plans of the site bergen-playout.
 func Settings(instances int) map[string]any {
 	class := func(name, effect string, value, late float64, objective, deadline, window int) map[string]any {
-		return map[string]any{"name": name, "effect": effect, "group": "cell", "value": value, "lateShare": late,
-			"objectiveUs": objective, "deadlineUs": deadline, "windowUs": window, "streaming": false}
+		return map[string]any{
+			"name": name, "effect": effect, "group": "cell", "value": value, "lateShare": late,
+			"objectiveUs": objective, "deadlineUs": deadline, "windowUs": window, "streaming": false,
+		}
 	}
 	plan := func(name string, price, refill, burst, excess float64) map[string]any {
-		return map[string]any{"name": name, "price": price, "refill": refill, "burst": burst, "concurrency": 0,
-			"excessCost": excess, "excessWorth": 0, "hardRate": 0, "capDepth": 0, "tolerance": 0}
+		return map[string]any{
+			"name": name, "price": price, "refill": refill, "burst": burst, "concurrency": 0,
+			"excessCost": excess, "excessWorth": 0, "hardRate": 0, "capDepth": 0, "tolerance": 0,
+		}
 	}
 	return map[string]any{
 		"family": "gate", "tier": 0, "layers": []string{"playout-fleet"}, "me": 0, "replicasOfMe": instances,
@@ -158,19 +162,29 @@
 		},
 		"contracts": []any{
 			plan("grend", 0.45, 2.1, 11, 1.2), plan("bygd", 0.88, 6.8, 38, 0.8), plan("by", 1.1, 21, 50, 0.5),
-			map[string]any{"name": "storby", "price": 1.6, "refill": 52, "burst": 150, "concurrency": 0,
-				"excessCost": 0.6, "excessWorth": 0, "hardRate": 110, "capDepth": 340, "tolerance": 34},
+			map[string]any{
+				"name": "storby", "price": 1.6, "refill": 52, "burst": 150, "concurrency": 0,
+				"excessCost": 0.6, "excessWorth": 0, "hardRate": 110, "capDepth": 340, "tolerance": 34,
+			},
+		},
+		"familyInfo": map[string]any{
+			"costAfter": false, "counterPrice": 0.005, "counterTimeoutUs": 80000, "maxUnits": 6,
+			"meterUs": 0, "peerIntake": 0, "sharedCounter": true,
+		},
+		"invariants": map[string]any{
+			"answerSlackUs": 16000, "askWithinUs": 10000000, "coldFrom": 0.25,
+			"drainGraceUs": 2000000, "fallMultiple": 4, "fallUs": 1000000, "warmAfterUs": 18000000,
 		},
-		"familyInfo": map[string]any{"costAfter": false, "counterPrice": 0.005, "counterTimeoutUs": 80000, "maxUnits": 6,
-			"meterUs": 0, "peerIntake": 0, "sharedCounter": true},
-		"invariants": map[string]any{"answerSlackUs": 16000, "askWithinUs": 10000000, "coldFrom": 0.25,
-			"drainGraceUs": 2000000, "fallMultiple": 4, "fallUs": 1000000, "warmAfterUs": 18000000},
 		"objectiveMix": map[string]any{"whole": 0.5, "worstClass": 0.1, "worstTenant": 0.15, "worstWindow": 0.25},
-		"permissions": map[string]any{"connIdleUs": 15000000, "connectTimeoutUs": 250000, "cpuUsPerRequest": 0,
+		"permissions": map[string]any{
+			"connIdleUs": 15000000, "connectTimeoutUs": 250000, "cpuUsPerRequest": 0,
 			"cpuUsPerS": 400000, "maxAttempts": 6, "maxOpen": 20000, "maxRetryAfterUs": 500000, "maxStreams": 100,
-			"mayCancel": true, "mayTell": false, "parallelTries": true, "probing": true, "retryAfter": true},
-		"prices": map[string]any{"connection": 0, "crossZone": 0.01, "handshake": 0, "lateFail": 0.05, "moves": 0,
-			"origin": 0, "peer": 0, "probe": 0.01, "registryMode": 0, "waste": 0.03},
+			"mayCancel": true, "mayTell": false, "parallelTries": true, "probing": true, "retryAfter": true,
+		},
+		"prices": map[string]any{
+			"connection": 0, "crossZone": 0.01, "handshake": 0, "lateFail": 0.05, "moves": 0,
+			"origin": 0, "peer": 0, "probe": 0.01, "registryMode": 0, "waste": 0.03,
+		},
 		"report": map[string]any{"columns": []string{"qps"}, "how": "pull"},
 	}
 }
