Review: case 1, refused commands take the ingress over its memory limit

Each refused request stays in memory until its client's time is up, so clients that send the same again as soon as they are turned away take an ingress of 64 MB over its limit in 2 s. The cases of the earlier review move to earlier-N.

--- a/review/cases_test.go
+++ b/review/cases_test.go
@@ -24,10 +24,19 @@
 }
 
 // Long request bodies must not take an ingress over its memory limit.
-func TestReviewLongBodiesStayWithinMemoryLimit(t *testing.T) { runCase(t, "1") }
+func TestReviewLongBodiesStayWithinMemoryLimit(t *testing.T) { runCase(t, "earlier-1") }
 
 // A late second answer must not be served to another request.
-func TestReviewLateSecondAnswerIsNotServed(t *testing.T) { runCase(t, "2") }
+func TestReviewLateSecondAnswerIsNotServed(t *testing.T) { runCase(t, "earlier-2") }
 
 // A long value whose length is too low must not be served as whole.
-func TestReviewLongValueOfWrongLengthIsNotServed(t *testing.T) { runCase(t, "3") }
+func TestReviewLongValueOfWrongLengthIsNotServed(t *testing.T) { runCase(t, "earlier-3") }
+
+// Commands that are refused as fast as they come must not take an ingress over its memory limit.
+func TestReviewRefusedCommandsStayWithinMemoryLimit(t *testing.T) { runCase(t, "1") }
+
+// Answers that wait for an earlier one of their connection must not cost the connection.
+func TestReviewAnswersBehindAnEarlierOneAreNotLost(t *testing.T) { runCase(t, "2") }
+
+// A long value that its backend writes slowly must not be cut off.
+func TestReviewSlowLongValueIsNotCutOff(t *testing.T) { runCase(t, "3") }
--- a/review/stand/ingress.go
+++ b/review/stand/ingress.go
@@ -17,6 +17,9 @@
 var (
 	startedMu sync.Mutex
 	started   []*Ingress
+
+	// Admin is the operators' address of the ingress that is started next; empty: it has none.
+	Admin string
 )
 
 // KillAll ends every process that the case has started.
@@ -83,6 +86,9 @@
 		"seed": fmt.Sprintf("%016x", time.Now().UnixNano()), "known": list, "settings": settings,
 		"limits": map[string]any{"cores": 1.0, "memory_mb": limits.MemoryMB, "sockets": limits.Sockets},
 	}
+	if Admin != "" {
+		config["admin_addr"] = Admin
+	}
 	text, _ := json.Marshal(config)
 	path := filepath.Join(dir, "config.json")
 	if err := os.WriteFile(path, text, 0o600); err != nil {
