The fields of a command have the protocol's bound, and take little to parse

Cause: the bytes of a command come from a budget, what is made of them does not. Parsing one command of 4 MiB allocated 64 MB, most of it a map of its names; each request then held the list twice and each attempt a third time, since only the bound of a body, 4 MiB, applied to it. Plan and key were substrings, so that a request's record kept the list beyond its answer.

Change: fields over 64 KiB, the protocol's bound on a value, are a protocol error before anything is made of them. Repeated names are found by four bytes for each name that the protocol does not have. Arguments are copied once a command is valid and is to be submitted; plan and key are copies.

--- a/internal/front/resp/command.go
+++ b/internal/front/resp/command.go
@@ -10,6 +10,7 @@
 	"github.com/tidwall/redcon"
 
 	"hitchspring/internal/core"
+	"hitchspring/internal/resp"
 	"hitchspring/policy"
 )
 
@@ -66,57 +67,89 @@
 	deadlineEnd    int     // offset of its end
 }
 
+// parsedCommand is a valid request whose arguments are still in the read buffer of
+// its connection.
+type parsedCommand struct {
+	args   [][]byte
+	id     uint64
+	fields requestFields
+	class  policy.Class
+}
+
 // parseRequest validates the arguments of a command and converts them to a request.
 // The text of the error is sent to the client.
 func (f *Front) parseRequest(args [][]byte, arrivedAt time.Time) (*core.Request, error) {
+	parsed, err := f.parseCommand(args)
+	if err != nil {
+		return nil, err
+	}
+	return f.newRequest(parsed, arrivedAt), nil
+}
+
+// parseCommand validates the arguments of a command. It copies none of them, and
+// checks their lengths first, so that an invalid command costs little memory beyond
+// its own.
+func (f *Front) parseCommand(args [][]byte) (parsedCommand, error) {
+	parsed := parsedCommand{args: args}
 	if len(args) <= argFields || len(args) > maxArgs {
-		return nil, fmt.Errorf("%s wants a customer, an id, fields and at most a body", args[argName])
+		return parsed, fmt.Errorf("%s wants a customer, an id, fields and at most a body", args[argName])
+	}
+	if len(args[argFields]) > resp.MaxValueBytes {
+		return parsed, fmt.Errorf("the fields are longer than %d bytes", resp.MaxValueBytes)
 	}
 	tenant, err := parseHex16(args[argTenant])
 	if err != nil || tenant >= tenantUpperBound {
-		return nil, errors.New("the customer is not 16 hex digits below 2^33")
+		return parsed, errors.New("the customer is not 16 hex digits below 2^33")
 	}
-	id, err := parseHex16(args[argID])
+	parsed.id, err = parseHex16(args[argID])
 	if err != nil {
-		return nil, errors.New("the id is not 16 hex digits")
+		return parsed, errors.New("the id is not 16 hex digits")
 	}
-	fields, err := parseFields(string(args[argFields]))
+	parsed.fields, err = parseFields(string(args[argFields]))
 	if err != nil {
-		return nil, err
-	}
-	class, err := f.checkFields(fields, string(args[argName]) == "Q.DO")
-	if err != nil {
-		return nil, err
+		return parsed, err
 	}
-	request := &core.Request{ClientID: id, IdempotencyKey: fields.idempotencyKey}
-	request.Tenant = strings.ToLower(string(args[argTenant])) // hex digits in either case denote the same tenant
-	request.Class = fields.class
-	request.Plan = fields.plan
+	parsed.class, err = f.checkFields(parsed.fields, string(args[argName]) == "Q.DO")
+	return parsed, err
+}
+
+// newRequest converts a valid command to a request. It copies the arguments, since
+// the connection reuses its read buffer.
+func (f *Front) newRequest(parsed parsedCommand, arrivedAt time.Time) *core.Request {
+	fields := parsed.fields
+	// Cloned: a substring would keep the complete list in memory, and the core keeps
+	// the record of a request beyond its answer.
+	request := &core.Request{ClientID: parsed.id, IdempotencyKey: strings.Clone(fields.idempotencyKey)}
+	request.Tenant = strings.ToLower(string(parsed.args[argTenant])) // hex digits in either case denote the same tenant
+	request.Class = parsed.class.Name
+	request.Plan = strings.Clone(fields.plan)
 	request.Units = fields.units
 	request.Spread = int(fields.spread)
 	request.First = int(fields.first)
 	// The core limits the waiting time that the client states.
-	request.GiveUpAt = f.core.GiveUpAt(class, arrivedAt, time.Duration(fields.deadlineMillis)*time.Millisecond)
+	request.GiveUpAt = f.core.GiveUpAt(parsed.class, arrivedAt, time.Duration(fields.deadlineMillis)*time.Millisecond)
 	cmd := &command{deadlineStart: fields.deadlineStart, deadlineEnd: fields.deadlineEnd}
-	for _, arg := range args { // copied: the connection reuses its read buffer
+	for _, arg := range parsed.args {
 		cmd.args = append(cmd.args, append(make([]byte, 0, len(arg)), arg...))
 		request.Size += len(arg)
 	}
 	request.Command = cmd
-	return request, nil
+	return request
 }
 
+// errFieldList is the error for a fields argument of invalid form.
+var errFieldList = errors.New("the fields are not a list of different names and values")
+
 // parseFields parses a list of the form name=value,... A repeated name is an error.
 func parseFields(list string) (requestFields, error) {
 	var fields requestFields
-	seen := map[string]bool{}
+	var names fieldNames
 	for start := 0; start <= len(list); {
 		field, _, _ := strings.Cut(list[start:], ",")
 		name, value, ok := strings.Cut(field, "=")
-		if !ok || name == "" || seen[name] {
-			return requestFields{}, errors.New("the fields are not a list of different names and values")
+		if !ok || name == "" || !names.add(name, start) {
+			return requestFields{}, errFieldList
 		}
-		seen[name] = true
 		if name == "d" {
 			fields.deadlineStart, fields.deadlineEnd = start+len("d="), start+len(field)
 		}
@@ -125,7 +158,10 @@
 		}
 		start += len(field) + 1
 	}
-	fields.hasFirst = seen["first"]
+	if names.repeatsUnknown(list) {
+		return requestFields{}, errFieldList
+	}
+	fields.hasFirst = names.contains("first")
 	return fields, nil
 }
 
--- a/internal/front/resp/dispatch.go
+++ b/internal/front/resp/dispatch.go
@@ -23,7 +23,7 @@
 			c.replyNow(redcon.AppendString(nil, "PONG"))
 		}
 	case "Q.ASK", "Q.DO":
-		request, err := c.front.parseRequest(args, arrivedAt)
+		parsed, err := c.front.parseCommand(args)
 		if err != nil {
 			c.protocolError(err.Error())
 			return
@@ -32,6 +32,7 @@
 			c.rejectOverloaded()
 			return
 		}
+		request := c.front.newRequest(parsed, arrivedAt)
 		if reply := c.addPending(request); reply != nil {
 			request.Sink = reply
 			c.front.core.Submit(request)
@@ -61,7 +62,7 @@
 	if err != nil || !complete || len(args) == 0 {
 		return false
 	}
-	_, err = c.front.parseRequest(args, time.Now())
+	_, err = c.front.parseCommand(args)
 	return err == nil
 }
 
--- a/internal/front/resp/ending_test.go
+++ b/internal/front/resp/ending_test.go
@@ -41,7 +41,7 @@
 
 func (manualCore) Class(name string) (policy.Class, bool) {
 	return policy.Class{
-		Name:             name,
+		Name:             "read",
 		LatencyObjective: time.Second,
 		Deadline:         time.Minute,
 		Effect:           policy.Safe,
