Replies behind an earlier one have memory reserved, and cost no connection

Nothing limited the commands whose replies could not be held. connections_closed.slow_reader shows the closes.

Change: the reply to a command behind an unwritten one has its 64 KiB reserved before the request is submitted; else the connection's next command waits, in the order of the connections. A command without an unwritten reply before it needs none, so every connection makes progress. Connections are closed for memory only during a shortage and if a write has made no progress for 2 s by the kernel's count. New metric commands_delayed.reply_memory: one more line, which readers of the older form ignore.

--- a/internal/front/resp/connection.go
+++ b/internal/front/resp/connection.go
@@ -36,20 +36,28 @@
 	written           chan struct{} // closed when the writer has ended
 	protocolErrors    atomic.Int32  // number of protocol errors by the client
 	hasPartialCommand atomic.Bool   // part of a command has been read
+	awaitsMemory      atomic.Bool   // the reader waits for reply memory
 	abortReason       atomic.Int32  // the metrics.CloseReason of abort plus 1; 0 if not aborted
 
 	mu              sync.Mutex      // guards the fields up to phase
 	pending         []*pendingReply // replies not moved to outgoing yet, in command order
 	outgoing        []byte          // encoded replies for the next write
 	outgoingReplies int             // number of replies in outgoing
-	unsentBytes     int             // encoded bytes not written yet
+	replyBytes      int             // of front.replyMemory, reserved or charged
+	writing         bool            // the writer is within a write to the client
+	writtenBytes    int             // of all writes that have returned
 	lastActive      time.Time       // time of the accept, the last command or the last answer, whichever is latest
 	hasSentCommand  bool            // the client has sent a complete command
 	closing         bool            // the connection is to end as soon as no reply is pending
 	endRequested    bool            // the reader is to end the connection unless more bytes have arrived
-	readDeadline    time.Time       // read deadline that applies while endRequested is false
+	readInterrupted bool            // a reader that awaits memory is to check again
+	readDeadline    time.Time       // read deadline that applies while endRequested and readInterrupted are false
 	phase           connectionPhase // only increases
 
+	memorySignal chan struct{} // signals a reader that awaits reply memory to check again
+
+	stall stallTracker // used by the goroutine that closes idle connections
+
 	// Fields below are used by the reader only.
 	inbox           resp.FrameBuffer
 	receipts        receiptLog
@@ -64,6 +72,7 @@
 		pipelineWindow: make(chan struct{}, maxPipelined),
 		wake:           make(chan struct{}, 1),
 		written:        make(chan struct{}),
+		memorySignal:   make(chan struct{}, 1),
 		lastActive:     time.Now(),
 	}
 }
@@ -131,8 +140,10 @@
 		}
 	}
 	c.phase = released
-	c.front.unsent.Add(-int64(c.unsentBytes))
+	replyBytes := c.replyBytes
+	c.replyBytes = 0
 	c.mu.Unlock()
+	c.front.replyMemory.adjust(-replyBytes)
 	c.closeStreams() // again: more streams may have started since the connection was closed
 	if len(abandoned) > 0 {
 		if reason == metrics.ClosedByServer || reason == metrics.ClosedShutdownLimit {
--- a/internal/front/resp/ending.go
+++ b/internal/front/resp/ending.go
@@ -24,7 +24,9 @@
 		return false
 	}
 	c.endRequested = false
-	c.conn.SetReadDeadline(c.readDeadline)
+	if !c.readInterrupted {
+		c.conn.SetReadDeadline(c.readDeadline)
+	}
 	return true
 }
 
--- a/internal/front/resp/front.go
+++ b/internal/front/resp/front.go
@@ -3,7 +3,7 @@
 // and Q.DO. Each valid Q.ASK or Q.DO is submitted to the core as a core.Request.
 // Replies are written on the same connection, in the order of the commands. The
 // front bounds the number of connections, the memory of incomplete commands, the
-// commands in flight on a connection and the memory of unsent replies. Admission
+// commands in flight on a connection and the memory of unwritten replies. Admission
 // and routing are up to the core.
 package resp
 
@@ -52,8 +52,7 @@
 	metrics       *metrics.Set
 	guard         *guard.Monitor
 	requestMemory *resp.Budget // for buffered bytes of commands
-	maxUnsent     int64        // maximum of unsent
-	unsent        atomic.Int64 // bytes of encoded replies not written yet, over all connections
+	replyMemory   *replyMemory // for replies until they are written
 
 	slots          chan struct{} // semaphore: one element per connection and per reserved slot
 	slotsToReserve atomic.Int64  // number of slots to leave to another process
@@ -76,14 +75,14 @@
 
 // New returns a front on listener. Start makes it serve. There may be up to
 // maxConnections connections. memory is a limit in bytes that applies separately to
-// the buffered commands and to the unsent replies of all connections.
+// the buffered commands and to the unwritten replies of all connections.
 func New(listener net.Listener, c Core, maxConnections, memory int) *Front {
 	return &Front{
 		listener:      listener,
 		core:          c,
 		metrics:       metrics.New(nil, nil, nil),
 		requestMemory: resp.NewBudget(memory),
-		maxUnsent:     int64(memory),
+		replyMemory:   newReplyMemory(memory),
 		slots:         make(chan struct{}, maxConnections),
 		connections:   map[*connection]bool{},
 		changed:       make(chan struct{}, 1),
--- a/internal/front/resp/idle.go
+++ b/internal/front/resp/idle.go
@@ -10,9 +10,10 @@
 	reapInterval = 250 * time.Millisecond  // interval of the search for idle connections
 )
 
-// reapIdle closes connections that have had no open request for too long, until ctx
-// ends. Each connection uses memory and a file descriptor, and some clients keep one
-// open forever after a single request, or without sending any.
+// reapIdle closes connections that have had no open request for too long, and those
+// whose clients don't read while memory is short, until ctx ends. Each connection uses
+// memory and a file descriptor, and some clients keep one open forever after a single
+// request, or without sending any.
 func (f *Front) reapIdle(ctx context.Context) {
 	tick := time.NewTicker(reapInterval)
 	defer tick.Stop()
@@ -31,6 +32,7 @@
 			draining := f.drainingFor()
 			f.reserveSlots(now)
 			f.closeExpired(now, draining)
+			f.closeStalledReaders(now)
 		}
 	}
 }
--- a/internal/front/resp/limits.go
+++ b/internal/front/resp/limits.go
@@ -8,6 +8,7 @@
 	maxProtocolErrors = 10        // protocol errors until the connection is closed
 	readAheadBytes    = 64 << 10  // bytes buffered while a command waits for the pipeline window or a pause
 	relayBufferSize   = 8 << 10   // bytes of a streamed value relayed per write
+	maxWriteBytes     = 64 << 10  // bytes of one write, so that the progress of a long reply is seen
 	minProgressBytes  = 256       // new bytes of a partial command that extend its deadline
 	maxDiscardedBytes = 4 << 20   // input discarded after a protocol error while earlier replies are pending
 	lingerBytes       = 256 << 10 // input discarded after the reply to the last protocol error
--- a/internal/front/resp/pending.go
+++ b/internal/front/resp/pending.go
@@ -14,25 +14,48 @@
 // pendingReply is the reply to one command. It holds the command's position in the
 // order of replies until it is written. It implements core.ReplySink for its request.
 type pendingReply struct {
-	conn    *connection
-	request *core.Request   // nil if the command is answered without the core
-	encoded []byte          // nil until answered; for a streamed value, only its RESP header
-	stream  *backend.Stream // value that follows the header; nil if encoded is the complete reply
+	conn     *connection
+	request  *core.Request   // nil if the command is answered without the core
+	reserved int             // bytes of reply memory reserved for it; 0 once it is answered
+	encoded  []byte          // nil until answered; for a streamed value, only its RESP header
+	stream   *backend.Stream // value that follows the header; nil if encoded is the complete reply
 }
 
 // addPending appends a pending reply for the next command. It may wait for the
-// pipeline window, and returns nil if the connection accepts no more commands.
+// pipeline window and, if the reply is that to a request, for reply memory. It returns
+// nil if the connection accepts no more commands.
 func (c *connection) addPending(request *core.Request) *pendingReply {
 	if !c.acquireWindow() {
 		return nil
 	}
+	reserved := 0
+	if request != nil {
+		var accepts bool
+		if reserved, accepts = c.reserveReply(); !accepts {
+			<-c.pipelineWindow
+			return nil
+		}
+	}
+	reply := c.appendPending(request, reserved)
+	if reply == nil {
+		if reserved > 0 {
+			c.front.replyMemory.adjust(-reserved)
+		}
+		<-c.pipelineWindow
+	}
+	return reply
+}
+
+// appendPending appends a pending reply, or returns nil if the connection accepts no
+// more commands.
+func (c *connection) appendPending(request *core.Request, reserved int) *pendingReply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase >= finished {
-		<-c.pipelineWindow
 		return nil
 	}
-	reply := &pendingReply{conn: c, request: request}
+	reply := &pendingReply{conn: c, request: request, reserved: reserved}
+	c.replyBytes += reserved
 	c.lastActive, c.hasSentCommand = time.Now(), true
 	c.pending = append(c.pending, reply)
 	return reply
@@ -106,8 +129,7 @@
 // reader may be waiting. It asks the kernel and never blocks.
 func (p *pendingReply) Disconnected() bool { return socket.HungUp(p.conn.conn) }
 
-// complete sets the encoded reply. It never blocks. If the unsent replies exceed the
-// memory limit, the connection with the most unsent bytes is closed.
+// complete sets the encoded reply. It never blocks.
 func (p *pendingReply) complete(encoded []byte) {
 	c := p.conn
 	c.mu.Lock()
@@ -116,17 +138,24 @@
 		return
 	}
 	p.encoded = encoded
-	c.unsentBytes += len(encoded)
-	c.front.unsent.Add(int64(len(encoded)))
+	growth := p.chargeMemory(len(encoded))
 	c.collectReplies()
 	c.lastActive = time.Now()
 	c.mu.Unlock()
-	if c.front.unsent.Load() > c.front.maxUnsent {
-		c.front.closeSlowestReader()
-	}
+	c.front.replyMemory.adjust(growth)
 	c.wakeWriter()
 }
 
+// chargeMemory replaces the reservation of a reply by the memory that it occupies. It
+// returns by how many bytes the connection's share of the reply memory grows. The
+// caller must hold c.mu and pass the result to replyMemory.adjust after releasing it.
+func (p *pendingReply) chargeMemory(bytes int) (growth int) {
+	growth = bytes - p.reserved
+	p.reserved = 0
+	p.conn.replyBytes += growth
+	return growth
+}
+
 // encodeRejection encodes a rejection, with the Retry-After in milliseconds if there
 // is one.
 func encodeRejection(a core.Answer) []byte {
@@ -148,8 +177,10 @@
 	}
 	p.stream = v
 	p.encoded = append(strconv.AppendInt([]byte{'$'}, int64(v.Size), 10), '\r', '\n')
+	growth := p.chargeMemory(0) // only a chunk of the value is held, by the backend's connection
 	c.lastActive = time.Now()
 	c.mu.Unlock()
+	c.front.replyMemory.adjust(growth)
 	c.wakeWriter()
 }
 
--- a/internal/front/resp/reader.go
+++ b/internal/front/resp/reader.go
@@ -195,11 +195,12 @@
 }
 
 // setReadDeadline sets the read deadline. If the end of the connection is requested,
-// the expired deadline of requestEnd stays in place until takeEndRequest.
+// the expired deadline of requestEnd stays in place until takeEndRequest; the same
+// holds for an interrupted read.
 func (c *connection) setReadDeadline(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.readDeadline = t; !c.endRequested {
+	if c.readDeadline = t; !c.endRequested && !c.readInterrupted {
 		c.conn.SetReadDeadline(t)
 	}
 }
@@ -213,7 +214,13 @@
 		return
 	}
 	defer c.setReadDeadline(time.Time{})
-	for readAhead := true; !done(0); {
+	for readAhead := true; ; {
+		c.mu.Lock()
+		c.readInterrupted = false // before the call of done, whose result may be the reason for the interruption
+		c.mu.Unlock()
+		if done(0) {
+			return
+		}
 		c.mu.Lock()
 		c.takeEndRequest() // the end must wait for the commands that have been read
 		c.mu.Unlock()
--- a/internal/front/resp/slots.go
+++ b/internal/front/resp/slots.go
@@ -1,10 +1,6 @@
 package resp
 
-import (
-	"time"
-
-	"hitchspring/internal/metrics"
-)
+import "time"
 
 const (
 	evictionPause      = 5 * time.Millisecond  // before another connection is closed to free a slot
@@ -107,21 +103,3 @@
 	}
 	return c.hasSentCommand || idle > newConnectionGrace
 }
-
-// closeSlowestReader aborts the connection with the most unsent bytes of replies.
-func (f *Front) closeSlowestReader() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var slowest *connection
-	maxUnsent := 0
-	for c := range f.connections {
-		c.mu.Lock()
-		if c.unsentBytes > maxUnsent {
-			slowest, maxUnsent = c, c.unsentBytes
-		}
-		c.mu.Unlock()
-	}
-	if slowest != nil {
-		slowest.abort(metrics.ClosedSlowReader)
-	}
-}
--- a/internal/front/resp/writer.go
+++ b/internal/front/resp/writer.go
@@ -26,6 +26,7 @@
 	c.lastActive = time.Now()
 	c.mu.Unlock()
 	<-c.pipelineWindow
+	c.notifyAllWritten()
 	return nil
 }
 
@@ -60,7 +61,7 @@
 	unacknowledged := socket.Unknown // bytes unacknowledged after half of writeStallTimeout
 	for len(b) > 0 {
 		c.conn.SetWriteDeadline(time.Now().Add(writeStallTimeout / 2))
-		n, err := c.conn.Write(b)
+		n, err := c.write(b[:min(len(b), maxWriteBytes)])
 		b = b[n:]
 		switch {
 		case n > 0 && (err == nil || errors.Is(err, os.ErrDeadlineExceeded)):
@@ -82,6 +83,19 @@
 	return nil
 }
 
+// write writes b once and records that as write progress.
+func (c *connection) write(b []byte) (int, error) {
+	c.mu.Lock()
+	c.writing = true
+	c.mu.Unlock()
+	n, err := c.conn.Write(b)
+	c.mu.Lock()
+	c.writing = false
+	c.writtenBytes += n
+	c.mu.Unlock()
+	return n, err
+}
+
 // batch is the work of one wake-up of the writer.
 type batch struct {
 	encoded      []byte        // complete replies
@@ -149,17 +163,17 @@
 // sendBatch writes a batch and releases its commands from the pipeline window.
 func (c *connection) sendBatch(b batch) error {
 	if len(b.encoded) > 0 {
-		err := c.send(b.encoded)
-		c.mu.Lock()
-		c.unsentBytes -= len(b.encoded)
-		c.mu.Unlock()
-		c.front.unsent.Add(-int64(len(b.encoded)))
-		if err != nil {
+		if err := c.send(b.encoded); err != nil {
 			return err
 		}
+		c.mu.Lock()
+		c.replyBytes -= len(b.encoded)
+		c.mu.Unlock()
+		c.front.replyMemory.adjust(-len(b.encoded))
 		for range b.replies {
 			<-c.pipelineWindow
 		}
+		c.notifyAllWritten()
 	}
 	if b.stream == nil {
 		return nil
--- a/internal/metrics/groups.go
+++ b/internal/metrics/groups.go
@@ -16,6 +16,7 @@
 	attemptsGroup
 	withheldGroup
 	closedGroup
+	delayedGroup
 	groupCount
 )
 
@@ -27,6 +28,7 @@
 		attemptsGroup: {name: "attempts", names: outcomes},
 		withheldGroup: {name: "attempts_held_back", names: withheldReasonNames[:]},
 		closedGroup:   {name: "connections_closed", names: closeReasonNames[:]},
+		delayedGroup:  {name: "commands_delayed", names: delayReasonNames[:]},
 	}
 	for i := range groups {
 		groups[i].counts = make([]atomic.Int64, len(groups[i].names))
@@ -56,6 +58,9 @@
 // ConnectionClosed counts a client connection that has ended, by the reason.
 func (s *Set) ConnectionClosed(reason CloseReason) { s.count(closedGroup, int(reason)) }
 
+// CommandDelayed counts a command that a client's connection holds back for a while before it submits it.
+func (s *Set) CommandDelayed(reason DelayReason) { s.count(delayedGroup, int(reason)) }
+
 // Each calls visit for each counter that has a reason or an outcome.
 func (s *Set) Each(visit func(group, name string, value int64)) {
 	for i := range s.groups {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -31,6 +31,7 @@
 edge_router.connections_closed.by_server=0
 edge_router.connections_closed.slow_reader=0
 edge_router.connections_closed.shutdown_limit=0
+edge_router.commands_delayed.reply_memory=0
 `
 	if got := string(New([]string{"b", "a"}, []string{"quota"}, []string{"done"}).Text()); got != want {
 		t.Errorf("got initial text:\n%s\nwant:\n%s", got, want)
--- a/internal/metrics/reasons.go
+++ b/internal/metrics/reasons.go
@@ -82,3 +82,14 @@
 
 // String returns the name of the reason in metrics.
 func (r CloseReason) String() string { return closeReasonNames[min(r, closeReasonCount-1)] }
+
+// DelayReason is the reason for holding a client's command back before it is submitted.
+type DelayReason uint8
+
+// The reasons for holding a command back.
+const (
+	DelayedReplyMemory DelayReason = iota // all memory for replies is taken by some that wait for earlier ones
+	delayReasonCount
+)
+
+var delayReasonNames = [delayReasonCount]string{"reply_memory"}
