A long value ends only when the rest of its answer has been read

Cause: a value that is passed on as it comes ended without an error once as many bytes had come as its header said; the client's line end was written before the backend's had been seen.

Change: the last chunk is held back until the line end and the two further parts of the answer have been read in their form; else the stream ends with an error, and the client's connection within the value.

--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/tidwall/redcon"
@@ -69,7 +70,8 @@
 	return usual
 }
 
-// streamValue streams a large value whose header has just been read, then reads the rest of the reply.
+// streamValue streams a large value whose header has just been read, then reads the rest of the reply. The stream ends
+// without an error only if the complete reply has the expected form.
 func (c *conn) streamValue(ctx context.Context, in *resp.FrameBuffer, size int, post func(Event)) (Reply, error) {
 	stream := newStream(size)
 	c.currentStream.Store(stream)
@@ -88,29 +90,48 @@
 	} else {
 		chunkSize = minStreamChunkSize
 	}
-	left := size
-	forward := func(chunk []byte) error {
-		left -= len(chunk)
-		_, err := stream.writer.Write(chunk)
-		return err
+	last, err := c.forwardValue(in, stream, make([]byte, min(chunkSize, size)))
+	if err != nil {
+		return Reply{}, err
 	}
-	first := in.Buffered()[:min(in.BufferedBytes(), left)]
-	in.Discard(len(first))
-	if err := forward(first); err != nil {
+	reply, err := c.readStreamTail(in)
+	if err != nil {
+		return Reply{}, err
+	}
+	if _, err := stream.writer.Write(last); err != nil {
 		return Reply{}, err
 	}
-	for buf := make([]byte, min(chunkSize, left)); left > 0; {
+	stream.writer.Close()
+	return reply, nil
+}
+
+// forwardValue reads a value in chunks into buf and writes them to its stream, all but the last. The last chunk is
+// returned: until the rest of the reply has been read, it is not known whether the value has the length that its header
+// states, and a client that has all of a value takes it for complete.
+func (c *conn) forwardValue(in *resp.FrameBuffer, stream *Stream, buf []byte) (last []byte, err error) {
+	first := in.Buffered()[:min(in.BufferedBytes(), stream.Size)]
+	in.Discard(len(first))
+	left := stream.Size - len(first)
+	if left == 0 {
+		return slices.Clone(first), nil
+	}
+	if _, err := stream.writer.Write(first); err != nil {
+		return nil, err
+	}
+	for {
 		c.nc.SetReadDeadline(c.streamDeadline(time.Now()))
 		n, err := c.nc.Read(buf[:min(len(buf), left)])
+		left -= n
+		if n > 0 && left == 0 {
+			return buf[:n], nil
+		}
 		if n > 0 {
-			err = forward(buf[:n])
+			_, err = stream.writer.Write(buf[:n])
 		}
 		if err != nil {
-			return Reply{}, fmt.Errorf("%d of %d bytes of the value are missing: %w", left, size, err)
+			return nil, fmt.Errorf("%d of %d bytes of the value are missing: %w", left, stream.Size, err)
 		}
 	}
-	stream.writer.Close()
-	return c.readStreamTail(in)
 }
 
 // readStreamTail reads what follows a streamed value: its line end, the usage and the load report.
--- a/internal/ingress/large_values_test.go
+++ b/internal/ingress/large_values_test.go
@@ -100,6 +100,69 @@
 	}
 }
 
+// Guards against a value that is served as a whole although it has another length than its header states: the end of a
+// long one was passed on before the backend's own line end had been seen.
+func TestValueOfWrongLengthIsNotServed(t *testing.T) {
+	type wrongLength struct{ size, stated int }
+	var cases []wrongLength
+	for _, size := range []int{100, 1000, resp.MaxValueBytes + 1, 100_000, 1 << 20} {
+		// Up to 12 bytes follow a value, so that a length which is a little too high may end at another line end.
+		for _, excess := range []int{-size / 5, -13, -12, -10, -7, -5, -2, -1, 1, 2, 3, 5, 7, 8, 10, 12, 13, 20_000} {
+			cases = append(cases, wrongLength{size, size + excess})
+		}
+		cases = append(cases, wrongLength{size, size / 10}, wrongLength{size, size * 10}) // one digit fewer or more
+	}
+	backend := scripted.NewBackend(t, func(n int, args []string, nc net.Conn) string {
+		c := cases[requestID(args)]
+		value := bytes.ReplaceAll(randomValue(1, c.size), []byte("ab"), []byte("\r\n")) // values may have line ends
+		return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", c.stated, value)
+	})
+	list := endpointList(backend.Addr)
+	addr, _ := startInstance(t, testConfig(scripted.Registry(t, list, nil), list))
+	var clients sync.WaitGroup
+	for id, c := range cases {
+		clients.Go(func() {
+			nc, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer nc.Close()
+			nc.SetDeadline(time.Now().Add(20 * time.Second))
+			io.WriteString(nc, encodeRead(id, readFields))
+			answer, err := io.ReadAll(&untilLineEnd{nc: nc, bytes: c.stated})
+			if len(answer) > 0 && answer[0] == '$' && err == nil {
+				t.Errorf("a value of %d bytes with a stated length of %d was served as a whole", c.size, c.stated)
+			}
+		})
+	}
+	clients.Wait()
+}
+
+// untilLineEnd reads an answer that is an error line, or a value of so many bytes. It returns an error if the
+// connection ends before.
+type untilLineEnd struct {
+	nc    net.Conn
+	bytes int
+	read  []byte
+}
+
+// Read implements io.Reader.
+func (u *untilLineEnd) Read(p []byte) (int, error) {
+	header := fmt.Sprintf("$%d\r\n", u.bytes)
+	switch {
+	case len(u.read) > 0 && u.read[0] != '$' && bytes.HasSuffix(u.read, []byte("\r\n")),
+		len(u.read) >= len(header)+u.bytes+len("\r\n"):
+		return 0, io.EOF
+	}
+	n, err := u.nc.Read(p)
+	u.read = append(u.read, p[:n]...)
+	if err != nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 // If a backend's value ends early, the client's connection is closed before the value
 // is complete. A value with an invalid length is a failure. A client that disconnects
 // within a value ends the attempt.
