An attempt drops its command when it ends; idle connections kept bodies

Cause: a connection to a backend refers to its last attempt while it is idle, and the attempt to its command with the body. No budget counted those bytes.

Change: the command is dropped when the attempt ends. The writer of a connection knows from its own queue whether it writes a request.

--- a/internal/backend/assign.go
+++ b/internal/backend/assign.go
@@ -123,10 +123,11 @@
 	}
 	now := time.Now()
 	pending := pendingWrite{
-		attempt:  attempt,
-		command:  attempt.encodeCommand(attempt.assignedAt),
-		deadline: now.Add(attempt.Deadline - attempt.assignedAt),
-		writeBy:  now.Add(left),
+		attempt:   attempt,
+		isRequest: attempt.Command != nil,
+		command:   attempt.encodeCommand(attempt.assignedAt),
+		deadline:  now.Add(attempt.Deadline - attempt.assignedAt),
+		writeBy:   now.Add(left),
 	}
 	select {
 	case c.writes <- pending:
--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -17,12 +17,19 @@
 	Encode(left time.Duration) []byte
 }
 
+// endedCommand replaces the command of an attempt that has ended, so that the memory of the command, which may be a few
+// MiB, is free once nothing is to be sent of it.
+type endedCommand struct{}
+
+// Encode implements Command. It is never called: nothing is sent for an attempt that has ended.
+func (endedCommand) Encode(time.Duration) []byte { return nil }
+
 // Attempt is one command to a backend: an attempt to serve a request, or a health check. The owner sets the exported
 // fields before Start; the other fields belong to the pool.
 type Attempt struct {
 	Ref       any           // set by the owner: the request or health check that it belongs to
 	Number    int           // set by the owner
-	Command   Command       // nil for a health check
+	Command   Command       // nil for a health check; dropped when the attempt ends
 	StartedAt time.Duration // on the owner's clock
 	Deadline  time.Duration // when the owner stops waiting for the reply
 	WriteBy   time.Duration // the command is written completely by then or not sent; 0: any time before Deadline
@@ -157,6 +164,9 @@
 	if outcome == policy.Succeeded && isPong { // a PONG is no valid reply to a request
 		outcome = policy.Failed
 	}
+	if attempt.Command != nil {
+		attempt.Command = endedCommand{} // a connection refers to its last attempt for as long as it is idle
+	}
 	p.owner.AttemptEnded(attempt, outcome, reply)
 	p.deleteIfRemoved(attempt.backend)
 }
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -45,10 +45,11 @@
 
 // pendingWrite is a command that waits for a connection's writer goroutine.
 type pendingWrite struct {
-	attempt  *Attempt
-	command  []byte
-	deadline time.Time // the attempt's deadline
-	writeBy  time.Time // when the last byte must be written
+	attempt   *Attempt
+	isRequest bool // false for a health check
+	command   []byte
+	deadline  time.Time // the attempt's deadline
+	writeBy   time.Time // when the last byte must be written
 }
 
 // run dials, then reads replies until the connection ends. It posts connectionClosed last.
@@ -208,7 +209,7 @@
 			n, err := c.nc.Write(pending.command)
 			if n == len(pending.command) {
 				c.lastWritten.Store(pending.attempt)
-				if pending.attempt.Command != nil {
+				if pending.isRequest {
 					c.onSent()
 				}
 			}
