No backend is trusted: a connection rests after each answer

Cause: where no further connection could be had, a backend of which 1,000 rests had shown no second answer was trusted, and its connections were used again at once. The first second answer was then taken for the next command's, and shifted those after it.

Change: the rest of 15 ms holds for every backend at all times; what was kept to judge a backend is gone.

--- a/internal/backend/assign.go
+++ b/internal/backend/assign.go
@@ -83,12 +83,11 @@
 }
 
 // takeIdle removes and returns an idle connection that may carry a command now, or nil. A connection that is still
-// within its reuse delay is taken only if the backend is trusted to send no duplicate replies and no extra connection
-// may be dialed.
+// within its reuse delay is never taken.
 func (p *Pool) takeIdle(backend *backendPool) *conn {
 	now := p.owner.Now()
 	for {
-		i := backend.chooseIdle(now, !p.mayDialExtra(backend, now) && backend.duplicates.trusted(now))
+		i := backend.chooseIdle(now)
 		if i < 0 {
 			backend.minSpare = 0
 			return nil
@@ -103,9 +102,6 @@
 			p.closeConn(c)
 			continue
 		}
-		if c.used && c.reusable(now) {
-			backend.duplicates.recordCleanReuse()
-		}
 		backend.minSpare = min(backend.minSpare, backend.countReusable(now))
 		return c
 	}
--- a/internal/backend/backendpool.go
+++ b/internal/backend/backendpool.go
@@ -39,22 +39,15 @@
 	connectTime       time.Duration // of the last dial; 0: unknown
 	replyTime         time.Duration // moving average; 0: unknown
 	noExtraDialsUntil time.Duration // no extra connection is dialed before then
-	duplicates        duplicateReplies
 
 	minSpare int           // fewest reusable connections left by takeIdle since the last trim, or minSpareUnset
 	trimAt   time.Duration // time of the next trim; 0: not set yet
 }
 
-// chooseIdle returns the index of the idle connection for the next attempt: the reusable one that has been idle
-// longest. If none is reusable and early is set, it returns the one that has been idle longest; otherwise -1.
-func (b *backendPool) chooseIdle(now time.Duration, early bool) int {
-	if i := slices.IndexFunc(b.idle, func(c *conn) bool { return c.reusable(now) }); i >= 0 {
-		return i
-	}
-	if early && len(b.idle) > 0 {
-		return 0
-	}
-	return -1
+// chooseIdle returns the index of the idle connection for the next attempt, the reusable one that has been idle
+// longest, or -1 if none is reusable.
+func (b *backendPool) chooseIdle(now time.Duration) int {
+	return slices.IndexFunc(b.idle, func(c *conn) bool { return c.reusable(now) })
 }
 
 // removeIdle removes a connection from the idle ones, if it is among them.
--- a/internal/backend/events.go
+++ b/internal/backend/events.go
@@ -98,9 +98,6 @@
 		c.backend.recordReplyTime(p.owner.Now() - attempt.assignedAt)
 	}
 	matches := attempt.matches(ev.Reply)
-	if ev.trailing || !matches {
-		c.backend.duplicates.recordDuplicate(p.owner.Now())
-	}
 	if !matches { // it is the reply to another command
 		ev.Reply = Reply{outcome: policy.Failed}
 	}
@@ -115,13 +112,10 @@
 }
 
 // recordUnsolicited records that data arrived on a connection without a command in flight. If the connection was used
-// before, the data is a duplicate reply; otherwise the backend doesn't accept the connection.
+// before, the data is a duplicate reply, or one to an aborted attempt; otherwise the backend doesn't accept the
+// connection.
 func (p *Pool) recordUnsolicited(c *conn) {
-	switch {
-	case c.closed: // a late reply, after the pool has closed the connection
-	case c.used:
-		c.backend.duplicates.recordDuplicate(p.owner.Now())
-	default:
+	if !c.closed && !c.used {
 		c.backend.pauseExtraDials(p.owner.Now())
 	}
 }
