A refused request is not kept until its client's deadline

Cause: each admitted request had a timer at the deadline that its client had stated, and its id was kept until then, also when the engine had refused it at once: some 500 bytes for each command.

Change: timers can be canceled. When a request ends that certainly ran nowhere, its timer is canceled and its id forgotten; that of a request that may have run stays until its deadline.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -65,7 +65,7 @@
 	now          time.Duration // time of the event being handled, on the shared clock
 	timers       timerHeap
 	requests     map[policy.RequestID]*Request
-	clientIDs    map[uint64]bool // of requests whose deadline has not passed, answered or not
+	clientIDs    map[uint64]bool // of requests that are open, or that may have run and whose deadline has not passed
 	lastID       policy.RequestID
 	requestBytes int // sum of Size over requests
 	backends     pool
--- a/internal/core/counter_test.go
+++ b/internal/core/counter_test.go
@@ -69,7 +69,7 @@
 			}
 			c.now += c.cfg.Settings.CounterTimeout
 			for len(c.engineEvents) == 0 && len(c.timers) > 0 && c.timers[0].at <= c.now {
-				heap.Pop(&c.timers).(timer).fire()
+				heap.Pop(&c.timers).(*timer).fire()
 			}
 			got, ok := c.engineEvents[len(c.engineEvents)-1].(policy.CounterReply)
 			if !ok || got.Outcome != test.want {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"hitchspring/internal/backend"
@@ -31,6 +32,7 @@
 	finished            bool             // it has its final answer, or its client has disconnected
 	reason              policy.Reason    // of its rejection or failure
 	pending             *pendingWork     // state of its replication; nil: it is not replicated
+	deadlineTimer       *timer           // fires after its deadline; nil: not scheduled, or canceled
 }
 
 // The events of a front that submits requests.
@@ -75,7 +77,7 @@
 	c.summary.add(summaryArrived, 1)
 	c.notifyEngine(policy.Arrival{Request: r.Request})
 	c.replicateIfQueued(r)
-	c.scheduleAt(r.GiveUpAt+answerOverdueAfter, func() {
+	r.deadlineTimer = c.scheduleAt(r.GiveUpAt+answerOverdueAfter, func() {
 		delete(c.clientIDs, r.ClientID)
 		c.answerOverdue(r)
 	})
@@ -140,10 +142,29 @@
 	if r.finished && r.inFlight == 0 && c.requests[r.ID] == r {
 		c.requestBytes -= r.Size
 		delete(c.requests, r.ID)
+		if r.neverRan() {
+			c.forgetClientID(r)
+		}
 		r.Command, r.Sink, r.attempts = nil, nil, nil // free their memory: a timer may reference r for seconds more
 	}
 }
 
+// neverRan reports whether the request certainly ran at no backend.
+func (r *Request) neverRan() bool {
+	return r.Prior == nil && !slices.ContainsFunc(r.attempts, func(a *backend.Attempt) bool { return !a.NeverRan() })
+}
+
+// forgetClientID drops all that is kept until the deadline of a request that has ended without having run: the client
+// may be refused and ask again as fast as it likes, with any deadline.
+func (c *Core) forgetClientID(r *Request) {
+	if r.deadlineTimer == nil {
+		return
+	}
+	c.cancelTimer(r.deadlineTimer)
+	r.deadlineTimer = nil
+	delete(c.clientIDs, r.ClientID)
+}
+
 // logAttrs returns the attributes that identify a request in a log line.
 func (r *Request) logAttrs() []any {
 	return []any{"request", fmt.Sprintf("%016x", r.ClientID), "customer", r.Tenant, "class", r.Class}
