A long value may pause while its client waits, not only its attempt

Cause: a value may pause until 250 ms past its client's time; the connection took the attempt's own, earlier end for that, and kept it as wall time.

Change: an attempt carries both times; the connection keeps the client's as a monotonic time with the attempt that it belongs to.

--- a/internal/backend/assign.go
+++ b/internal/backend/assign.go
@@ -122,9 +122,11 @@
 		attempt:   attempt,
 		isRequest: attempt.Command != nil,
 		command:   attempt.encodeCommand(attempt.assignedAt),
-		deadline:  now.Add(attempt.Deadline - attempt.assignedAt),
 		writeBy:   now.Add(left),
 	}
+	if attempt.ClientDeadline > 0 {
+		pending.clientDeadline = now.Add(attempt.ClientDeadline - attempt.assignedAt)
+	}
 	select {
 	case c.writes <- pending:
 	default:
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -32,7 +32,7 @@
 	writeMu        sync.Mutex              // held while a command is written, until lastWritten is set
 	lastWritten    atomic.Pointer[Attempt] // the last one whose command was written completely: it may have run
 	currentStream  atomic.Pointer[Stream]  // the value being streamed
-	clientDeadline atomic.Int64            // of the client of the last attempt, Unix time in ns; 0: none
+	clientDeadline time.Time               // of lastWritten; zero: no client waits. Guarded by writeMu
 
 	dialedAt     time.Duration // when the dial began
 	current      *Attempt      // the attempt in flight on it; nil: none
@@ -48,8 +48,9 @@
 	attempt   *Attempt
 	isRequest bool // false for a health check
 	command   []byte
-	deadline  time.Time // the attempt's deadline
 	writeBy   time.Time // when the last byte must be written
+	// clientDeadline is when the client stops waiting; zero: no client waits.
+	clientDeadline time.Time
 }
 
 // run dials, then reads replies until the connection ends. It posts connectionClosed last.
@@ -202,10 +203,8 @@
 			return
 		case pending := <-c.writes:
 			c.nc.SetWriteDeadline(pending.writeBy) // if that has passed, the write fails at once
-			if !pending.deadline.IsZero() {
-				c.clientDeadline.Store(pending.deadline.UnixNano())
-			}
 			c.writeMu.Lock()
+			c.clientDeadline = pending.clientDeadline
 			n, err := c.nc.Write(pending.command)
 			if n == len(pending.command) {
 				c.lastWritten.Store(pending.attempt)
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -53,15 +53,15 @@
 // Close ends the attempt whose value is streamed, if it has not ended. It may be called at any time, more than once.
 func (s *Stream) Close() { s.reader.CloseWithError(ErrStreamClosed) }
 
-// streamDeadline returns the read deadline for the next bytes of a streamed value.
-func (c *conn) streamDeadline(now time.Time) time.Time {
+// streamDeadline returns the read deadline for the next bytes of a streamed value. clientDeadline is when its client
+// stops waiting; zero if no client waits.
+func streamDeadline(now, clientDeadline time.Time) time.Time {
 	usual := now.Add(streamStallTimeout)
-	overdue := now.Add(overdueStallTimeout)
-	deadline := c.clientDeadline.Load()
-	if deadline == 0 {
+	if clientDeadline.IsZero() {
 		return usual
 	}
-	if end := time.Unix(0, deadline).Add(overdueStallTimeout); end.After(overdue) {
+	overdue := now.Add(overdueStallTimeout)
+	if end := clientDeadline.Add(overdueStallTimeout); end.After(overdue) {
 		overdue = end
 	}
 	if overdue.Before(usual) {
@@ -80,7 +80,7 @@
 		return Reply{}, ctx.Err()
 	}
 	c.writeMu.Lock()
-	attempt := c.lastWritten.Load()
+	attempt, clientDeadline := c.lastWritten.Load(), c.clientDeadline
 	c.writeMu.Unlock()
 	post(streamStarted{c, attempt, stream})
 	defer stream.writer.CloseWithError(errTruncatedValue) // no effect after writer.Close
@@ -90,11 +90,11 @@
 	} else {
 		chunkSize = minStreamChunkSize
 	}
-	last, err := c.forwardValue(in, stream, make([]byte, min(chunkSize, size)))
+	last, err := c.forwardValue(in, stream, make([]byte, min(chunkSize, size)), clientDeadline)
 	if err != nil {
 		return Reply{}, err
 	}
-	reply, err := c.readStreamTail(in)
+	reply, err := c.readStreamTail(in, clientDeadline)
 	if err != nil {
 		return Reply{}, err
 	}
@@ -108,7 +108,9 @@
 // forwardValue reads a value in chunks into buf and writes them to its stream, all but the last. The last chunk is
 // returned: until the rest of the reply has been read, it is not known whether the value has the length that its header
 // states, and a client that has all of a value takes it for complete.
-func (c *conn) forwardValue(in *resp.FrameBuffer, stream *Stream, buf []byte) (last []byte, err error) {
+func (c *conn) forwardValue(
+	in *resp.FrameBuffer, stream *Stream, buf []byte, clientDeadline time.Time,
+) (last []byte, err error) {
 	first := in.Buffered()[:min(in.BufferedBytes(), stream.Size)]
 	in.Discard(len(first))
 	left := stream.Size - len(first)
@@ -119,7 +121,7 @@
 		return nil, err
 	}
 	for {
-		c.nc.SetReadDeadline(c.streamDeadline(time.Now()))
+		c.nc.SetReadDeadline(streamDeadline(time.Now(), clientDeadline))
 		n, err := c.nc.Read(buf[:min(len(buf), left)])
 		left -= n
 		if n > 0 && left == 0 {
@@ -135,8 +137,8 @@
 }
 
 // readStreamTail reads what follows a streamed value: its line end, the usage and the load report.
-func (c *conn) readStreamTail(in *resp.FrameBuffer) (Reply, error) {
-	c.nc.SetReadDeadline(c.streamDeadline(time.Now()))
+func (c *conn) readStreamTail(in *resp.FrameBuffer, clientDeadline time.Time) (Reply, error) {
+	c.nc.SetReadDeadline(streamDeadline(time.Now(), clientDeadline))
 	for in.BufferedBytes() < 2 {
 		if err := in.Fill(c.nc.Read); err != nil {
 			return Reply{}, err
