An ended connection waits until its client has the replies

Cause: 250 ms after its end the connection was closed, whatever the kernel still held. With unread input that is a reset.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -135,7 +135,7 @@
 	return r
 }
 
-// An attempt that is to stop before its client's deadline knows both times, since a large value that has begun may pause
+// An attempt that is to stop before its client does knows both times, since a large value that has begun may pause
 // for as long as the client waits.
 func TestAttemptKnowsItsClientsDeadline(t *testing.T) {
 	c := newIdleCore(t, testConfig(newBackends(t, 1)))
--- a/internal/front/resp/connection.go
+++ b/internal/front/resp/connection.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -12,7 +11,6 @@
 	"hitchspring/internal/guard"
 	"hitchspring/internal/metrics"
 	"hitchspring/internal/resp"
-	"hitchspring/internal/socket"
 )
 
 // connectionPhase is a stage of a connection's shutdown. It only increases.
@@ -116,9 +114,7 @@
 	if !c.discardUntilWritten() {
 		return
 	}
-	c.conn.SetReadDeadline(time.Now().Add(lingerTime))
-	socket.CloseWrite(c.conn)
-	_, _ = io.CopyN(io.Discard, c.conn, lingerBytes) // the result doesn't matter: the connection is closed next
+	c.lingerDiscarding()
 }
 
 // abort closes the connection at once. If it is called again, the first reason is
--- a/internal/front/resp/ending.go
+++ b/internal/front/resp/ending.go
@@ -49,14 +49,16 @@
 	return true, true
 }
 
-// linger closes the sending side of the connection and waits briefly for the client
-// to close the other side, so that a TCP reset doesn't destroy replies in transit.
-// Commands that arrive meanwhile are not read: the client sends them again on another
+// linger closes the sending side of the connection and waits until the client has
+// received all replies, and then briefly for it to close the other side: a TCP reset,
+// which a close with unread input causes, would destroy replies in transit. Commands
+// that arrive meanwhile are not read: the client sends them again on another
 // connection.
 func (c *connection) linger() {
 	<-c.written
 	socket.CloseWrite(c.conn)
-	for deadline := time.Now().Add(lingerTime); time.Now().Before(deadline); time.Sleep(lingerPollInterval) {
+	delivery := newDelivery(time.Now())
+	for ; delivery.awaited(time.Now(), socket.UnackedBytes(c.conn)); time.Sleep(lingerPollInterval) {
 		_, disconnected := socket.Peek(c.conn)
 		if disconnected || socket.HungUp(c.conn) { // closed by the client, or aborted at the time limit of a drain
 			return
@@ -64,6 +66,44 @@
 	}
 }
 
+// lingerDiscarding is linger for a connection whose further input is of no use. It
+// discards up to lingerBytes of it.
+func (c *connection) lingerDiscarding() {
+	socket.CloseWrite(c.conn)
+	buffer := make([]byte, relayBufferSize)
+	delivery := newDelivery(time.Now())
+	for discarded := 0; discarded < lingerBytes && delivery.awaited(time.Now(), socket.UnackedBytes(c.conn)); {
+		c.conn.SetReadDeadline(time.Now().Add(lingerPollInterval))
+		n, err := c.conn.Read(buffer)
+		discarded += n
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+	}
+}
+
+// delivery decides for how long an ended connection waits for its client.
+type delivery struct {
+	unacked  int       // bytes that the client's kernel had not acknowledged at the last call of awaited
+	deadline time.Time // for progress, or for the client's close once all is acknowledged
+}
+
+func newDelivery(now time.Time) *delivery { return &delivery{deadline: now.Add(lingerTime)} }
+
+// awaited reports whether to go on waiting: while the client acknowledges replies, with
+// pauses of less than stalledReaderTimeout, and for lingerTime after the last. unacked is socket.Unknown if the kernel does not tell.
+func (d *delivery) awaited(now time.Time, unacked int) bool {
+	switch {
+	case unacked == socket.Unknown || unacked == d.unacked:
+	case unacked > 0:
+		d.deadline = now.Add(stalledReaderTimeout)
+	default:
+		d.deadline = now.Add(lingerTime)
+	}
+	d.unacked = unacked
+	return now.Before(d.deadline)
+}
+
 // discardUntilWritten waits until the last reply is written, and discards up to
 // maxDiscardedBytes of the input that arrives meanwhile. It returns false if the
 // client disconnects first.
