--- a/internal/front/resp/ending.go
+++ b/internal/front/resp/ending.go
@@ -91,7 +91,8 @@
 func newDelivery(now time.Time) *delivery { return &delivery{deadline: now.Add(lingerTime)} }
 
 // awaited reports whether to go on waiting: while the client acknowledges replies, with
-// pauses of less than stalledReaderTimeout, and for lingerTime after the last. unacked is socket.Unknown if the kernel does not tell.
+// pauses of less than stalledReaderTimeout, and for lingerTime after the last. unacked is
+// socket.Unknown if the kernel does not tell.
 func (d *delivery) awaited(now time.Time, unacked int) bool {
 	switch {
 	case unacked == socket.Unknown || unacked == d.unacked:
--- a/internal/front/resp/linger_test.go
+++ b/internal/front/resp/linger_test.go
@@ -32,7 +32,9 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			tc := newTestConnection(t, nil)
-			tc.client.SetReadBuffer(16 << 10)
+			if err := tc.client.SetReadBuffer(16 << 10); err != nil {
+				t.Fatal(err)
+			}
 			tc.send(t, encodeRequest(1))
 			request := tc.nextRequest(t)
 			c.end(t, tc)
