The reader wakes the writer when a command is no longer partial

Seen: TestTerminatingFrontRejectsLateCommands, beside busy processes, a connection that was to be closed stayed open behind the last reply; in service a search for idle connections ends it 50 ms later.

Cause: the writer asks for the end after the last reply, but not within a command, by a flag that the reader clears only when it looks for the next. A reply that was written in between was the last that asked.

Measured: TestEndIsRequestedOnceCommandIsNoLongerPartial forces that order and failed before.

--- a/internal/front/resp/linger_test.go
+++ b/internal/front/resp/linger_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"hitchspring/internal/core"
@@ -99,3 +101,39 @@
 	}
 	return out
 }
+
+// Guards against a connection that stays open during a shutdown: the writer had written
+// the last reply while the reader still counted the command as partial, and nobody asked
+// for the end again.
+func TestEndIsRequestedOnceCommandIsNoLongerPartial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server, client := net.Pipe()
+		c := newConnection(New(nil, newManualCore(1), 1, 1<<20), server)
+		done := make(chan struct{})
+		go c.writeReplies(done)
+		c.hasPartialCommand.Store(true)
+		c.close()
+		c.addPending(nil).complete([]byte("-BUSY\r\n"))
+		if _, err := io.ReadFull(client, make([]byte, len("-BUSY\r\n"))); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait() // the writer has looked whether a command is partial
+		if isEndRequested(c) {
+			t.Fatal("the end was requested within a command")
+		}
+		c.updatePartialDeadline(&commandProgress{}, time.Time{})
+		synctest.Wait()
+		if !isEndRequested(c) {
+			t.Error("the end was not requested after the command")
+		}
+		close(done)
+		client.Close()
+		server.Close()
+	})
+}
+
+func isEndRequested(c *connection) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.endRequested
+}
--- a/internal/front/resp/reader.go
+++ b/internal/front/resp/reader.go
@@ -106,6 +106,7 @@
 	case !partial && c.hasPartialCommand.Load():
 		c.setReadDeadline(time.Time{})
 		c.hasPartialCommand.Store(false)
+		c.wakeWriter() // it does not end a connection within a command, and may have seen this one as partial
 	case partial && (progress.beganAt.IsZero() || c.inbox.BufferedBytes()-progress.bytesAtDeadline >= minProgressBytes):
 		now := time.Now()
 		if arrivedAt.IsZero() {
