A long value is ended by its own stall limit, never by its request's time

Callers saw values of 130 to 202 KB end early while their backends still wrote them in lumps 0.7 to 0.9 s apart.

Cause: past the client's time a pause of 0.25 s ended a value, though its first bytes had come in time (stream.go, streamDeadline).

Change: streamStallTimeout (5 s) alone applies, to each read of the value and of what follows it. A backend's connection does not know the client's time any more.

Failing before: TestLargeValueInLumpsIsNotCutOff on the code before, six of ten cases 'unexpected EOF'; now all pass. A silent value is still cut, 5 to 5.5 s after its last bytes.

--- a/internal/backend/assign.go
+++ b/internal/backend/assign.go
@@ -117,15 +117,11 @@
 	if attempt.WriteBy > 0 {
 		left = min(left, attempt.WriteBy-attempt.assignedAt)
 	}
-	now := time.Now()
 	pending := pendingWrite{
 		attempt:   attempt,
 		isRequest: attempt.Command != nil,
 		command:   attempt.encodeCommand(attempt.assignedAt),
-		writeBy:   now.Add(left),
-	}
-	if attempt.ClientDeadline > 0 {
-		pending.clientDeadline = now.Add(attempt.ClientDeadline - attempt.assignedAt)
+		writeBy:   time.Now().Add(left),
 	}
 	select {
 	case c.writes <- pending:
--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -33,9 +33,6 @@
 	StartedAt time.Duration // on the owner's clock
 	Deadline  time.Duration // when the owner stops waiting for the reply, or for the first bytes of a large value
 	WriteBy   time.Duration // the command is written completely by then or not sent; 0: any time before Deadline
-	// ClientDeadline is when the client stops waiting, at Deadline or later: a hedged request or a retry may follow at
-	// Deadline. A large value that has begun by Deadline may stall until then as at any time. 0: no client waits.
-	ClientDeadline time.Duration
 
 	backend    *backendPool
 	entry      policy.Backend // the backend as it was when the attempt started; the endpoint list may change it later
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -29,10 +29,9 @@
 	writes      chan pendingWrite
 	readerDone  chan struct{}
 
-	writeMu        sync.Mutex              // held while a command is written, until lastWritten is set
-	lastWritten    atomic.Pointer[Attempt] // the last one whose command was written completely: it may have run
-	currentStream  atomic.Pointer[Stream]  // the value being streamed
-	clientDeadline time.Time               // of lastWritten; zero: no client waits. Guarded by writeMu
+	writeMu       sync.Mutex              // held while a command is written, until lastWritten is set
+	lastWritten   atomic.Pointer[Attempt] // the last one whose command was written completely: it may have run
+	currentStream atomic.Pointer[Stream]  // the value being streamed
 
 	dialedAt     time.Duration // when the dial began
 	current      *Attempt      // the attempt in flight on it; nil: none
@@ -49,8 +48,6 @@
 	isRequest bool // false for a health check
 	command   []byte
 	writeBy   time.Time // when the last byte must be written
-	// clientDeadline is when the client stops waiting; zero: no client waits.
-	clientDeadline time.Time
 }
 
 // run dials, then reads replies until the connection ends. It posts connectionClosed last.
@@ -204,7 +201,6 @@
 		case pending := <-c.writes:
 			c.nc.SetWriteDeadline(pending.writeBy) // if that has passed, the write fails at once
 			c.writeMu.Lock()
-			c.clientDeadline = pending.clientDeadline
 			n, err := c.nc.Write(pending.command)
 			if n == len(pending.command) {
 				c.lastWritten.Store(pending.attempt)
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -17,11 +17,9 @@
 const (
 	streamChunkSize    = 8 << 10 // bytes of a value that are read at once
 	minStreamChunkSize = 1 << 10 // if the memory budget is exhausted
-	// streamStallTimeout is how long a backend may send nothing within a value.
+	// streamStallTimeout is how long a backend may send nothing within a value. It doesn't depend on the deadline of the
+	// request, which the first bytes of a large value meet: ending a value that still arrives loses the request.
 	streamStallTimeout = 5 * time.Second
-	// overdueStallTimeout applies after the client's deadline: a client that still reads must soon see the end of
-	// the value or an error.
-	overdueStallTimeout = 250 * time.Millisecond
 	// trailerFrames is the number of frames after a value: the usage and the load report.
 	trailerFrames = 2
 )
@@ -53,23 +51,6 @@
 // Close ends the attempt whose value is streamed, if it has not ended. It may be called at any time, more than once.
 func (s *Stream) Close() { s.reader.CloseWithError(ErrStreamClosed) }
 
-// streamDeadline returns the read deadline for the next bytes of a streamed value. clientDeadline is when its client
-// stops waiting; zero if no client waits.
-func streamDeadline(now, clientDeadline time.Time) time.Time {
-	usual := now.Add(streamStallTimeout)
-	if clientDeadline.IsZero() {
-		return usual
-	}
-	overdue := now.Add(overdueStallTimeout)
-	if end := clientDeadline.Add(overdueStallTimeout); end.After(overdue) {
-		overdue = end
-	}
-	if overdue.Before(usual) {
-		return overdue
-	}
-	return usual
-}
-
 // streamValue streams a large value whose header has just been read, then reads the rest of the reply. The stream ends
 // without an error only if the complete reply has the expected form.
 func (c *conn) streamValue(ctx context.Context, in *resp.FrameBuffer, size int, post func(Event)) (Reply, error) {
@@ -80,7 +61,7 @@
 		return Reply{}, ctx.Err()
 	}
 	c.writeMu.Lock()
-	attempt, clientDeadline := c.lastWritten.Load(), c.clientDeadline
+	attempt := c.lastWritten.Load()
 	c.writeMu.Unlock()
 	post(streamStarted{c, attempt, stream})
 	defer stream.writer.CloseWithError(errTruncatedValue) // no effect after writer.Close
@@ -90,11 +71,11 @@
 	} else {
 		chunkSize = minStreamChunkSize
 	}
-	last, err := c.forwardValue(in, stream, make([]byte, min(chunkSize, size)), clientDeadline)
+	last, err := c.forwardValue(in, stream, make([]byte, min(chunkSize, size)))
 	if err != nil {
 		return Reply{}, err
 	}
-	reply, err := c.readStreamTail(in, clientDeadline)
+	reply, err := c.readStreamTail(in)
 	if err != nil {
 		return Reply{}, err
 	}
@@ -108,9 +89,7 @@
 // forwardValue reads a value in chunks into buf and writes them to its stream, all but the last. The last chunk is
 // returned: until the rest of the reply has been read, it is not known whether the value has the length that its header
 // states, and a client that has all of a value takes it for complete.
-func (c *conn) forwardValue(
-	in *resp.FrameBuffer, stream *Stream, buf []byte, clientDeadline time.Time,
-) (last []byte, err error) {
+func (c *conn) forwardValue(in *resp.FrameBuffer, stream *Stream, buf []byte) (last []byte, err error) {
 	first := in.Buffered()[:min(in.BufferedBytes(), stream.Size)]
 	in.Discard(len(first))
 	left := stream.Size - len(first)
@@ -121,8 +100,7 @@
 		return nil, err
 	}
 	for {
-		c.nc.SetReadDeadline(streamDeadline(time.Now(), clientDeadline))
-		n, err := c.nc.Read(buf[:min(len(buf), left)])
+		n, err := c.readWithinStall(buf[:min(len(buf), left)])
 		left -= n
 		if n > 0 && left == 0 {
 			return buf[:n], nil
@@ -137,10 +115,9 @@
 }
 
 // readStreamTail reads what follows a streamed value: its line end, the usage and the load report.
-func (c *conn) readStreamTail(in *resp.FrameBuffer, clientDeadline time.Time) (Reply, error) {
-	c.nc.SetReadDeadline(streamDeadline(time.Now(), clientDeadline))
+func (c *conn) readStreamTail(in *resp.FrameBuffer) (Reply, error) {
 	for in.BufferedBytes() < 2 {
-		if err := in.Fill(c.nc.Read); err != nil {
+		if err := in.Fill(c.readWithinStall); err != nil {
 			return Reply{}, err
 		}
 	}
@@ -155,7 +132,7 @@
 			return Reply{}, err
 		}
 		if frame == nil {
-			if err := in.Fill(c.nc.Read); err != nil {
+			if err := in.Fill(c.readWithinStall); err != nil {
 				return Reply{}, err
 			}
 			continue
@@ -170,3 +147,9 @@
 	c.nc.SetReadDeadline(time.Time{})
 	return reply, nil
 }
+
+// readWithinStall reads once from the backend, and fails if nothing arrives for streamStallTimeout.
+func (c *conn) readWithinStall(b []byte) (int, error) {
+	c.nc.SetReadDeadline(time.Now().Add(streamStallTimeout))
+	return c.nc.Read(b)
+}
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -25,8 +25,6 @@
 		StartedAt: c.now,
 		Deadline:  r.GiveUpAt,
 		WriteBy:   c.retryDeadline(r),
-
-		ClientDeadline: r.GiveUpAt,
 	}
 	if s.StopAt > 0 {
 		attempt.Deadline = min(s.StopAt, r.GiveUpAt)
