Clients' connections work in turns, which get half of each core together

Callers of an instance were answered up to a second after their time, refused or failed while six other clients sent PING at full speed; whatever a client sent at full speed delayed all others.

Cause: processor time was the one resource without a budget. A reader and a writer for each flooding connection kept the one run queue full (12 to 15 goroutines in a scheduler trace), and the network is polled every 10 ms then.

Change: internal/cputime charges the measured cost of each connection's turns, of accepting and of the event loop to one leaky bucket. Beyond half of a core turns wait, short ones first; time in which the process had no processor pays for nothing. Late answers are logged with where their time went; metrics commands_delayed.processor_time, timer_delay and arrival_delay.

--- a/cmd/hitchspring/instance_test.go
+++ b/cmd/hitchspring/instance_test.go
@@ -86,7 +86,7 @@
 		"settings":{"me":%d,"replicasOfMe":%d,"registryMode":%q,
 		"permissions":{"maxAttempts":%d,"retryAfter":true,"maxRetryAfterUs":500000,"mayCancel":true},
 		"classes":[{"name":"a","value":1,"objectiveUs":1000000,"deadlineUs":1000000,"effect":"read_like"}],
-		"contracts":[{"name":"p","price":1}]}}`,
+		"contracts":[{"name":"p","price":1},{"name":"refused","price":0.01,"refill":0.01,"burst":0.5}]}}`,
 		i.listen, p.discovery, index+1, known, index, p.instances, p.discoveryMode, max(1, p.maxAttempts)))
 }
 
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -17,8 +17,8 @@
 const (
 	streamChunkSize    = 8 << 10 // bytes of a value that are read at once
 	minStreamChunkSize = 1 << 10 // if the memory budget is exhausted
-	// streamStallTimeout is how long a backend may send nothing within a value. It doesn't depend on the deadline of the
-	// request, which the first bytes of a large value meet: ending a value that still arrives loses the request.
+	// streamStallTimeout is how long a backend may send nothing within a value. It doesn't depend on the request's
+	// deadline, which the first bytes of a large value meet: ending a value that still arrives loses the request.
 	streamStallTimeout = 5 * time.Second
 	// trailerFrames is the number of frames after a value: the usage and the load report.
 	trailerFrames = 2
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"hitchspring/internal/cputime"
 	"hitchspring/internal/discovery"
 	"hitchspring/internal/settings"
 	"hitchspring/internal/store"
@@ -24,6 +25,9 @@
 
 // Config is the configuration of a core.
 type Config struct {
+	// Processor is charged for the loop's processor time; nil: nothing is charged.
+	Processor *cputime.Scheduler
+
 	Discovery        string         // address of the discovery service
 	Seed             uint64         // of all random numbers
 	Sockets          int            // max file descriptors of the core and the fronts together
--- a/internal/core/guards.go
+++ b/internal/core/guards.go
@@ -106,7 +106,8 @@
 // so it is turned into a failure if an attempt may have run.
 func (c *Core) deliverAnswer(r *Request, a Answer) {
 	if late := c.now - r.GiveUpAt; late > maxAnswerDelay && r.arrivedAt > 0 {
-		c.guard.Violated(guard.AnsweredLate, append(r.logAttrs(), "late", late, "attempts", len(r.attempts))...)
+		attrs := append(r.logAttrs(), "late", late, "attempts", len(r.attempts))
+		c.guard.Violated(guard.AnsweredLate, append(attrs, c.timingAttrs(r)...)...)
 	}
 	if a.Kind == Rejected && !r.Delegated && !guard.MayReject(c.classOf(r), r.assignedAttempts(nil)) {
 		c.guard.Violated(guard.RejectedAfterPossibleRun, append(r.logAttrs(), "attempts", len(r.attempts))...)
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -33,24 +33,30 @@
 	c.startPeriodicWork()
 	wakeup := time.NewTimer(0)
 	defer wakeup.Stop()
-	for {
-		wakeup.Reset(c.timers[0].at - c.clock(time.Now()))
+	for idleAt := time.Now(); ; {
+		wakeup.Reset(c.timers[0].at - c.clock(idleAt))
+		var wokenAt time.Time
 		select {
 		case <-ctx.Done():
 			return
 		case ev := <-c.events:
-			c.now = c.clock(time.Now())
+			wokenAt = time.Now()
+			c.now = c.clock(wokenAt)
 			c.handle(ev)
 			for n := 1; n < maxEventBatch && len(c.events) > 0; n++ {
 				c.handle(<-c.events)
 			}
 		case <-c.overrides.changed:
-			c.now = c.clock(time.Now())
+			wokenAt = time.Now()
+			c.now = c.clock(wokenAt)
 			c.reapplyOverrides()
 		case <-wakeup.C:
+			wokenAt = time.Now()
 		}
 		c.now = c.clock(time.Now())
 		c.fireTimers()
+		idleAt = time.Now()
+		c.cfg.Processor.Charge(idleAt.Sub(wokenAt))
 	}
 }
 
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -21,9 +21,11 @@
 	ClientID       uint64 // chosen by the client; while a request is open, another with its id is answered Duplicate
 	Sink           ReplySink
 	Command        backend.Command
-	IdempotencyKey string // empty if the class has no idempotency keys
-	Size           int    // bytes of memory that the request occupies
+	IdempotencyKey string    // empty if the class has no idempotency keys
+	Size           int       // bytes of memory that the request occupies
+	ReceivedAt     time.Time // when its last byte arrived, as far as the front can tell; zero: unknown
 
+	submittedAt         time.Time // when Submit was called
 	attempts            []*backend.Attempt
 	arrivedAt           time.Duration
 	disconnectCheckedAt time.Duration    // when Sink.Disconnected was last called
@@ -43,7 +45,10 @@
 )
 
 // Submit submits a request. Its Sink gets exactly one answer, unless the client disconnects first.
-func (c *Core) Submit(r *Request) { c.post(requestArrived{r}) }
+func (c *Core) Submit(r *Request) {
+	r.submittedAt = time.Now()
+	c.post(requestArrived{r})
+}
 
 // NotifyDisconnected reports that the clients of requests have disconnected and no longer wait for answers.
 func (c *Core) NotifyDisconnected(requests []*Request) { c.post(clientsDisconnected{requests}) }
@@ -71,6 +76,7 @@
 	}
 	c.lastID++
 	r.ID, r.arrivedAt = c.lastID, c.now
+	c.metrics.ArrivalHandled(r.loopWait(c))
 	c.requests[r.ID] = r
 	c.clientIDs[r.ClientID] = true
 	c.requestBytes += r.Size
@@ -127,7 +133,7 @@
 	if r.finished {
 		return
 	}
-	c.log.Warn("no answer in time", append(r.logAttrs(), "attempts", len(r.attempts))...)
+	c.log.Warn("no answer in time", append(append(r.logAttrs(), "attempts", len(r.attempts)), c.timingAttrs(r)...)...)
 	c.summary.add(summaryOverdue, 1)
 	a := Answer{Kind: Failed}
 	if len(r.attempts) == 0 && r.Prior == nil && !r.pending.mayBeTakenOver() {
@@ -170,6 +176,29 @@
 	return []any{"request", fmt.Sprintf("%016x", r.ClientID), "customer", r.Tenant, "class", r.Class}
 }
 
+// loopWait returns how long a request that is being handled or has been handled had waited for the loop.
+func (r *Request) loopWait(c *Core) time.Duration {
+	if r.submittedAt.IsZero() {
+		return 0
+	}
+	return r.arrivedAt - c.clock(r.submittedAt)
+}
+
+// timingAttrs returns the attributes that tell where the time of a request that is late was spent: until its front had
+// read and submitted it, until the loop handled it, and since then.
+func (c *Core) timingAttrs(r *Request) []any {
+	unread := time.Duration(0)
+	if !r.ReceivedAt.IsZero() && !r.submittedAt.IsZero() {
+		unread = r.submittedAt.Sub(r.ReceivedAt)
+	}
+	return []any{
+		"waited_to_be_read", unread.Round(time.Millisecond),
+		"waited_for_loop", r.loopWait(c).Round(time.Millisecond),
+		"waited_for_backends", (c.now - r.arrivedAt).Round(time.Millisecond),
+		"loop_late", (c.now - r.GiveUpAt - answerOverdueAfter).Round(time.Millisecond),
+	}
+}
+
 // logRequestEnd logs the end of a request with the outcome of each attempt.
 func (c *Core) logRequestEnd(r *Request, a Answer) {
 	attempts := make([]string, 0, len(r.attempts))
--- a/internal/core/timers.go
+++ b/internal/core/timers.go
@@ -75,7 +75,9 @@
 // fireTimers fires the due timers. The engine handles the events of each before the next one fires.
 func (c *Core) fireTimers() {
 	for len(c.timers) > 0 && c.timers[0].at <= c.now {
-		heap.Pop(&c.timers).(*timer).fire()
+		due := heap.Pop(&c.timers).(*timer)
+		c.metrics.TimerFired(c.now - due.at)
+		due.fire()
 		c.flushEvents()
 	}
 }
--- a/internal/core/timers_test.go
+++ b/internal/core/timers_test.go
@@ -108,7 +108,7 @@
 // Timers fire once each in the order of their times, and not after they were canceled.
 func TestTimersFireInOrderUnlessCanceled(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		model := &timerModel{core: &Core{}}
+		model := &timerModel{core: &Core{metrics: newMetrics(nil)}}
 		t.Repeat(map[string]func(*rapid.T){
 			"schedule": model.schedule,
 			"cancel":   model.cancel,
--- /dev/null
+++ b/internal/cputime/account.go
@@ -0,0 +1,67 @@
+package cputime
+
+import "time"
+
+// Account is the use of processor time by one connection. Only one goroutine may use it.
+type Account struct {
+	scheduler *Scheduler
+	active    bool          // a turn has begun and not ended
+	prepaid   bool          // quantum was charged for the turn when it began
+	began     time.Duration // of the turn, since the scheduler's start
+	added     time.Duration // cost of the turn, or of the next one, beyond what is measured
+	meanTurn  time.Duration // moving average of the costs of turns
+}
+
+// NewAccount returns the account of a connection that has used no time yet.
+func (s *Scheduler) NewAccount() *Account { return &Account{scheduler: s} }
+
+// Begin begins a turn, unless one has begun already. It waits while all accounts together have used too much time, and
+// reports whether it did.
+func (a *Account) Begin() (waited bool) {
+	if a.active {
+		return false
+	}
+	s := a.scheduler
+	now := time.Since(s.start)
+	if s.overdrawn(now) > 0 {
+		s.wait(now, a.meanTurn)
+		now = time.Since(s.start)
+		waited = true
+	}
+	a.active, a.prepaid, a.began = true, waited, now
+	return waited
+}
+
+// Add adds a cost to the present turn, or else to the next one, beyond the time that passes in it.
+func (a *Account) Add(cost time.Duration) { a.added += cost }
+
+// Overdrawn reports whether a turn that began now would have to wait.
+func (a *Account) Overdrawn() bool { return a.scheduler.overdrawn(time.Since(a.scheduler.start)) > 0 }
+
+// EndIfExpired ends the present turn if it has used its quantum.
+func (a *Account) EndIfExpired() {
+	if a.active && time.Since(a.scheduler.start)-a.began+a.added >= quantum {
+		a.End()
+	}
+}
+
+// End ends the present turn, if there is one, and charges for it. It must be called before the goroutine blocks.
+func (a *Account) End() {
+	if !a.active {
+		return
+	}
+	s := a.scheduler
+	now := time.Since(s.start)
+	cost := min(now-a.began+a.added, maxTurnCost)
+	a.meanTurn += time.Duration(meanTurnWeight * float64(cost-a.meanTurn))
+	a.active, a.added = false, 0
+	if a.prepaid && cost < quantum {
+		s.refund(quantum - cost)
+		s.grant()
+		return
+	}
+	if a.prepaid {
+		cost -= quantum
+	}
+	s.charge(now, cost)
+}
--- a/internal/front/resp/command.go
+++ b/internal/front/resp/command.go
@@ -121,6 +121,7 @@
 	// the record of a request beyond its answer.
 	request := &core.Request{ClientID: parsed.id, IdempotencyKey: strings.Clone(fields.idempotencyKey)}
 	request.Tenant = strings.ToLower(string(parsed.args[argTenant])) // hex digits in either case denote the same tenant
+	request.ReceivedAt = arrivedAt
 	request.Class = parsed.class.Name
 	request.Plan = strings.Clone(fields.plan)
 	request.Units = fields.units
--- a/internal/front/resp/connection.go
+++ b/internal/front/resp/connection.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hitchspring/internal/core"
+	"hitchspring/internal/cputime"
 	"hitchspring/internal/guard"
 	"hitchspring/internal/metrics"
 	"hitchspring/internal/resp"
@@ -59,6 +60,7 @@
 	// Fields below are used by the reader only.
 	inbox           resp.FrameBuffer
 	receipts        receiptLog
+	turn            *cputime.Account
 	errorsBackedOff int32 // value of protocolErrors at the last pause
 	peerClosed      bool  // the client disconnected while the reader waited
 }
@@ -72,6 +74,7 @@
 		written:        make(chan struct{}),
 		memorySignal:   make(chan struct{}, 1),
 		lastActive:     time.Now(),
+		turn:           front.processor.NewAccount(),
 	}
 }
 
--- a/internal/front/resp/connection_test.go
+++ b/internal/front/resp/connection_test.go
@@ -25,7 +25,7 @@
 // A finished connection accepts no command, even if more arrive than fit into the
 // pipeline window. A reader that waited for the window would block a shutdown.
 func TestFinishedConnectionTakesNoCommand(t *testing.T) {
-	c := newConnection(nil, nil)
+	c := newConnection(New(nil, nil, 1, 0), nil)
 	c.phase = finished
 	for range maxPipelined + 1 {
 		if c.addPending(nil) != nil {
--- a/internal/front/resp/drain.go
+++ b/internal/front/resp/drain.go
@@ -70,6 +70,7 @@
 	select {
 	case <-done:
 	case <-ctx.Done():
+		f.processor.Stop()
 		f.mu.Lock()
 		for c := range f.connections {
 			c.abort(metrics.ClosedShutdownLimit)
--- a/internal/front/resp/front.go
+++ b/internal/front/resp/front.go
@@ -3,18 +3,20 @@
 // and Q.DO. Each valid Q.ASK or Q.DO is submitted to the core as a core.Request.
 // Replies are written on the same connection, in the order of the commands. The
 // front bounds the number of connections, the memory of incomplete commands, the
-// commands in flight on a connection and the memory of unwritten replies. Admission
-// and routing are up to the core.
+// commands in flight on a connection, the memory of unwritten replies and the
+// processor time of all connections. Admission and routing are up to the core.
 package resp
 
 import (
 	"context"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"hitchspring/internal/core"
+	"hitchspring/internal/cputime"
 	"hitchspring/internal/guard"
 	"hitchspring/internal/metrics"
 	"hitchspring/internal/resp"
@@ -53,6 +55,7 @@
 	guard         *guard.Monitor
 	requestMemory *resp.Budget // for buffered bytes of commands
 	replyMemory   *replyMemory // for replies until they are written
+	processor     *cputime.Scheduler
 
 	slots          chan struct{} // semaphore: one element per connection and per reserved slot
 	slotsToReserve atomic.Int64  // number of slots to leave to another process
@@ -83,6 +86,7 @@
 		metrics:       metrics.New(nil, nil, nil),
 		requestMemory: resp.NewBudget(memory),
 		replyMemory:   newReplyMemory(memory),
+		processor:     cputime.NewScheduler(runtime.GOMAXPROCS(0)),
 		slots:         make(chan struct{}, maxConnections),
 		connections:   map[*connection]bool{},
 		changed:       make(chan struct{}, 1),
@@ -95,6 +99,10 @@
 	f.metrics, f.guard = set, monitor
 }
 
+// ShareProcessor sets the scheduler of processor time, in place of the front's own.
+// It must be called before Start.
+func (f *Front) ShareProcessor(scheduler *cputime.Scheduler) { f.processor = scheduler }
+
 // Start serves connections until Drain is called.
 func (f *Front) Start() {
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/front/resp/limits.go
+++ b/internal/front/resp/limits.go
@@ -28,3 +28,12 @@
 	lingerPollInterval     = 25 * time.Millisecond // for the client's close of a connection that the front has ended
 	peerClosedPollInterval = 50 * time.Millisecond // for the disconnect of a client whose commands are not being read
 )
+
+// Processor time that a connection uses beyond that of handling its commands: in the
+// kernel, in the scheduler, and by the writer.
+const (
+	readCost     = 10 * time.Microsecond // of a read and the wake-up before it
+	readByteCost = time.Nanosecond       // of each byte that is read
+	writeCost    = 10 * time.Microsecond // of a write and the wake-up before it
+	acceptCost   = 50 * time.Microsecond
+)
--- a/internal/front/resp/listener.go
+++ b/internal/front/resp/listener.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net"
 	"time"
+
+	"hitchspring/internal/metrics"
 )
 
 const acceptPause = 5 * time.Millisecond // after a failed accept
@@ -11,6 +13,7 @@
 // accept accepts connections until the listener is closed. It acquires a slot before
 // each, so that further connections wait in the listen queue.
 func (f *Front) accept() {
+	turn := f.processor.NewAccount()
 	for {
 		f.acquireSlot()
 		conn, err := f.listener.Accept()
@@ -22,6 +25,11 @@
 			time.Sleep(acceptPause)
 			continue
 		}
+		turn.Add(acceptCost)
+		if turn.Begin() {
+			f.metrics.CommandDelayed(metrics.DelayedProcessorTime)
+		}
+		turn.End()
 		c := newConnection(f, conn)
 		f.mu.Lock()
 		f.connections[c] = true
--- a/internal/front/resp/reader.go
+++ b/internal/front/resp/reader.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"hitchspring/internal/metrics"
 	"hitchspring/internal/resp"
 	"hitchspring/internal/socket"
 )
@@ -29,12 +30,17 @@
 	in := &c.inbox
 	in.Budget, in.MaxBytes = c.front.requestMemory, resp.MaxLargeValueBytes
 	defer in.Close()
+	defer c.turn.End()
 	var progress commandProgress
 	for {
+		if in.Partial() {
+			c.beginTurn()
+		}
 		command, err := in.Next()
 		if command != nil {
 			progress = commandProgress{}
 			c.handle(command, c.receipts.consumeCommand(in.BufferedBytes()))
+			c.turn.EndIfExpired()
 			if result, ended := c.checkProtocolErrors(); ended {
 				return result
 			}
@@ -62,6 +68,7 @@
 // fillInbox reads more input. It returns errEnded if the end of the connection was
 // requested and the connection has ended.
 func (c *connection) fillInbox() error {
+	c.turn.End()
 	err := c.inbox.Fill(c.receive)
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		return err
@@ -77,6 +84,16 @@
 	}
 }
 
+// beginTurn waits until the connection may use processor time, unless it does already.
+// Bytes that arrive meanwhile may count as arrived when the wait began.
+func (c *connection) beginTurn() {
+	began := time.Now()
+	if c.turn.Begin() {
+		c.receipts.recordDelay(began, time.Now())
+		c.front.metrics.CommandDelayed(metrics.DelayedProcessorTime)
+	}
+}
+
 // checkProtocolErrors is called after each command and reports whether reading must
 // stop. It pauses after a protocol error that was detected by the core.
 func (c *connection) checkProtocolErrors() (result readResult, ended bool) {
@@ -129,12 +146,10 @@
 
 // receive reads from the connection and records when the bytes arrived.
 func (c *connection) receive(b []byte) (int, error) {
-	var began time.Time // needed only for the first read and after reading was suspended
-	if c.receipts.totalBytes == 0 || !c.receipts.stoppedAt.IsZero() {
-		began = time.Now()
-	}
+	began := time.Now()
 	n, err := c.conn.Read(b)
 	if n > 0 {
+		c.turn.Add(readCost + time.Duration(n)*readByteCost)
 		now := time.Now()
 		if c.receipts.totalBytes == 0 {
 			if waited := c.listenQueueWait(now.Sub(began)); waited >= minReceiptInterval {
@@ -169,7 +184,10 @@
 		c.takeEndRequest() // the end must wait for the rest of the command
 		c.mu.Unlock()
 		c.setReadDeadline(earlier(time.Now().Add(firstCommandTimeout), end))
-		return c.receive(b)
+		c.turn.End()
+		n, err := c.receive(b)
+		c.beginTurn()
+		return n, err
 	})
 	if skipped {
 		c.rejectOverloaded()
@@ -215,6 +233,7 @@
 		return
 	}
 	defer c.setReadDeadline(time.Time{})
+	c.turn.End()
 	for readAhead := true; ; {
 		c.mu.Lock()
 		c.readInterrupted = false // before the call of done, whose result may be the reason for the interruption
@@ -225,7 +244,7 @@
 		c.mu.Lock()
 		c.takeEndRequest() // the end must wait for the commands that have been read
 		c.mu.Unlock()
-		if readAhead = readAhead && c.inbox.BufferedBytes() < readAheadBytes; !readAhead {
+		if readAhead = readAhead && c.inbox.BufferedBytes() < readAheadBytes && !c.turn.Overdrawn(); !readAhead {
 			c.receipts.recordStop(time.Now())
 			if done(peerClosedPollInterval) {
 				return
--- a/internal/front/resp/receipts.go
+++ b/internal/front/resp/receipts.go
@@ -8,18 +8,24 @@
 const maxKernelBufferedBytes = 8 << 20
 
 // minReceiptInterval is the shortest time between two entries of a receiptLog. Bytes
-// that arrive sooner after the previous entry are merged into it. It is also the
-// duration from which a read counts as blocked.
+// that arrive sooner after the previous entry are merged into it. It is also for how long
+// reads must have blocked until nothing is left that arrived while reading was suspended.
 const minReceiptInterval = 25 * time.Millisecond
 
+// minBlockedRead is the duration from which a read counts as blocked.
+const minBlockedRead = 5 * time.Millisecond
+
 // receiptLog records when the unconsumed bytes of a connection arrived. The deadline
 // of a request counts from the arrival of its last byte, even if the request waits
 // behind other commands, for the pipeline window or for the end of a pause.
 type receiptLog struct {
-	totalBytes     int64     // read from the connection so far
-	entries        []receipt // in the order of arrival
-	stoppedAt      time.Time // when reading was suspended; zero once all bytes that arrived before are read
-	bytesSinceStop int64     // read since stoppedAt
+	totalBytes       int64         // read from the connection so far
+	entries          []receipt     // in the order of arrival
+	stoppedAt        time.Time     // when reading was suspended; zero once all bytes that arrived before are read
+	bytesSinceStop   int64         // read since stoppedAt
+	blockedSinceStop time.Duration // for which reads have blocked since stoppedAt
+	delayedAt        time.Time     // when the first of the delays began that delay is the sum of
+	delay            time.Duration // sum of the delays of reads since the last read that blocked
 }
 
 // receipt is the arrival of the bytes up to an offset in the connection's stream.
@@ -32,7 +38,20 @@
 // the kernel when it resumes count as arrived now.
 func (log *receiptLog) recordStop(now time.Time) {
 	if log.stoppedAt.IsZero() {
-		log.stoppedAt, log.bytesSinceStop = now, 0
+		log.stoppedAt, log.bytesSinceStop, log.blockedSinceStop = now, 0, 0
+	}
+}
+
+// recordDelay records that the next read was delayed from began to now. Unless a read
+// blocks in between, such delays add up: bytes may have waited in the kernel since the
+// first of them.
+func (log *receiptLog) recordDelay(began, now time.Time) {
+	if log.delay == 0 {
+		log.delayedAt = began
+	}
+	log.delay += now.Sub(began)
+	if log.delay >= minReceiptInterval {
+		log.recordStop(log.delayedAt)
 	}
 }
 
@@ -40,7 +59,11 @@
 // blocked, the kernel's buffer was empty and the bytes have only just arrived.
 func (log *receiptLog) recordRead(bytes int, began, now time.Time) {
 	log.bytesSinceStop += int64(bytes)
-	if now.Sub(began) >= minReceiptInterval || log.bytesSinceStop > maxKernelBufferedBytes {
+	if blocked := now.Sub(began); blocked >= minBlockedRead {
+		log.blockedSinceStop += blocked
+		log.delay = 0
+	}
+	if log.blockedSinceStop >= minReceiptInterval || log.bytesSinceStop > maxKernelBufferedBytes {
 		log.stoppedAt = time.Time{}
 	}
 	if !log.stoppedAt.IsZero() {
--- a/internal/front/resp/writer.go
+++ b/internal/front/resp/writer.go
@@ -170,6 +170,7 @@
 		c.replyBytes -= len(b.encoded)
 		c.mu.Unlock()
 		c.front.replyMemory.adjust(-len(b.encoded))
+		c.front.processor.Charge(writeCost)
 		for range b.replies {
 			<-c.pipelineWindow
 		}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,7 @@
 
 	"hitchspring/internal/admin"
 	"hitchspring/internal/core"
+	"hitchspring/internal/cputime"
 	"hitchspring/internal/front/forwardauth"
 	"hitchspring/internal/front/resp"
 	"hitchspring/internal/peers"
@@ -124,6 +126,7 @@
 		cfg.Overrides = instance.overrides
 	}
 	instance.configurePeers(&cfg)
+	cfg.Processor = cputime.NewScheduler(runtime.GOMAXPROCS(0))
 	c, err := core.New(cfg.Config, log)
 	if err != nil {
 		return nil, err
@@ -303,6 +306,7 @@
 	}
 	front = resp.New(listener, i.core, connections, memory)
 	front.Observe(i.core.Metrics(), i.core.Guard())
+	front.ShareProcessor(i.config.Processor)
 	i.front.Store(front)
 	i.updateConnectionLimit()
 	front.Start()
--- a/internal/metrics/groups.go
+++ b/internal/metrics/groups.go
@@ -1,6 +1,9 @@
 package metrics
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // counterGroup is a set of named counters of one kind.
 type counterGroup struct {
@@ -17,6 +20,8 @@
 	withheldGroup
 	closedGroup
 	delayedGroup
+	timerDelayGroup
+	arrivalDelayGroup
 	groupCount
 )
 
@@ -29,6 +34,9 @@
 		withheldGroup: {name: "attempts_held_back", names: withheldReasonNames[:]},
 		closedGroup:   {name: "connections_closed", names: closeReasonNames[:]},
 		delayedGroup:  {name: "commands_delayed", names: delayReasonNames[:]},
+
+		timerDelayGroup:   {name: "timer_delay", names: delayBucketNames[:]},
+		arrivalDelayGroup: {name: "arrival_delay", names: delayBucketNames[:]},
 	}
 	for i := range groups {
 		groups[i].counts = make([]atomic.Int64, len(groups[i].names))
@@ -61,6 +69,12 @@
 // CommandDelayed counts a command that a client's connection holds back for a while before it submits it.
 func (s *Set) CommandDelayed(reason DelayReason) { s.count(delayedGroup, int(reason)) }
 
+// TimerFired counts a timer of the event loop by how late it fired.
+func (s *Set) TimerFired(late time.Duration) { s.count(timerDelayGroup, delayBucket(late)) }
+
+// ArrivalHandled counts a request by how long it waited for the event loop.
+func (s *Set) ArrivalHandled(waited time.Duration) { s.count(arrivalDelayGroup, delayBucket(waited)) }
+
 // Each calls visit for each counter that has a reason or an outcome.
 func (s *Set) Each(visit func(group, name string, value int64)) {
 	for i := range s.groups {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -32,6 +32,15 @@
 edge_router.connections_closed.slow_reader=0
 edge_router.connections_closed.shutdown_limit=0
 edge_router.commands_delayed.reply_memory=0
+edge_router.commands_delayed.processor_time=0
+edge_router.timer_delay.up_to_1_ms=0
+edge_router.timer_delay.up_to_10_ms=0
+edge_router.timer_delay.up_to_100_ms=0
+edge_router.timer_delay.longer=0
+edge_router.arrival_delay.up_to_1_ms=0
+edge_router.arrival_delay.up_to_10_ms=0
+edge_router.arrival_delay.up_to_100_ms=0
+edge_router.arrival_delay.longer=0
 `
 	if got := string(New([]string{"b", "a"}, []string{"quota"}, []string{"done"}).Text()); got != want {
 		t.Errorf("got initial text:\n%s\nwant:\n%s", got, want)
--- a/internal/metrics/reasons.go
+++ b/internal/metrics/reasons.go
@@ -1,5 +1,7 @@
 package metrics
 
+import "time"
+
 // RequestEnd is how a request ended.
 type RequestEnd uint8
 
@@ -88,8 +90,24 @@
 
 // The reasons for holding a command back.
 const (
-	DelayedReplyMemory DelayReason = iota // all memory for replies is taken by some that wait for earlier ones
+	DelayedReplyMemory   DelayReason = iota // all memory for replies is taken by some that wait for earlier ones
+	DelayedProcessorTime                    // the clients' share of the processor is used up
 	delayReasonCount
 )
 
-var delayReasonNames = [delayReasonCount]string{"reply_memory"}
+var delayReasonNames = [delayReasonCount]string{"reply_memory", "processor_time"}
+
+// delayBuckets are the upper bounds of the counters of delays, except the last one, which has none.
+var delayBuckets = [...]time.Duration{time.Millisecond, 10 * time.Millisecond, 100 * time.Millisecond}
+
+var delayBucketNames = [len(delayBuckets) + 1]string{"up_to_1_ms", "up_to_10_ms", "up_to_100_ms", "longer"}
+
+// delayBucket returns the index of the counter for a delay.
+func delayBucket(delay time.Duration) int {
+	for i, bound := range delayBuckets {
+		if delay <= bound {
+			return i
+		}
+	}
+	return len(delayBuckets)
+}
