Light demands take turns in order, and one turn begins every 5 ms in any case

The debt had no limit, so that the loop's own work, or timers that are always late, could have stopped all reading.

Change: accounts with a light demand go in FIFO order, others later in proportion; accepting is charged to the new connection; the debt is bounded and a turn begins every 5 ms. A client that has closed its connection is seen after each wait and its input is dropped; no idle connection is ended for a newcomer while such a one holds a place.

--- a/internal/cputime/account.go
+++ b/internal/cputime/account.go
@@ -1,6 +1,9 @@
 package cputime
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Account is the use of processor time by one connection. Only one goroutine may use it.
 type Account struct {
@@ -10,6 +13,8 @@
 	began     time.Duration // of the turn, since the scheduler's start
 	added     time.Duration // cost of the turn, or of the next one, beyond what is measured
 	meanTurn  time.Duration // moving average of the costs of turns
+	recentUse float64       // cost of the recent turns at usedAt, in nanoseconds, decaying
+	usedAt    time.Duration // end of the last turn, since the scheduler's start
 }
 
 // NewAccount returns the account of a connection that has used no time yet.
@@ -24,7 +29,7 @@
 	s := a.scheduler
 	now := time.Since(s.start)
 	if s.overdrawn(now) > 0 {
-		s.wait(now, a.meanTurn)
+		s.wait(now, a.demand(now))
 		now = time.Since(s.start)
 		waited = true
 	}
@@ -32,6 +37,16 @@
 	return waited
 }
 
+// demand returns the larger of the account's usual turn and its recent use. Accounts with a heavy one wait for others.
+func (a *Account) demand(now time.Duration) time.Duration {
+	return max(a.meanTurn, time.Duration(a.decayedUse(now))+a.added)
+}
+
+// decayedUse returns what is left of the recent use at a time since the scheduler's start, in nanoseconds.
+func (a *Account) decayedUse(now time.Duration) float64 {
+	return a.recentUse * math.Exp(-float64(now-a.usedAt)/float64(recentPeriod))
+}
+
 // Add adds a cost to the present turn, or else to the next one, beyond the time that passes in it.
 func (a *Account) Add(cost time.Duration) { a.added += cost }
 
@@ -54,6 +69,7 @@
 	now := time.Since(s.start)
 	cost := min(now-a.began+a.added, maxTurnCost)
 	a.meanTurn += time.Duration(meanTurnWeight * float64(cost-a.meanTurn))
+	a.recentUse, a.usedAt = a.decayedUse(now)+float64(cost), now
 	a.active, a.added = false, 0
 	if a.prepaid && cost < quantum {
 		s.refund(quantum - cost)
--- a/internal/cputime/cputime.go
+++ b/internal/cputime/cputime.go
@@ -1,7 +1,7 @@
 // Package cputime shares processor time among many connections, so that no client can use up the time that the rest of
 // the process needs. A goroutine that works for a connection does so in turns, whose cost it measures. As long as all
 // connections together use little time, a turn begins at once and takes no lock. Else it waits: the turns of all
-// connections then get a fixed share of the processor, and the connection whose turns are short goes first.
+// connections then get a fixed share of the processor, and connections whose turns are short and few go first.
 //
 // What a turn does is up to the caller, and its cost doesn't depend on whether the input is valid. The package does no
 // I/O and starts no goroutines.
@@ -25,13 +25,19 @@
 	maxTurnCost = 5 * time.Millisecond
 	// timerGranularity is how late a timer may fire although the processor is free.
 	timerGranularity = 2 * time.Millisecond
-	// maxLateness bounds by how much a timer that fires late prolongs the waits of turns.
-	maxLateness = 20 * time.Millisecond
-	// waitDiscount reduces the cost by which waiting turns are ordered, per time that they have waited. It bounds the
-	// wait of long turns behind short ones.
-	waitDiscount = 0.0002
+	// maxDebt bounds for how long turns have to wait for what was used before.
+	maxDebt = 20 * time.Millisecond
+	// maxGrantInterval is the longest time between two turns while any wait, whatever else uses the processor.
+	maxGrantInterval = 5 * time.Millisecond
+	// lightDemand is the demand up to which accounts take their turns in FIFO order.
+	lightDemand = 100 * time.Microsecond
+	// delayPerDemand is how much later than accounts with a light demand others take their turns, per demand. It bounds
+	// the wait of accounts with a heavy demand.
+	delayPerDemand = 2000
 	// meanTurnWeight is the weight of one turn in an account's moving average of costs.
 	meanTurnWeight = 0.25
+	// recentPeriod is the time in which an account's recent use decays to 1/e.
+	recentPeriod = 100 * time.Millisecond
 )
 
 // Scheduler decides when turns may begin. Its methods are safe for concurrent use.
@@ -43,10 +49,11 @@
 	paidAt  atomic.Int64 // nanoseconds after start at which the share covers all time used so far
 	stopped atomic.Bool  // turns begin at once
 
-	mu      sync.Mutex // guards the fields below
-	waiting turnQueue
-	timer   *time.Timer   // calls wake; nil before the first wait
-	wakeAt  time.Duration // when the timer is due, since start
+	mu        sync.Mutex // guards the fields below
+	waiting   turnQueue
+	grantedAt time.Duration // when the last waiting turn began, or when the first one began to wait, since start
+	timer     *time.Timer   // calls wake; nil before the first wait
+	wakeAt    time.Duration // when the timer is due, since start
 }
 
 // NewScheduler returns a scheduler for a process that uses so many cores.
@@ -73,10 +80,15 @@
 
 // charge adds processor time at a time since start.
 func (s *Scheduler) charge(now, cost time.Duration) {
-	owed := int64(s.spread * float64(cost))
+	s.postpone(now, time.Duration(s.spread*float64(cost)))
+}
+
+// postpone moves paidAt, from now on at least, by a duration. If that is positive, the debt stays within maxDebt.
+func (s *Scheduler) postpone(now, by time.Duration) {
 	for {
-		paidAt := s.paidAt.Load()
-		if s.paidAt.CompareAndSwap(paidAt, max(paidAt, int64(now))+owed) {
+		before := s.paidAt.Load()
+		after := min(max(before, int64(now))+int64(by), max(before, int64(now+s.tolerance+maxDebt)))
+		if s.paidAt.CompareAndSwap(before, after) {
 			return
 		}
 	}
@@ -93,37 +105,51 @@
 	return time.Duration(s.paidAt.Load()) - now - s.tolerance
 }
 
-// wait waits until a turn may begin whose cost is expected to be as given. quantum has been charged for it then.
-func (s *Scheduler) wait(now, expectedCost time.Duration) {
+// wait waits until a turn of an account with the given demand may begin. quantum has been charged for it then.
+func (s *Scheduler) wait(now, demand time.Duration) {
 	turn := &waitingTurn{
-		order: float64(expectedCost) + waitDiscount*float64(now),
+		order: now + delayPerDemand*max(0, demand-lightDemand),
 		ready: make(chan struct{}),
 	}
 	s.mu.Lock()
+	if len(s.waiting) == 0 {
+		s.grantedAt = now
+	}
 	heap.Push(&s.waiting, turn)
+	s.grantLocked()
 	s.mu.Unlock()
-	s.grant()
 	<-turn.ready
 }
 
-// grant lets waiting turns begin, as far as there is time for them, and arranges to be called again for the rest.
+// grant lets waiting turns begin, as far as there is time for them, and arranges for wake to grant the rest.
 func (s *Scheduler) grant() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.grantLocked()
+}
+
+func (s *Scheduler) grantLocked() {
 	for len(s.waiting) > 0 {
 		now := time.Since(s.start)
-		if wait := s.overdrawn(now); wait > 0 {
-			s.grantAt(now, wait)
+		limit := s.grantedAt + maxGrantInterval
+		if wait := s.overdrawn(now); wait > 0 && now < limit {
+			s.wakeAfter(now, min(wait, limit-now))
 			return
 		}
-		s.charge(now, quantum)
-		turn := heap.Pop(&s.waiting).(*waitingTurn)
-		close(turn.ready)
+		s.grantNext(now)
 	}
 }
 
-// grantAt arranges for a call of wake. The caller must hold s.mu.
-func (s *Scheduler) grantAt(now, wait time.Duration) {
+// grantNext lets the first waiting turn begin. The caller must hold s.mu.
+func (s *Scheduler) grantNext(now time.Duration) {
+	s.charge(now, quantum)
+	turn := heap.Pop(&s.waiting).(*waitingTurn)
+	close(turn.ready)
+	s.grantedAt = now
+}
+
+// wakeAfter arranges for a call of wake. The caller must hold s.mu.
+func (s *Scheduler) wakeAfter(now, wait time.Duration) {
 	s.wakeAt = now + wait
 	if s.timer == nil {
 		s.timer = time.AfterFunc(wait, s.wake)
@@ -135,10 +161,10 @@
 // wake is called by the timer. If it is late, the process has had no processor, and that time pays for nothing.
 func (s *Scheduler) wake() {
 	s.mu.Lock()
-	late := time.Since(s.start) - s.wakeAt
-	s.mu.Unlock()
-	if late > timerGranularity {
-		s.paidAt.Add(int64(min(late, maxLateness)))
+	defer s.mu.Unlock()
+	now := time.Since(s.start)
+	if late := now - s.wakeAt; late > timerGranularity {
+		s.postpone(now, late)
 	}
-	s.grant()
+	s.grantLocked()
 }
--- a/internal/cputime/queue.go
+++ b/internal/cputime/queue.go
@@ -1,8 +1,10 @@
 package cputime
 
+import "time"
+
 // waitingTurn is a turn that waits for processor time.
 type waitingTurn struct {
-	order float64       // turns with lower values go first
+	order time.Duration // turns with lower values go first
 	ready chan struct{} // closed when the turn may begin
 }
 
--- a/internal/front/resp/listener.go
+++ b/internal/front/resp/listener.go
@@ -13,7 +13,6 @@
 // accept accepts connections until the listener is closed. It acquires a slot before
 // each, so that further connections wait in the listen queue.
 func (f *Front) accept() {
-	turn := f.processor.NewAccount()
 	for {
 		f.acquireSlot()
 		conn, err := f.listener.Accept()
@@ -25,12 +24,12 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		turn.Add(acceptCost)
-		if turn.Begin() {
+		c := newConnection(f, conn)
+		c.turn.Add(acceptCost)
+		if c.turn.Begin() {
 			f.metrics.CommandDelayed(metrics.DelayedProcessorTime)
 		}
-		turn.End()
-		c := newConnection(f, conn)
+		c.turn.End()
 		f.mu.Lock()
 		f.connections[c] = true
 		f.serving.Add(1)
--- a/internal/front/resp/reader.go
+++ b/internal/front/resp/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"os"
 	"time"
 
@@ -34,7 +35,9 @@
 	var progress commandProgress
 	for {
 		if in.Partial() {
-			c.beginTurn()
+			if c.beginTurn(); c.peerClosed {
+				return clientDisconnected
+			}
 		}
 		command, err := in.Next()
 		if command != nil {
@@ -85,13 +88,16 @@
 }
 
 // beginTurn waits until the connection may use processor time, unless it does already.
-// Bytes that arrive meanwhile may count as arrived when the wait began.
+// Bytes that arrive meanwhile may count as arrived when the wait began. If it waits, it
+// sets peerClosed if the client has disconnected, whatever it has sent before.
 func (c *connection) beginTurn() {
 	began := time.Now()
-	if c.turn.Begin() {
-		c.receipts.recordDelay(began, time.Now())
-		c.front.metrics.CommandDelayed(metrics.DelayedProcessorTime)
+	if !c.turn.Begin() {
+		return
 	}
+	c.receipts.recordDelay(began, time.Now())
+	c.front.metrics.CommandDelayed(metrics.DelayedProcessorTime)
+	c.peerClosed = c.peerClosed || socket.HungUp(c.conn)
 }
 
 // checkProtocolErrors is called after each command and reports whether reading must
@@ -186,7 +192,9 @@
 		c.setReadDeadline(earlier(time.Now().Add(firstCommandTimeout), end))
 		c.turn.End()
 		n, err := c.receive(b)
-		c.beginTurn()
+		if c.beginTurn(); c.peerClosed {
+			return 0, io.EOF
+		}
 		return n, err
 	})
 	if skipped {
--- a/internal/front/resp/slots.go
+++ b/internal/front/resp/slots.go
@@ -1,6 +1,10 @@
 package resp
 
-import "time"
+import (
+	"time"
+
+	"hitchspring/internal/socket"
+)
 
 const (
 	evictionPause      = 5 * time.Millisecond  // before another connection is closed to free a slot
@@ -70,10 +74,14 @@
 }
 
 // evictIdlest closes the connection that has waited longest for its first command.
-// If there is none, it closes the one that has been idle longest since its last.
+// If there is none, it closes the one that has been idle longest since its last. It
+// closes none if a client has disconnected, whose connection is about to end by itself.
 func (f *Front) evictIdlest(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.isEndingByItself() {
+		return
+	}
 	var idlest *connection
 	var idleSince time.Time
 	var idlestHasSent bool
@@ -103,3 +111,17 @@
 	}
 	return c.hasSentCommand || idle > newConnectionGrace
 }
+
+// isEndingByItself reports whether a client without an open request has disconnected,
+// although its connection's reader has not noticed yet. The caller must hold f.mu.
+func (f *Front) isEndingByItself() bool {
+	for c := range f.connections {
+		c.mu.Lock()
+		open := len(c.pending) > 0
+		c.mu.Unlock()
+		if !open && socket.HungUp(c.conn) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/resp/frame_buffer.go
+++ b/internal/resp/frame_buffer.go
@@ -108,10 +108,11 @@
 		return false, nil
 	}
 	remaining := in.pendingLength.bytes - in.BufferedBytes()
-	in.buf, in.start, in.end = make([]byte, SmallBufferBytes), 0, 0
+	in.buf, in.start, in.end = nil, 0, 0
 	in.Close()
+	discarded := make([]byte, min(remaining, skipBufferBytes))
 	for remaining > 0 {
-		n, err := read(in.buf[:min(remaining, len(in.buf))])
+		n, err := read(discarded[:min(remaining, len(discarded))])
 		remaining -= n
 		if n == 0 && err != nil {
 			return false, err
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -17,6 +17,7 @@
 	// SmallBufferBytes is the size of the buffer that a connection retains between frames.
 	SmallBufferBytes = 2 << 10
 
+	skipBufferBytes    = 8 << 10 // of the buffer for a frame that is skipped
 	frameOverheadBytes = 4 << 10 // of a frame in addition to its largest string
 	maxHeaderBytes     = 1 << 10 // of a line with a type and a length, or of a simple string
 )
