Memory of a request is reserved before its front copies it

With hundreds of clients that send requests of a few hundred KiB to MiB, or forty at full speed, a process of 64 MB had 304 and 128 MB and is killed on the platform.

Cause: a request that had been read and waited for the event loop was in no budget: the front had given its buffer back, the core had not counted it yet, and refused only after the copies had been made. Each attempt's encoded copy was in none either.

Change: core.ReserveMemory before the copy, given back when the request is released, refused or dropped; the encoded command shares a body of 16 KiB or more.

--- a/cmd/hitchspring/instance_test.go
+++ b/cmd/hitchspring/instance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -37,6 +38,8 @@
 	instances     int            // number of instances of the ingress
 	discoveryMode string         // "subscribe": poll for the endpoint list; "push": an agent sends it
 	maxAttempts   int            // max attempts of a request; 0 means 1
+	memoryMB      int            // memory limit; 0 means 64
+	sockets       int            // limit on file descriptors; 0 means 256
 }
 
 // healthyPlatformConfig returns the configuration of a single instance with healthy discovery and three attempts per
@@ -82,12 +85,13 @@
 		t.Fatal(err)
 	}
 	writeFile(t, i.configPath, fmt.Sprintf(`{"listen":%q,"discovery":%q,"seed":"%x","known":%s,
-		"limits":{"cores":1,"memory_mb":64,"sockets":256},
+		"limits":{"cores":1,"memory_mb":%d,"sockets":%d},
 		"settings":{"me":%d,"replicasOfMe":%d,"registryMode":%q,
 		"permissions":{"maxAttempts":%d,"retryAfter":true,"maxRetryAfterUs":500000,"mayCancel":true},
 		"classes":[{"name":"a","value":1,"objectiveUs":1000000,"deadlineUs":1000000,"effect":"read_like"}],
 		"contracts":[{"name":"p","price":1},{"name":"refused","price":0.01,"refill":0.01,"burst":0.5}]}}`,
-		i.listen, p.discovery, index+1, known, index, p.instances, p.discoveryMode, max(1, p.maxAttempts)))
+		i.listen, p.discovery, index+1, known, cmp.Or(p.memoryMB, 64), cmp.Or(p.sockets, 256), index, p.instances,
+		p.discoveryMode, max(1, p.maxAttempts)))
 }
 
 // start starts a process and does not wait until it is ready.
--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -13,8 +13,9 @@
 
 // Command is what an attempt writes to a backend.
 type Command interface {
-	// Encode returns the command in RESP. It includes left, the time that remains for the reply.
-	Encode(left time.Duration) []byte
+	// Encode returns the command in RESP, as pieces that are written one after the other. It includes left, the time
+	// that remains for the reply. The pieces may share memory with the command.
+	Encode(left time.Duration) [][]byte
 }
 
 // endedCommand replaces the command of an attempt that has ended, so that the memory of the command, which may be a few
@@ -22,7 +23,7 @@
 type endedCommand struct{}
 
 // Encode implements Command. It is never called: nothing is sent for an attempt that has ended.
-func (endedCommand) Encode(time.Duration) []byte { return nil }
+func (endedCommand) Encode(time.Duration) [][]byte { return nil }
 
 // Attempt is one command to a backend: an attempt to serve a request, or a health check. The owner sets the exported
 // fields before Start; the other fields belong to the pool.
@@ -83,9 +84,9 @@
 }
 
 // encodeCommand returns the encoded command of the request with its remaining time, or that of a health check.
-func (a *Attempt) encodeCommand(now time.Duration) []byte {
+func (a *Attempt) encodeCommand(now time.Duration) [][]byte {
 	if a.Command == nil {
-		return redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(nil, 2), "INFO"), "load")
+		return [][]byte{redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(nil, 2), "INFO"), "load")}
 	}
 	return a.Command.Encode(a.Deadline - now)
 }
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -18,7 +18,7 @@
 
 type noCommand struct{}
 
-func (noCommand) Encode(time.Duration) []byte { return []byte("*1\r\n$4\r\nNONE\r\n") }
+func (noCommand) Encode(time.Duration) [][]byte { return [][]byte{[]byte("*1\r\n$4\r\nNONE\r\n")} }
 
 // testOwner is an owner whose goroutine is that of the test, which handles events and advances the clock itself.
 type testOwner struct {
@@ -245,12 +245,12 @@
 	for name, c := range map[string]struct {
 		read     int
 		complete bool
-	}{"cut off": {3, false}, "complete": {9, true}} {
+	}{"cut off": {3, false}, "cut off before the last piece": {6, false}, "complete": {9, true}} {
 		t.Run(name, func(t *testing.T) {
 			near, far := net.Pipe()
 			a := &Attempt{}
 			cn := &conn{nc: near, writes: make(chan pendingWrite, 1), readerDone: make(chan struct{})}
-			cn.writes <- pendingWrite{attempt: a, command: []byte("123456789")}
+			cn.writes <- pendingWrite{attempt: a, command: [][]byte{[]byte("1234"), []byte("56"), []byte("789")}}
 			written := make(chan struct{})
 			go func() {
 				defer close(written)
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -45,8 +45,8 @@
 // pendingWrite is a command that waits for a connection's writer goroutine.
 type pendingWrite struct {
 	attempt   *Attempt
-	isRequest bool // false for a health check
-	command   []byte
+	isRequest bool      // false for a health check
+	command   [][]byte  // encoded, in pieces
 	writeBy   time.Time // when the last byte must be written
 }
 
@@ -201,8 +201,8 @@
 		case pending := <-c.writes:
 			c.nc.SetWriteDeadline(pending.writeBy) // if that has passed, the write fails at once
 			c.writeMu.Lock()
-			n, err := c.nc.Write(pending.command)
-			if n == len(pending.command) {
+			err := c.writePieces(pending.command)
+			if err == nil {
 				c.lastWritten.Store(pending.attempt)
 				if pending.isRequest {
 					c.onSent()
@@ -216,3 +216,13 @@
 		}
 	}
 }
+
+// writePieces writes the pieces of a command. It fails unless all have been written completely.
+func (c *conn) writePieces(pieces [][]byte) error {
+	for _, piece := range pieces {
+		if _, err := c.nc.Write(piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/backend/idle_memory_test.go
+++ b/internal/backend/idle_memory_test.go
@@ -14,7 +14,7 @@
 // longCommand is a command with a body.
 type longCommand struct{ body []byte }
 
-func (*longCommand) Encode(time.Duration) []byte { return []byte("*1\r\n$4\r\nNONE\r\n") }
+func (*longCommand) Encode(time.Duration) [][]byte { return [][]byte{[]byte("*1\r\n$4\r\nNONE\r\n")} }
 
 // startLongCommand starts an attempt with a body of 4 MiB at backend s0.
 func startLongCommand(owner *testOwner) (*Attempt, weak.Pointer[longCommand]) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -55,8 +55,11 @@
 	metrics     *metrics.Set
 	guard       *guard.Monitor
 
+	// requestMemory holds the Size of each request from before its front copies it until it is released.
+	requestMemory *resp.Budget
+
 	maxConnections  int     // to backends, of all processes of this instance
-	maxRequestBytes int     // upper limit of requestBytes
+	maxRequestBytes int     // size of requestMemory
 	maxUnits        float64 // upper limit of the units of one request
 
 	overrides operatorOverrides
@@ -67,7 +70,6 @@
 	requests     map[policy.RequestID]*Request
 	clientIDs    map[uint64]bool // of requests that are open, or that may have run and whose deadline has not passed
 	lastID       policy.RequestID
-	requestBytes int // sum of Size over requests
 	backends     pool
 	endpoints    endpointSet
 	actions      []policy.Action // reused for each event
@@ -130,6 +132,7 @@
 		requests:  map[policy.RequestID]*Request{},
 		clientIDs: map[uint64]bool{},
 	}
+	c.requestMemory = resp.NewBudget(c.maxRequestBytes)
 	for _, class := range cfg.Settings.Classes {
 		c.classes[class.Name] = class
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -36,7 +36,7 @@
 // testCommand is a command whose encoded form no test examines.
 type testCommand struct{}
 
-func (testCommand) Encode(time.Duration) []byte { return []byte("*1\r\n$4\r\nNONE\r\n") }
+func (testCommand) Encode(time.Duration) [][]byte { return [][]byte{[]byte("*1\r\n$4\r\nNONE\r\n")} }
 
 // endpointsAt returns an endpoint list with backends s0, s1 and so on at the given addresses.
 func endpointsAt(addrs ...string) discovery.List {
@@ -160,3 +160,28 @@
 		t.Fatalf("third request: got %+v after the first had ended, want it open", third.answer)
 	}
 }
+
+// Guards against memory without bound for requests that their fronts have read and that wait for the loop.
+func TestRequestsThatWaitForTheLoopAreBounded(t *testing.T) {
+	c := newIdleCore(t, testConfig(newBackends(t, 1)))
+	size := c.maxRequestBytes/4 + 1
+	var waiting []*Request
+	for c.ReserveMemory(size) {
+		r := newRequest(c, uint64(len(waiting)+1), &recordingSink{})
+		r.Size, r.MemoryReserved = size, true
+		waiting = append(waiting, r)
+	}
+	if len(waiting) != 3 {
+		t.Fatalf("%d requests of over a quarter of the memory have their memory reserved, want 3", len(waiting))
+	}
+	gone := waiting[0].Sink.(*recordingSink)
+	gone.disconnected = true
+	waiting[1].ClientID = waiting[2].ClientID // a duplicate
+	for _, r := range waiting {
+		c.handle(requestArrived{r})
+	}
+	c.handle(clientsDisconnected{waiting})
+	if !c.ReserveMemory(c.maxRequestBytes) {
+		t.Error("memory of requests that have ended is still reserved")
+	}
+}
--- a/internal/core/guards.go
+++ b/internal/core/guards.go
@@ -37,7 +37,7 @@
 
 // hasCapacity reports whether one more request fits within the limits on the number and the bytes of open requests.
 func (c *Core) hasCapacity(r *Request) bool {
-	return len(c.requests) < c.connections.MaxOpen && c.requestBytes+r.Size <= c.maxRequestBytes
+	return len(c.requests) < c.connections.MaxOpen && c.reserveMemory(r)
 }
 
 // maySend reports whether an attempt that is about to be written breaks no invariant.
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -24,6 +24,7 @@
 	IdempotencyKey string    // empty if the class has no idempotency keys
 	Size           int       // bytes of memory that the request occupies
 	ReceivedAt     time.Time // when its last byte arrived, as far as the front can tell; zero: unknown
+	MemoryReserved bool      // ReserveMemory was called for Size bytes
 
 	submittedAt         time.Time // when Submit was called
 	attempts            []*backend.Attempt
@@ -64,14 +65,40 @@
 	}
 }
 
+// ReserveMemory reserves memory for a request of so many bytes, which the caller is about to copy and submit with
+// MemoryReserved set. Requests that wait for the loop are thus bounded as well. It reports false if there is too
+// little.
+func (c *Core) ReserveMemory(bytes int) bool { return c.requestMemory.Reserve(bytes) }
+
+// ReleaseMemory gives back memory that was reserved for a request that is not submitted.
+func (c *Core) ReleaseMemory(bytes int) { c.requestMemory.Release(bytes) }
+
+// reserveMemory reserves the memory of a request unless its front has done so, and reports whether it has it.
+func (c *Core) reserveMemory(r *Request) bool {
+	if !r.MemoryReserved {
+		r.MemoryReserved = c.requestMemory.Reserve(r.Size)
+	}
+	return r.MemoryReserved
+}
+
+// releaseMemory gives back the memory of a request that has ended, if it is reserved.
+func (c *Core) releaseMemory(r *Request) {
+	if r.MemoryReserved {
+		r.MemoryReserved = false
+		c.requestMemory.Release(r.Size)
+	}
+}
+
 // handleArrival admits a request and notifies the engine, or answers the request immediately.
 func (c *Core) handleArrival(r *Request) {
 	c.metrics.RequestAccepted()
 	if c.dropDisconnectedArrival(r) {
+		c.releaseMemory(r)
 		return
 	}
 	if answer, admitted := c.checkAdmission(r); !admitted {
 		c.finishRequest(r, answer)
+		c.releaseMemory(r)
 		return
 	}
 	c.lastID++
@@ -79,7 +106,6 @@
 	c.metrics.ArrivalHandled(r.loopWait(c))
 	c.requests[r.ID] = r
 	c.clientIDs[r.ClientID] = true
-	c.requestBytes += r.Size
 	c.summary.add(summaryArrived, 1)
 	c.notifyEngine(policy.Arrival{Request: r.Request})
 	c.replicateIfQueued(r)
@@ -146,7 +172,7 @@
 // releaseRequest removes a finished request from the table once none of its attempts is in flight.
 func (c *Core) releaseRequest(r *Request) {
 	if r.finished && r.inFlight == 0 && c.requests[r.ID] == r {
-		c.requestBytes -= r.Size
+		c.releaseMemory(r)
 		delete(c.requests, r.ID)
 		if r.neverRan() {
 			c.forgetClientID(r)
--- a/internal/core/takeover_actions.go
+++ b/internal/core/takeover_actions.go
@@ -187,7 +187,6 @@
 	}
 	c.takeover.byAttempt[work.Attempt] = r
 	c.requests[r.ID] = r
-	c.requestBytes += r.Size
 	c.logWorkTakenOver(r, work.Owner, sent)
 	c.notifyEngine(policy.Arrival{Request: r.Request})
 	c.scheduleAt(r.GiveUpAt+answerOverdueAfter, func() { c.answerOverdue(r) })
--- a/internal/front/resp/command.go
+++ b/internal/front/resp/command.go
@@ -37,11 +37,23 @@
 	deadlineEnd   int      // offset of its end
 }
 
+// minSharedBody is the length from which the encoded command shares the memory of a
+// body instead of copying it. sharedBodyTail bytes are copied nevertheless, to be
+// written together with the line end after them.
+const (
+	minSharedBody  = 16 << 10
+	sharedBodyTail = 1 << 10
+)
+
 // Encode returns the client's command in RESP2 with the value of field d replaced
 // by the remaining time, for a backend.
-func (c *command) Encode(left time.Duration) []byte {
-	b := redcon.AppendArray(make([]byte, 0, 192+len(c.args[len(c.args)-1])), len(c.args))
-	for i, arg := range c.args {
+func (c *command) Encode(left time.Duration) [][]byte {
+	args, body := c.args, []byte(nil)
+	if last := len(args) - 1; last == argBody && len(args[last]) >= minSharedBody {
+		args, body = args[:last], args[last]
+	}
+	b := redcon.AppendArray(make([]byte, 0, 192+len(args[len(args)-1])), len(c.args))
+	for i, arg := range args {
 		if i == argFields {
 			fields := append(make([]byte, 0, len(arg)+8), arg[:c.deadlineStart]...)
 			fields = strconv.AppendInt(fields, max(1, left.Milliseconds()), 10)
@@ -49,7 +61,13 @@
 		}
 		b = redcon.AppendBulk(b, arg)
 	}
-	return b
+	if body == nil {
+		return [][]byte{b}
+	}
+	b = append(strconv.AppendInt(append(b, '$'), int64(len(body)), 10), '\r', '\n')
+	shared := len(body) - sharedBodyTail
+	tail := append(append(make([]byte, 0, sharedBodyTail+2), body[shared:]...), '\r', '\n')
+	return [][]byte{b, body[:shared], tail}
 }
 
 // requestFields holds the parsed fields argument of a request. Unknown fields are
@@ -76,6 +94,14 @@
 	class  policy.Class
 }
 
+// size returns the number of bytes of all arguments.
+func (p parsedCommand) size() (bytes int) {
+	for _, arg := range p.args {
+		bytes += len(arg)
+	}
+	return bytes
+}
+
 // parseRequest validates the arguments of a command and converts them to a request.
 // The text of the error is sent to the client.
 func (f *Front) parseRequest(args [][]byte, arrivedAt time.Time) (*core.Request, error) {
@@ -132,8 +158,8 @@
 	cmd := &command{deadlineStart: fields.deadlineStart, deadlineEnd: fields.deadlineEnd}
 	for _, arg := range parsed.args {
 		cmd.args = append(cmd.args, append(make([]byte, 0, len(arg)), arg...))
-		request.Size += len(arg)
 	}
+	request.Size = parsed.size()
 	request.Command = cmd
 	return request
 }
--- a/internal/front/resp/command_test.go
+++ b/internal/front/resp/command_test.go
@@ -1,6 +1,7 @@
 package resp
 
 import (
+	"bytes"
 	"fmt"
 	"runtime"
 	"strconv"
@@ -129,3 +130,30 @@
 		}
 	}
 }
+
+// The pieces of an encoded command are the command with the remaining time, whether or
+// not they share the memory of its body.
+func TestEncodeInPieces(t *testing.T) {
+	f := New(nil, newManualCore(1), 1, 1<<20)
+	fields := strings.Replace(protocolFields, "d=50000", "d=900", 1)
+	for _, size := range []int{0, 1, minSharedBody - 1, minSharedBody, minSharedBody + 1, 1 << 20} {
+		words := []string{"Q.ASK", "00000000b4d65521", "0000000000000001", fields, strings.Repeat("b", size)}
+		var args [][]byte
+		want := redcon.AppendArray(nil, len(words))
+		for _, word := range words {
+			args = append(args, []byte(word))
+			want = redcon.AppendBulkString(want, strings.Replace(word, "d=900", "d=250", 1))
+		}
+		request, err := f.parseRequest(args, time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		pieces := request.Command.Encode(250 * time.Millisecond)
+		if got := bytes.Join(pieces, nil); !bytes.Equal(got, want) {
+			t.Errorf("a body of %d bytes: the pieces are not the command", size)
+		}
+		if shared := len(pieces) > 1; shared != (size >= minSharedBody) {
+			t.Errorf("a body of %d bytes: %d pieces", size, len(pieces))
+		}
+	}
+}
--- a/internal/front/resp/dispatch.go
+++ b/internal/front/resp/dispatch.go
@@ -32,16 +32,30 @@
 			c.rejectOverloaded()
 			return
 		}
-		request := c.front.newRequest(parsed, arrivedAt)
-		if reply := c.addPending(request); reply != nil {
-			request.Sink = reply
-			c.front.core.Submit(request)
-		}
+		c.submit(parsed, arrivedAt)
 	default:
 		c.protocolError("unknown command")
 	}
 }
 
+// submit submits a valid request to the core, or rejects it if there is no memory for it.
+func (c *connection) submit(parsed parsedCommand, arrivedAt time.Time) {
+	size := parsed.size()
+	if !c.front.core.ReserveMemory(size) {
+		c.rejectOverloaded()
+		return
+	}
+	request := c.front.newRequest(parsed, arrivedAt)
+	request.MemoryReserved = true
+	reply := c.addPending(request)
+	if reply == nil {
+		c.front.core.ReleaseMemory(size)
+		return
+	}
+	request.Sink = reply
+	c.front.core.Submit(request)
+}
+
 // rejectBuffered rejects the requests that were already read when a protocol error
 // ended the connection, up to the next invalid command. Every request that has been
 // read must be answered.
--- a/internal/front/resp/ending_test.go
+++ b/internal/front/resp/ending_test.go
@@ -47,6 +47,8 @@
 		Effect:           policy.Safe,
 	}, name == "read"
 }
+func (manualCore) ReserveMemory(int) bool                                        { return true }
+func (manualCore) ReleaseMemory(int)                                             {}
 func (manualCore) Plan(string) bool                                              { return true }
 func (manualCore) Instances() int                                                { return 1 }
 func (manualCore) MaxUnits() float64                                             { return 4 }
--- a/internal/front/resp/front.go
+++ b/internal/front/resp/front.go
@@ -27,6 +27,11 @@
 type Core interface {
 	// Submit accepts a request. The answer is delivered to the request's Sink.
 	Submit(*core.Request)
+	// ReserveMemory reserves memory for a request of so many bytes, to be submitted with MemoryReserved set. It reports
+	// false if there is too little.
+	ReserveMemory(bytes int) bool
+	// ReleaseMemory gives back memory that was reserved for a request that is not submitted.
+	ReleaseMemory(bytes int)
 	// NotifyDisconnected reports that the clients of these requests have disconnected.
 	NotifyDisconnected([]*core.Request)
 	// Class looks up a request class in the current settings.
