The customers whose quotas are tracked are bounded by the memory limit

Cause: a customer was kept until idle for 60 s with a full quota, in any number; under a plan without a rate for good, since its quota never counted as full.

Change: an eighth of the memory limit at 1 KiB each. At the limit a customer whose quota and ceiling are full again makes room; else the request of one that is not tracked is refused (reason tenants). Plans without a rate have a full quota.

Failing before: TestIdleTenantsAreDeleted for a plan without a rate.

--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -16,7 +16,8 @@
 
 const (
 	minSockets            = 128
-	memoryShares          = 8         // one share each: open requests, front input, unread answers, backend replies
+	memoryShares          = 8         // one share each: open requests, front input, unread answers, backend replies, tenants
+	tenantBytes           = 1 << 10   // of the engine's state of a tenant, with what the runtime adds
 	defaultMemory         = 256 << 20 // bytes
 	defaultConnectTimeout = 250 * time.Millisecond
 	defaultMaxOpen        = 20000 // open requests
@@ -77,5 +78,8 @@
 	if cfg.Memory <= 0 {
 		cfg.Memory = defaultMemory
 	}
+	if cfg.Settings.MaxTenants <= 0 {
+		cfg.Settings.MaxTenants = cfg.Memory / memoryShares / tenantBytes
+	}
 	return cfg
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -92,11 +92,12 @@
 	if err := cfg.validate(); err != nil {
 		return nil, err
 	}
+	cfg = cfg.withDefaults()
 	engine, err := policy.New(cfg.Settings, cfg.Seed)
 	if err != nil {
 		return nil, err
 	}
-	c := newCore(cfg.withDefaults(), engine, log)
+	c := newCore(cfg, engine, log)
 	c.createComponents()
 	if err := c.createPeers(); err != nil {
 		return nil, err
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,6 +34,7 @@
 
 	sweepInterval     time.Duration
 	longestObjective  time.Duration // longest latency objective of all classes
+	longestWait       time.Duration // after which no request that has arrived is open
 	timerRunning      bool          // a SetTimer has been emitted
 	watchingEndpoints bool          // a WatchEndpoints is active
 	largeFleet        bool          // more than maxSmallFleet instances
@@ -96,6 +97,7 @@
 		e.classes[c.Name] = &class{Class: c}
 		e.sweepInterval = min(e.sweepInterval, max(c.LatencyObjective/sweepsPerObjective, time.Millisecond))
 		e.longestObjective = max(e.longestObjective, c.LatencyObjective)
+		e.longestWait = max(e.longestWait, 2*c.Deadline)
 	}
 	for _, p := range settings.Plans {
 		p.Burst = max(p.Burst, settings.MaxUnits, 1) // a smaller burst would admit no request
--- a/policy/reason.go
+++ b/policy/reason.go
@@ -16,6 +16,7 @@
 	NoBackend                   // every backend was missing, in slow start, lost or outside the idempotency scope
 	CounterLate                 // the counter's reply did not arrive in time
 	NoRetry                     // an attempt failed, and the class, remaining time or retry budget allows no other
+	TenantLimit                 // the tenant is unknown, and as many are tracked as may be
 	ReasonCount
 )
 
@@ -30,6 +31,7 @@
 	NoBackend:            "no-server",
 	CounterLate:          "counting",
 	NoRetry:              "no-retry",
+	TenantLimit:          "tenants",
 }
 
 // String returns the name of the reason used in logs and metrics.
--- a/policy/request.go
+++ b/policy/request.go
@@ -94,6 +94,11 @@
 		r.plan = &Plan{Name: q.Plan, Price: 1}
 	}
 	r.Units = cmp.Or(max(r.Units, 0), 1)
+	if !e.admitTenant(r) {
+		r.tenant, r.reason = &tenant{plan: r.plan}, TenantLimit
+		e.reject(r, r.class.LatencyObjective)
+		return
+	}
 	r.tenant = e.tenantFor(r)
 	e.requests[q.ID] = r
 	e.openRequests = append(e.openRequests, r)
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -31,6 +31,7 @@
 	Classes          []Class
 	Plans            []Plan
 	MaxUnits         float64 // maximum units of one request
+	MaxTenants       int     // tenants whose quotas are tracked at one time; 0: unlimited
 	MaxAttempts      int     // per request, retries and hedged requests included
 	MaxRetryAfter    time.Duration
 	MayCancel        bool // CancelAttempt is allowed
--- a/policy/tenant.go
+++ b/policy/tenant.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -160,12 +159,10 @@
 // idle for so long that its quota is full again. For another idle tenant it calls
 // the counter to report units, or to give back units that were not spent.
 func (e *Engine) checkIdleTenant() {
-	e.idleCursor = (e.idleCursor + 1) % len(e.tenantOrder)
-	t := e.tenantOrder[e.idleCursor]
+	t := e.nextTenant()
 	idle := (e.now - t.lastRequest).Seconds()
-	if idle > counterNameRetention.Seconds() && idle*t.plan.Rate >= t.plan.Burst && t.inFlight == 0 {
-		delete(e.tenants, t.account)
-		e.tenantOrder = slices.Delete(e.tenantOrder, e.idleCursor, e.idleCursor+1)
+	if idle > counterNameRetention.Seconds() && t.isRefilled(e.now) {
+		e.deleteTenant(t)
 		return
 	}
 	minReported := 0.25 * t.plan.Burst / float64(t.spread)
