Up to 4 MiB behind waiting commands are read ahead, to see the client's end

A client that writes 200 commands of 8 KB at once and closes had 17 to 32 attempts begin over 0.15 s after its close.

Cause: only 64 KiB were read ahead while commands wait, so that the end of the connection had not even reached this kernel.

Change: as long as half of the memory for commands is free, up to the longest command is read ahead; the buffer moves its bytes only when half of it is consumed, not for each command.

--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -16,7 +16,7 @@
 
 const (
 	minSockets            = 128
-	memoryShares          = 8         // one share each: open requests, front input, unread answers, backend replies, tenants
+	memoryShares          = 8         // one share each: requests, front input, unread answers, backend replies, tenants
 	tenantBytes           = 1 << 10   // of the engine's state of a tenant, with what the runtime adds
 	defaultMemory         = 256 << 20 // bytes
 	defaultConnectTimeout = 250 * time.Millisecond
--- a/internal/front/resp/limits.go
+++ b/internal/front/resp/limits.go
@@ -7,6 +7,7 @@
 	maxPipelined      = 64        // commands whose reply is not written yet
 	maxProtocolErrors = 10        // protocol errors until the connection is closed
 	readAheadBytes    = 64 << 10  // bytes buffered while a command waits for the pipeline window or a pause
+	longReadAhead     = 4 << 20   // as readAheadBytes, while half of the memory for commands is free
 	relayBufferSize   = 8 << 10   // bytes of a streamed value relayed per write
 	maxWriteBytes     = 64 << 10  // bytes of one write, so that the progress of a long reply is seen
 	minProgressBytes  = 256       // new bytes of a partial command that extend its deadline
--- a/internal/front/resp/reader.go
+++ b/internal/front/resp/reader.go
@@ -233,8 +233,8 @@
 }
 
 // waitWhileReading waits until done returns true. done is called repeatedly with the
-// time for which it may block. Between the calls, up to readAheadBytes of the next
-// commands are read in order to detect that the client has disconnected. In that case
+// time for which it may block. Between the calls, a part of the next commands is read
+// (mayReadAhead) in order to detect that the client has disconnected. In that case
 // it sets peerClosed and returns early: no more attempts may be sent for the client.
 func (c *connection) waitWhileReading(done func(time.Duration) bool) {
 	if done(0) {
@@ -252,7 +252,7 @@
 		c.mu.Lock()
 		c.takeEndRequest() // the end must wait for the commands that have been read
 		c.mu.Unlock()
-		if readAhead = readAhead && c.inbox.BufferedBytes() < readAheadBytes && !c.turn.Overdrawn(); !readAhead {
+		if readAhead = readAhead && c.mayReadAhead(); !readAhead {
 			c.receipts.recordStop(time.Now())
 			if done(peerClosedPollInterval) {
 				return
@@ -274,6 +274,16 @@
 	}
 }
 
+// mayReadAhead reports whether more may be read while a command waits. The end of the
+// connection can only be seen behind all that was sent before it.
+func (c *connection) mayReadAhead() bool {
+	limit := readAheadBytes
+	if c.front.requestMemory.HalfFree() {
+		limit = longReadAhead
+	}
+	return c.inbox.BufferedBytes() < limit && !c.turn.Overdrawn()
+}
+
 // waitClosed waits up to maxWait for a channel to be closed, and reports whether it
 // was closed.
 func waitClosed(closed <-chan struct{}, maxWait time.Duration) bool {
--- a/internal/ingress/disconnect_test.go
+++ b/internal/ingress/disconnect_test.go
@@ -240,3 +240,45 @@
 	requireValue(t, in)
 	disconnects.check(t)
 }
+
+// Guards against requests that are sent on for a client that has closed its connection
+// behind so many commands that they are not all read at once.
+func TestNothingIsSentForClientsDisconnectedBehindABurst(t *testing.T) {
+	t.Parallel()
+	for _, burst := range []struct{ commands, bodyBytes int }{{200, 8000}, {10_000, 60}, {60, 60_000}, {900, 1000}} {
+		t.Run(fmt.Sprintf("%d commands with %d bytes", burst.commands, burst.bodyBytes), func(t *testing.T) {
+			t.Parallel()
+			disconnects := newDisconnectLog()
+			backend := scripted.NewBackend(t, func(_ int, args []string, _ net.Conn) string {
+				disconnects.noteAttempt(args)
+				if requestID(args) == 1 { // the replies of the others wait for it
+					time.Sleep(400 * time.Millisecond)
+				}
+				time.Sleep(80 * time.Millisecond)
+				return scripted.Served
+			})
+			list := endpointList(backend.Addr, backend.Addr)
+			cfg := testConfig(scripted.Registry(t, list, nil), list)
+			cfg.Memory = 64 << 20
+			addr, instance := startInstance(t, cfg)
+			var text strings.Builder
+			ids := make([]int, burst.commands)
+			fields := strings.Replace(readFields, "d=50000", "d=1000", 1)
+			body := strings.Repeat("b", burst.bodyBytes)
+			for i := range ids {
+				ids[i] = i + 1
+				text.WriteString(encodeCommand("Q.ASK", "00000000b4d65521", fmt.Sprintf("%016x", i+1), fields, body))
+			}
+			nc, _ := dial(t, addr)
+			if _, err := io.WriteString(nc, text.String()); err != nil {
+				t.Fatal(err)
+			}
+			disconnects.close(nc, false, ids...)
+			time.Sleep(time.Second)
+			eventually(t, 10*time.Second, "nothing is open", func() bool {
+				return instance.core.Metrics().OpenRequests() == 0
+			})
+			disconnects.check(t)
+		})
+	}
+}
--- a/internal/resp/budget.go
+++ b/internal/resp/budget.go
@@ -5,12 +5,13 @@
 // Budget bounds the total memory of many connections. It is safe for
 // concurrent use. A nil Budget is unlimited.
 type Budget struct {
+	size      int64
 	available atomic.Int64 // bytes; below 0 only during a call of Reserve
 }
 
 // NewBudget returns a budget of so many bytes.
 func NewBudget(bytes int) *Budget {
-	b := &Budget{}
+	b := &Budget{size: int64(bytes)}
 	b.available.Store(int64(bytes))
 	return b
 }
@@ -31,3 +32,6 @@
 		b.available.Add(int64(n))
 	}
 }
+
+// HalfFree reports whether at most half of the budget is reserved.
+func (b *Budget) HalfFree() bool { return b == nil || b.available.Load() >= b.size/2 }
--- a/internal/resp/frame_buffer.go
+++ b/internal/resp/frame_buffer.go
@@ -59,16 +59,15 @@
 // one frame. It returns ErrTooLong if the frame does not fit, ErrBudgetExhausted if the
 // budget is exhausted, and the error of read if no bytes were read.
 func (in *FrameBuffer) Fill(read func([]byte) (int, error)) error {
-	if in.start > 0 {
-		in.end = copy(in.buf, in.buf[in.start:in.end])
-		in.start = 0
+	if in.start == in.end {
+		in.start, in.end = 0, 0
 	}
 	switch {
 	case in.end == 0 && len(in.buf) != SmallBufferBytes: // the memory of a large frame is not retained
 		in.buf = make([]byte, SmallBufferBytes)
 		in.Close()
 	case in.end == len(in.buf):
-		if err := in.grow(); err != nil {
+		if err := in.makeRoom(); err != nil {
 			return err
 		}
 	}
@@ -80,6 +79,21 @@
 	return err
 }
 
+// makeRoom makes room at the end of a full buffer: it moves the unconsumed bytes to
+// the start if they take half of it at most, so that each byte is moved a bounded
+// number of times, or if the buffer can't grow. Else it grows the buffer.
+func (in *FrameBuffer) makeRoom() error {
+	if in.start < len(in.buf)/2 {
+		err := in.grow()
+		if err == nil || in.start == 0 {
+			return err
+		}
+	}
+	in.end = copy(in.buf, in.buf[in.start:in.end])
+	in.start = 0
+	return nil
+}
+
 // grow doubles the buffer, up to the size of the largest frame. If the length of
 // the pending frame is known, it grows the buffer at most to that length plus a
 // small buffer for the bytes that may follow.
@@ -89,8 +103,8 @@
 		return ErrTooLong
 	}
 	growth := min(len(in.buf), maxBytes-in.end)
-	if in.pendingLength.exact && in.pendingLength.bytes > in.end {
-		growth = min(growth, in.pendingLength.bytes-in.end+SmallBufferBytes)
+	if missing := in.pendingLength.bytes - in.BufferedBytes(); in.pendingLength.exact && missing > 0 {
+		growth = min(growth, missing+SmallBufferBytes)
 	}
 	if !in.Budget.Reserve(growth) {
 		return ErrBudgetExhausted
