Ids of requests that may have run are remembered past their deadlines

A client that left while its request with effects ran, and sent it once more with the same id after its time, had it run twice.

Cause: the id was forgotten at the deadline, which says when the client stops waiting and not when the id can't come again.

--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -17,6 +17,7 @@
 const (
 	minSockets            = 128
 	memoryShares          = 8         // one share each: requests, front input, unread answers, backend replies, tenants
+	recentIDShare         = 32        // part of the memory for ids of requests that may have run
 	tenantBytes           = 1 << 10   // of the engine's state of a tenant, with what the runtime adds
 	defaultMemory         = 256 << 20 // bytes
 	defaultConnectTimeout = 250 * time.Millisecond
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -69,6 +69,7 @@
 	timers       timerHeap
 	requests     map[policy.RequestID]*Request
 	clientIDs    map[uint64]bool // of requests that are open, or that may have run and whose deadline has not passed
+	recentIDs    *recentIDs      // of requests that may have run and whose deadline has passed
 	lastID       policy.RequestID
 	backends     pool
 	endpoints    endpointSet
@@ -134,6 +135,7 @@
 		clientIDs: map[uint64]bool{},
 	}
 	c.requestMemory = resp.NewBudget(c.maxRequestBytes)
+	c.recentIDs = newRecentIDs(cfg.Memory / recentIDShare / recentIDBytes)
 	for _, class := range cfg.Settings.Classes {
 		c.classes[class.Name] = class
 	}
--- a/internal/core/guards.go
+++ b/internal/core/guards.go
@@ -29,7 +29,7 @@
 		r.GiveUpAt <= c.now, // it has waited past its deadline behind others on its connection
 		!c.hasCapacity(r):
 		return Answer{Kind: Rejected, RetryAfter: OverloadRetryAfter}, false
-	case c.clientIDs[r.ClientID]: // the earlier request with this id gets the final answer
+	case c.isKnownID(r): // the earlier request with this id gets the final answer
 		return Answer{Kind: Duplicate}, false
 	}
 	return Answer{}, true
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -33,6 +33,7 @@
 	streaming           *backend.Attempt // attempt whose value is being streamed to the client; nil: none
 	inFlight            int              // attempts that have not ended
 	finished            bool             // it has its final answer, or its client has disconnected
+	mayHaveRun          bool             // an attempt may have run; set when it is released
 	reason              policy.Reason    // of its rejection or failure
 	pending             *pendingWork     // state of its replication; nil: it is not replicated
 	deadlineTimer       *timer           // fires after its deadline; nil: not scheduled, or canceled
@@ -110,7 +111,7 @@
 	c.notifyEngine(policy.Arrival{Request: r.Request})
 	c.replicateIfQueued(r)
 	r.deadlineTimer = c.scheduleAt(r.GiveUpAt+answerOverdueAfter, func() {
-		delete(c.clientIDs, r.ClientID)
+		c.expireClientID(r)
 		c.answerOverdue(r)
 	})
 }
@@ -174,7 +175,7 @@
 	if r.finished && r.inFlight == 0 && c.requests[r.ID] == r {
 		c.releaseMemory(r)
 		delete(c.requests, r.ID)
-		if r.neverRan() {
+		if r.mayHaveRun = !r.neverRan(); !r.mayHaveRun {
 			c.forgetClientID(r)
 		}
 		r.Command, r.Sink, r.attempts = nil, nil, nil // free their memory: a timer may reference r for seconds more
