Two processes of an instance tell one another which requests they send

During an upgrade a client sent a request with effects to one process, left while it ran, and sent it once more with the same id: at the other process it ran again.

Cause: the ids of requests were each process's own.

Change: while two processes run, each appends ids to a file of its own in the state directory before the first attempt, and all it knows when the other appears or it hands over; it reads the other's before it admits a request with effects.

Failing before: TestRequestRunsOnceAcrossReplacement, ids 1 and 2 ran twice.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -76,6 +76,9 @@
 		id := outlier.AttemptID{Request: r.ID, Number: attempt.Number}
 		c.outliers.detector.AttemptSent(c.now, to, id, r.Class)
 	}
+	if attempt.Number == 0 {
+		c.shareID(r)
+	}
 	c.scheduleAt(attempt.Deadline, func() { c.backends.Abort(attempt, policy.TimedOut) })
 	c.backends.Start(attempt, to)
 }
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -44,6 +44,7 @@
 	LogRequests      bool            // write a log line for the end of each request
 	Siblings         int             // sibling processes of this instance at the start, which share its limits
 	CountBackends    bool            // keep the metrics of the endpoint list up to date
+	SharedIDs        SharedIDs       // exchanges ids with other processes of this instance; nil: there are none
 	Overrides        OverrideStore   // persists operators' overrides; nil: they end with the process
 	Peers            Peers           // other instances, to share observations of backends with; nil: none are shared
 	ClockError       ClockError      // simulated clock error, for tests
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -70,6 +70,7 @@
 	requests     map[policy.RequestID]*Request
 	clientIDs    map[uint64]bool // of requests that are open, or that may have run and whose deadline has not passed
 	recentIDs    *recentIDs      // of requests that may have run and whose deadline has passed
+	sharedIDs    sharedIDState
 	lastID       policy.RequestID
 	backends     pool
 	endpoints    endpointSet
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -48,6 +48,7 @@
 
 func (c *Core) setSiblings(siblings int) {
 	c.backends.SetMaxConnections(c.backendConnections(siblings))
+	c.shareIDs(siblings > 0)
 	if siblings == 0 {
 		c.engine.ReleasePredecessor()
 	}
@@ -63,6 +64,7 @@
 
 // handOver replies with the state for the next process and retains the rest.
 func (c *Core) handOver(ev handOverRequested) {
+	c.shareIDs(true)
 	retained, given := handover.Split(c.engine.ExportState())
 	c.engine.RetainUnits(retained)
 	list := discovery.List{Rev: c.endpoints.revision, Complete: true}
--- a/internal/core/recent_ids.go
+++ b/internal/core/recent_ids.go
@@ -57,7 +57,13 @@
 
 // isKnownID reports whether a request with the same client id is open, or may have run with effects.
 func (c *Core) isKnownID(r *Request) bool {
-	return c.clientIDs[r.ClientID] || c.hasEffects(r) && c.recentIDs.contains(c.now, r.ClientID)
+	if c.clientIDs[r.ClientID] || !c.hasEffects(r) {
+		return c.clientIDs[r.ClientID]
+	}
+	if c.sharedIDs.active {
+		c.readSharedIDs()
+	}
+	return c.recentIDs.contains(c.now, r.ClientID)
 }
 
 // hasEffects reports whether running a request twice could do harm.
--- a/internal/ingress/handover.go
+++ b/internal/ingress/handover.go
@@ -34,6 +34,12 @@
 		return func() {}
 	}
 	i.overrides.dir.Store(dir)
+	ids, err := dir.OpenIDLog()
+	if err != nil {
+		i.log.Warn("request ids not shared with other processes", "err", err)
+	} else {
+		i.sharedIDs.log.Store(ids)
+	}
 	i.core.MergeOverrides(dir.Overrides())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -44,6 +50,7 @@
 	return func() {
 		cancel()
 		<-done
+		i.sharedIDs.close()
 		dir.Close()
 	}
 }
@@ -124,6 +131,35 @@
 	}
 }
 
+// sharedIDs exchanges request ids with the other processes of this instance through
+// the state directory. It does nothing while log is nil.
+type sharedIDs struct {
+	log atomic.Pointer[handover.IDLog]
+}
+
+// Append implements core.SharedIDs.
+func (s *sharedIDs) Append(ids ...uint64) error {
+	if log := s.log.Load(); log != nil {
+		return log.Append(ids...)
+	}
+	return nil
+}
+
+// ReadOthers implements core.SharedIDs.
+func (s *sharedIDs) ReadOthers(add func(id uint64)) error {
+	if log := s.log.Load(); log != nil {
+		return log.ReadOthers(add)
+	}
+	return nil
+}
+
+// close closes the file of this process. The core must have stopped.
+func (s *sharedIDs) close() {
+	if log := s.log.Swap(nil); log != nil {
+		log.Close()
+	}
+}
+
 // overrideStore stores operators' overrides in the state directory. It drops them
 // while dir is nil: there is no state directory, or it is not usable.
 type overrideStore struct{ dir atomic.Pointer[handover.Dir] }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -96,6 +96,7 @@
 	prepared     atomic.Bool                 // ready to accept clients, even if a sibling process still does
 	shuttingDown atomic.Bool
 	overrides    *overrideStore
+	sharedIDs    *sharedIDs
 	siblingCount atomic.Int64 // number of sibling processes
 }
 
@@ -119,11 +120,12 @@
 	instance := &Instance{
 		log:       log,
 		overrides: &overrideStore{},
+		sharedIDs: &sharedIDs{},
 		ready:     make(chan struct{}),
 		registry:  prometheus.NewRegistry(),
 	}
 	if cfg.StateDir != "" {
-		cfg.Overrides = instance.overrides
+		cfg.Overrides, cfg.SharedIDs = instance.overrides, instance.sharedIDs
 	}
 	instance.configurePeers(&cfg)
 	cfg.Processor = cputime.NewScheduler(runtime.GOMAXPROCS(0))
