--- a/internal/core/shared_ids.go
+++ b/internal/core/shared_ids.go
@@ -1,7 +1,7 @@
 package core
 
-// SharedIDs tells the processes of one instance, two of which run during an upgrade, which requests with effects each of
-// them has begun to send. The loop makes all calls.
+// SharedIDs tells the processes of one instance, two of which run during an upgrade, which requests with effects each
+// of them has begun to send. The loop makes all calls.
 type SharedIDs interface {
 	// Append adds ids for the other processes.
 	Append(ids ...uint64) error
--- a/internal/handover/idlog.go
+++ b/internal/handover/idlog.go
@@ -15,8 +15,8 @@
 // idBytes is the size of an id in a file: little endian.
 const idBytes = 8
 
-// IDLog tells the processes of an instance which requests each of them has begun to send, so that none is sent by two of
-// them. Each process appends to a file of its own and reads those of the others. It is not safe for concurrent use.
+// IDLog tells the processes of an instance which requests each of them has begun to send, so that none is sent by two
+// of them. Each process appends to a file of its own and reads those of the others. It is not safe for concurrent use.
 type IDLog struct {
 	dir     *Dir
 	own     *os.File
