An address is no identity: replaced backends, and keyed retries after a lost connection

Where discovery told of a new backend before the end of the one at its address, both were used: work meant for the old one reached the new one while it started. A keyed request whose connection was lost was repeated at the same backend as a last resort; another process there does not know its key.

Change: of two entries that serve at one address the later start is kept. A keyed request that may have run goes to other backends of its group, or has failed.

--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -40,6 +40,7 @@
 	if list.Complete || set.targets == nil {
 		set.targets = make(map[policy.BackendID]discovery.Target, len(list.Targets))
 	}
+	list = set.withoutReplaced(list)
 	ids := make([]policy.BackendID, 0, len(list.Targets))
 	for _, target := range list.Targets {
 		id := policy.BackendID(target.UID)
@@ -56,6 +57,41 @@
 	c.applyEndpoints(list)
 }
 
+// withoutReplaced returns a list or change in which each backend is deleted at whose address a later process serves:
+// discovery may tell of a new backend before it tells of the end of the one before it. Of two processes at one address,
+// the one that started later is there.
+func (s *endpointSet) withoutReplaced(list discovery.List) discovery.List {
+	started := map[string]int64{} // of the latest process at each address of the list
+	named := make(map[policy.BackendID]bool, len(list.Targets))
+	for _, target := range list.Targets {
+		named[policy.BackendID(target.UID)] = true
+		if target.Serves() {
+			started[target.Endpoint] = max(started[target.Endpoint], target.BootMS)
+		}
+	}
+	var others []discovery.Target // at the same addresses, as known before
+	for id, target := range s.targets {
+		if at, mentioned := started[target.Endpoint]; mentioned && !named[id] && target.Serves() {
+			started[target.Endpoint] = max(at, target.BootMS)
+			others = append(others, target)
+		}
+	}
+	result := discovery.List{Rev: list.Rev, Complete: list.Complete}
+	for _, target := range list.Targets {
+		if target.Serves() && target.BootMS < started[target.Endpoint] {
+			target.State = discovery.Deleted
+		}
+		result.Targets = append(result.Targets, target)
+	}
+	for _, target := range others {
+		if target.BootMS < started[target.Endpoint] {
+			target.State = discovery.Deleted
+			result.Targets = append(result.Targets, target)
+		}
+	}
+	return result
+}
+
 // reapplyOverrides applies the current endpoint list again after a change of the overrides.
 func (c *Core) reapplyOverrides() {
 	list := discovery.List{Targets: make([]discovery.Target, 0, len(c.endpoints.targets))}
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -56,6 +56,9 @@
 	return backend
 }
 
+// Serves reports whether the entry says that the backend serves.
+func (t Target) Serves() bool { return t.State == serving }
+
 // Usable returns the list without invalid entries, except that an invalid entry of a backend that doesn't serve remains
 // with its state alone: a draining backend must not get further requests.
 func (l List) Usable(log *slog.Logger) List {
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -15,6 +15,7 @@
 	ended              bool
 	releasedFromWindow bool // overdue, or its zone was lost: it no longer counts toward the window
 	mayHaveRun         bool // it is in flight, or its outcome does not rule out that it ran
+	connectionLost     bool // it may have run, and its connection ended: see hasLostConnection
 }
 
 // sendAttempt sends an attempt of the request to the backend.
@@ -88,6 +89,7 @@
 func (e *Engine) endAttempt(r *request, a *attempt, event AttemptEnded) {
 	a.ended = true
 	a.mayHaveRun = !event.Outcome.NeverRan()
+	a.connectionLost = event.Outcome == Reset
 	a.backend.outstanding = slices.DeleteFunc(a.backend.outstanding, func(b *attempt) bool { return a == b })
 	r.outstanding--
 	r.tenant.inFlight--
--- a/policy/request.go
+++ b/policy/request.go
@@ -156,6 +156,14 @@
 	return nil
 }
 
+// hasLostConnection reports whether an attempt of the request at the backend may have
+// run and lost its connection. The process at the address may be another one now,
+// which does not know the idempotency key, until the endpoint list says so.
+func (r *request) hasLostConnection(b *backend) bool {
+	lostAtBackend := func(a *attempt) bool { return a.connectionLost && a.backend == b }
+	return slices.ContainsFunc(r.attempts, lostAtBackend)
+}
+
 // hasTried reports whether an attempt of the request has been sent to the backend.
 func (r *request) hasTried(b *backend) bool {
 	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.backend == b })
--- a/policy/request_test.go
+++ b/policy/request_test.go
@@ -122,3 +122,30 @@
 		}
 	}
 }
+
+// Guards against a keyed request that runs twice because another process has taken the
+// address of the backend where its first attempt may have run: after a lost connection
+// it is repeated at other backends of the group only.
+func TestKeyedRetryAvoidsBackendWhoseConnectionWasLost(t *testing.T) {
+	for _, c := range []struct {
+		effect  string
+		outcome Outcome
+		want    int // attempts at the only backend
+	}{{"book", Reset, 1}, {"book", TimedOut, 2}, {"book", NoConnect, 2}, {"read", Reset, 2}} {
+		h := newHarness(t, testSettings(), runningBackends("s")...)
+		attempts := len(actionsOf[SendAttempt](h.arrive(1, c.effect, "free")))
+		end := AttemptEnded{ID: 1, Backend: "s", Outcome: c.outcome, Elapsed: 10 * ms, Unsent: c.outcome.NeverRan()}
+		attempts += len(actionsOf[SendAttempt](h.notify(end)))
+		attempts += len(actionsOf[SendAttempt](h.advance(300 * ms)))
+		if attempts != c.want {
+			t.Errorf("%s, %v: %d attempts at the only backend, want %d", c.effect, c.outcome, attempts, c.want)
+		}
+	}
+	h := newHarness(t, testSettings(), runningBackends("s", "u")...)
+	first := actionsOf[SendAttempt](h.arrive(1, "book", "free"))[0].Backend
+	end := AttemptEnded{ID: 1, Backend: first, Outcome: Reset, Elapsed: 10 * ms}
+	again := append(actionsOf[SendAttempt](h.notify(end)), actionsOf[SendAttempt](h.advance(300*ms))...)
+	if len(again) != 1 || again[0].Backend == first {
+		t.Errorf("after a lost connection at %s: %v, want one attempt at the other backend", first, again)
+	}
+}
