--- a/policy/selection.go
+++ b/policy/selection.go
@@ -39,8 +39,10 @@
 // canTake reports whether the request may be sent to the backend. z is the state of
 // the backend's zone, and first is the binding attempt of the request or nil.
 func (e *Engine) canTake(b *backend, z *zoneState, r *request, first *attempt) bool {
-	mayRepeat := first != nil && r.class.Effect != Safe
-	if mayRepeat && (!sameGroup(r.class.Group, first, b) || r.hasLostConnection(b)) {
+	if first != nil && r.class.Effect != Safe && !sameGroup(r.class.Group, first, b) {
+		return false
+	}
+	if r.class.Effect != Safe && r.hasLostConnection(b) {
 		return false
 	}
 	if !e.largeFleet && len(b.outstanding) > 0 && e.learnedSlowness(b) > severeSlowness {
