A reader ends with its writer, whatever it has read ahead

Cause: after the time limit of a shutdown the reader handled every command that it had read ahead, up to 4 MiB of PING, though none could be answered any more.

Change: the reader ends when a command is not accepted. TestReaderEndsWithTheWriter.

--- a/cmd/hitchspring/flood_test.go
+++ b/cmd/hitchspring/flood_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -292,3 +293,52 @@
 		}
 	}
 }
+
+// Guards against a shutdown that doesn't end, or that leaves requests unanswered when the platform would kill the
+// process, beside clients at full speed. They go on until the process ends.
+func TestFloodDelaysNoShutdown(t *testing.T) {
+	backend := scripted.NewBackend(t, func(int, []string, net.Conn) string {
+		time.Sleep(floodBackendTime)
+		return scripted.Served
+	})
+	list := servingList(1, backend.Addr)
+	for n, kind := range []int{0, 2, 4, 8, len(floods) - 1} {
+		t.Run(floods[kind].name, func(t *testing.T) {
+			t.Parallel()
+			i := newInstance(t, n)
+			i.configure(t, 0, healthyPlatformConfig(t, list))
+			i.startReady(t)
+			stop := make(chan struct{})
+			wait := flood(i.listen, floods[kind], stop)
+			defer wait()
+			defer close(stop)
+			time.Sleep(300 * time.Millisecond)
+			conn, err := net.Dial("tcp", i.listen)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			answered := make(chan error, 1)
+			io.WriteString(conn, request(1))
+			term := time.Now()
+			i.process.signal(syscall.SIGTERM)
+			go func() {
+				conn.SetReadDeadline(term.Add(platformKillDelay))
+				_, err := bufio.NewReader(conn).ReadString('\n')
+				answered <- err
+			}()
+			select {
+			case <-i.process.ended:
+			case <-time.After(5 * time.Second):
+				t.Fatalf("the process does not end: %s", &i.process.log)
+			}
+			t.Logf("ended %v after SIGTERM; the platform kills after %v", time.Since(term), platformKillDelay)
+			if err := <-answered; err != nil {
+				t.Errorf("the request of a usual client was not answered: %v", err)
+			}
+			if i.process.result != nil || strings.Contains(i.process.log.String(), "invariant violated") {
+				t.Errorf("the process ended with %v: %s", i.process.result, &i.process.log)
+			}
+		})
+	}
+}
--- a/internal/front/resp/connection.go
+++ b/internal/front/resp/connection.go
@@ -63,6 +63,7 @@
 	turn            *cputime.Account
 	errorsBackedOff int32 // value of protocolErrors at the last pause
 	peerClosed      bool  // the client disconnected while the reader waited
+	acceptsNoMore   bool  // the last command was not accepted: the writer has ended
 }
 
 func newConnection(front *Front, conn net.Conn) *connection {
--- a/internal/front/resp/connection_test.go
+++ b/internal/front/resp/connection_test.go
@@ -1,6 +1,7 @@
 package resp
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -88,3 +89,23 @@
 		t.Fatalf("got %d abandoned requests, want 1", len(fake.disconnected))
 	}
 }
+
+// Guards against a reader that goes on with all the commands that it has read ahead
+// after the writer has ended, which delays a shutdown.
+func TestReaderEndsWithTheWriter(t *testing.T) {
+	server, client := net.Pipe()
+	defer client.Close()
+	c := newConnection(New(nil, nil, 1, 1<<20), server)
+	for range maxPipelined {
+		c.pipelineWindow <- struct{}{}
+	}
+	close(c.written)
+	ping := redcon.AppendBulkString(redcon.AppendArray(nil, 1), "PING")
+	go client.Write(bytes.Repeat(ping, 1000))
+	if result := c.readCommands(); result != clientDisconnected {
+		t.Errorf("the reader ended with %v, want %v", result, clientDisconnected)
+	}
+	if c.inbox.BufferedBytes() == 0 {
+		t.Error("the reader handled all that it had read")
+	}
+}
--- a/internal/front/resp/pending.go
+++ b/internal/front/resp/pending.go
@@ -23,8 +23,14 @@
 
 // addPending appends a pending reply for the next command. It may wait for the
 // pipeline window and, if the reply is that to a request, for reply memory. It returns
-// nil if the connection accepts no more commands.
+// nil and sets acceptsNoMore if the connection accepts no more commands.
 func (c *connection) addPending(request *core.Request) *pendingReply {
+	reply := c.tryAddPending(request)
+	c.acceptsNoMore = reply == nil
+	return reply
+}
+
+func (c *connection) tryAddPending(request *core.Request) *pendingReply {
 	if !c.acquireWindow() {
 		return nil
 	}
--- a/internal/front/resp/reader.go
+++ b/internal/front/resp/reader.go
@@ -105,7 +105,7 @@
 func (c *connection) checkProtocolErrors() (result readResult, ended bool) {
 	count := c.protocolErrors.Load()
 	switch {
-	case c.peerClosed:
+	case c.peerClosed || c.acceptsNoMore:
 		return clientDisconnected, true
 	case count >= maxProtocolErrors:
 		c.rejectBuffered()
