--- a/cmd/hitchspring/crowd_test.go
+++ b/cmd/hitchspring/crowd_test.go
@@ -178,7 +178,7 @@
 		})
 	}
 	for began := time.Now(); time.Since(began) < crowdTime; time.Sleep(5 * time.Millisecond) {
-		peakKB = max(peakKB, i.residentKB())
+		peakKB = max(peakKB, i.process.residentKB())
 	}
 	close(stop)
 	running.Wait()
--- a/cmd/hitchspring/flood_test.go
+++ b/cmd/hitchspring/flood_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,6 +14,7 @@
 	"testing"
 	"time"
 
+	"hitchspring/internal/lab/respclient"
 	"hitchspring/internal/standin/scripted"
 )
 
@@ -93,10 +93,7 @@
 		if len(bodyBytes) > 0 {
 			args = append(args, strings.Repeat("b", bodyBytes[0]))
 		}
-		fmt.Fprintf(&text, "*%d\r\n", len(args))
-		for _, arg := range args {
-			fmt.Fprintf(&text, "$%d\r\n%s\r\n", len(arg), arg)
-		}
+		text.WriteString(respclient.EncodeCommand(args...))
 	}
 	return text.String()
 }
@@ -230,17 +227,6 @@
 	}
 }
 
-// residentKB returns the resident anonymous memory of the instance's process.
-func (i *instance) residentKB() (used int) {
-	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", i.process.cmd.Process.Pid))
-	for line := range strings.Lines(string(text)) {
-		if value, ok := strings.CutPrefix(line, "RssAnon:"); ok {
-			used, _ = strconv.Atoi(strings.Fields(value)[0])
-		}
-	}
-	return used
-}
-
 // Guards against usual clients that are answered late, or refused, because other clients use the processor up.
 func TestFloodDelaysNoUsualClient(t *testing.T) {
 	backend := scripted.NewBackend(t, func(int, []string, net.Conn) string {
@@ -263,10 +249,10 @@
 			beside := runUsualClients(t, i, &nextID)
 			close(stop)
 			wait()
-			t.Logf("beside the flood: %v; %d KiB", beside, i.residentKB())
+			t.Logf("beside the flood: %v; %d KiB", beside, i.process.residentKB())
 			beside.requireServed(t, calm)
-			if i.residentKB() > maxResidentKB {
-				t.Errorf("the process has %d KiB, want %d at most", i.residentKB(), maxResidentKB)
+			if i.process.residentKB() > maxResidentKB {
+				t.Errorf("the process has %d KiB, want %d at most", i.process.residentKB(), maxResidentKB)
 			}
 		})
 	}
--- a/cmd/hitchspring/process_test.go
+++ b/cmd/hitchspring/process_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"os"
 	"os/exec"
+	"strconv"
+	"strings"
 	"testing"
 
 	"hitchspring/internal/testlog"
@@ -44,6 +46,17 @@
 	<-p.ended
 }
 
+// residentKB returns the resident anonymous memory of the process in KiB; 0 when it has ended.
+func (p *process) residentKB() (used int) {
+	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	for line := range strings.Lines(string(status)) {
+		if value, ok := strings.CutPrefix(line, "RssAnon:"); ok {
+			used, _ = strconv.Atoi(strings.Fields(value)[0])
+		}
+	}
+	return used
+}
+
 // freeAddr returns a loopback address on which nothing listens at the moment.
 func freeAddr(t *testing.T) string {
 	t.Helper()
--- a/cmd/hitchspring/replace_test.go
+++ b/cmd/hitchspring/replace_test.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -57,15 +56,8 @@
 
 // usage returns the open descriptors and the anonymous memory of the process; 0, 0 when it has ended.
 func (p *serverProcess) usage() (descriptors, memoryKiB int) {
-	dir := fmt.Sprintf("/proc/%d", p.cmd.Process.Pid)
-	open, _ := os.ReadDir(dir + "/fd")
-	status, _ := os.ReadFile(dir + "/status")
-	for line := range strings.Lines(string(status)) {
-		if value, ok := strings.CutPrefix(line, "RssAnon:"); ok {
-			memoryKiB, _ = strconv.Atoi(strings.Fields(value)[0])
-		}
-	}
-	return len(open), memoryKiB
+	open, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	return len(open), p.residentKB()
 }
 
 // replacementEnv is what all processes of the test share: the socket, the files and two backends.
