Ids of delegated requests are no client's: neither remembered nor shared

Found by reading before the landing: a gate's requests are numbered by their process from 1 on. With the exchange of ids the next process of an upgrade would have taken its first ones for those of the process before, and failed them.

Change: delegated requests are known by the lease table alone.

Failing before: TestIDsOfDelegatedRequestsAreNotShared.

--- a/internal/core/recent_ids.go
+++ b/internal/core/recent_ids.go
@@ -57,6 +57,9 @@
 
 // isKnownID reports whether a request with the same client id is open, or may have run with effects.
 func (c *Core) isKnownID(r *Request) bool {
+	if r.Delegated { // its id is a number of this process: the lease table knows it by its caller's id
+		return false
+	}
 	if c.clientIDs[r.ClientID] || !c.hasEffects(r) {
 		return c.clientIDs[r.ClientID]
 	}
@@ -72,6 +75,9 @@
 // expireClientID is called at the deadline of a request. Its id may be used again only if the request surely had no
 // effects: a client that has left may send it once more, on another connection.
 func (c *Core) expireClientID(r *Request) {
+	if r.Delegated {
+		return
+	}
 	delete(c.clientIDs, r.ClientID)
 	if c.hasEffects(r) && (r.mayHaveRun || !r.neverRan()) {
 		c.recentIDs.add(c.now, r.ClientID)
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -106,7 +106,9 @@
 	r.ID, r.arrivedAt = c.lastID, c.now
 	c.metrics.ArrivalHandled(r.loopWait(c))
 	c.requests[r.ID] = r
-	c.clientIDs[r.ClientID] = true
+	if !r.Delegated {
+		c.clientIDs[r.ClientID] = true
+	}
 	c.summary.add(summaryArrived, 1)
 	c.notifyEngine(policy.Arrival{Request: r.Request})
 	c.replicateIfQueued(r)
@@ -195,7 +197,9 @@
 	}
 	c.cancelTimer(r.deadlineTimer)
 	r.deadlineTimer = nil
-	delete(c.clientIDs, r.ClientID)
+	if !r.Delegated {
+		delete(c.clientIDs, r.ClientID)
+	}
 }
 
 // logAttrs returns the attributes that identify a request in a log line.
--- a/internal/core/shared_ids.go
+++ b/internal/core/shared_ids.go
@@ -41,7 +41,7 @@
 
 // shareID tells the other processes that the first attempt of a request is about to be sent.
 func (c *Core) shareID(r *Request) {
-	if c.sharedIDs.active && c.hasEffects(r) {
+	if c.sharedIDs.active && !r.Delegated && c.hasEffects(r) {
 		c.sharedIDFailure(c.cfg.SharedIDs.Append(r.ClientID))
 	}
 }
