--- a/internal/front/resp/ending.go
+++ b/internal/front/resp/ending.go
@@ -14,9 +14,13 @@
 // caller must hold c.mu.
 func (c *connection) requestEnd() {
 	c.endRequested = true
-	c.conn.SetReadDeadline(time.Unix(1, 0))
+	c.interruptRead()
 }
 
+// interruptRead makes a read that blocks fail with os.ErrDeadlineExceeded, and so each
+// further one until a read deadline is set.
+func (c *connection) interruptRead() { c.conn.SetReadDeadline(time.Unix(1, 0)) }
+
 // takeEndRequest clears endRequested, restores the read deadline and reports
 // whether endRequested was set. The caller must hold c.mu.
 func (c *connection) takeEndRequest() bool {
--- a/internal/front/resp/memory_wait.go
+++ b/internal/front/resp/memory_wait.go
@@ -88,7 +88,7 @@
 		return
 	}
 	c.readInterrupted = true
-	c.conn.SetReadDeadline(time.Unix(1, 0))
+	c.interruptRead()
 	select {
 	case c.memorySignal <- struct{}{}:
 	default:
--- a/internal/front/resp/reply_memory.go
+++ b/internal/front/resp/reply_memory.go
@@ -1,6 +1,7 @@
 package resp
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -88,12 +89,9 @@
 func (m *replyMemory) stopWaiting(w *memoryWait) (granted bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for i, queued := range m.queue {
-		if queued == w {
-			m.queue = append(m.queue[:i], m.queue[i+1:]...)
-			m.waiting.Add(-1)
-			break
-		}
+	if i := slices.Index(m.queue, w); i >= 0 {
+		m.queue = slices.Delete(m.queue, i, i+1)
+		m.waiting.Add(-1)
 	}
 	return w.granted
 }
@@ -106,8 +104,8 @@
 		m.queue[granted].granted = true
 		granted++
 	}
-	notified := append([]*memoryWait{}, m.queue[:granted]...)
-	m.queue = append(m.queue[:0], m.queue[granted:]...)
+	notified := slices.Clone(m.queue[:granted])
+	m.queue = slices.Delete(m.queue, 0, granted)
 	m.waiting.Add(-int32(granted))
 	m.mu.Unlock()
 	for _, w := range notified {
--- a/internal/front/resp/stalled_readers.go
+++ b/internal/front/resp/stalled_readers.go
@@ -39,15 +39,17 @@
 	return now.Sub(s.since)
 }
 
-// writeProgress returns the present write progress of the connection.
-func (c *connection) writeProgress() writeProgress {
+// writeProgress returns the present write progress of the connection, and the reply
+// memory that it holds.
+func (c *connection) writeProgress() (progress writeProgress, replyBytes int) {
 	c.mu.Lock()
-	progress := writeProgress{writing: c.writing, written: c.writtenBytes}
+	progress = writeProgress{writing: c.writing, written: c.writtenBytes}
+	replyBytes = c.replyBytes
 	c.mu.Unlock()
 	if progress.writing {
 		progress.unacked = socket.UnackedBytes(c.conn)
 	}
-	return progress
+	return progress, replyBytes
 }
 
 // closeStalledReaders closes connections whose clients have stopped reading, if
@@ -67,12 +69,10 @@
 	}
 	var stalled []stalledConnection
 	for c := range f.connections {
-		if c.stall.update(now, c.writeProgress()) < stalledReaderTimeout {
-			continue
+		progress, replyBytes := c.writeProgress()
+		if c.stall.update(now, progress) >= stalledReaderTimeout {
+			stalled = append(stalled, stalledConnection{c, replyBytes})
 		}
-		c.mu.Lock()
-		stalled = append(stalled, stalledConnection{c, c.replyBytes})
-		c.mu.Unlock()
 	}
 	slices.SortFunc(stalled, func(a, b stalledConnection) int { return cmp.Compare(b.replyBytes, a.replyBytes) })
 	for _, s := range stalled {
--- a/internal/front/resp/stalled_readers_test.go
+++ b/internal/front/resp/stalled_readers_test.go
@@ -36,12 +36,13 @@
 	// readOne reads one write of a connection, and returns once the next is under way.
 	readOne := func(c *connection, client net.Conn) {
 		t.Helper()
-		written := c.writeProgress().written
+		progress, _ := c.writeProgress()
+		written := progress.written
 		if _, err := io.ReadFull(client, make([]byte, maxWriteBytes)); err != nil {
 			t.Fatal("a connection was closed whose client reads:", err)
 		}
 		waitFor(t, "the next write", func() bool {
-			progress := c.writeProgress()
+			progress, _ := c.writeProgress()
 			return progress.writing && progress.written > written
 		})
 	}
--- a/internal/lab/slow_start_test.go
+++ b/internal/lab/slow_start_test.go
@@ -146,14 +146,14 @@
 
 // replaceBackend removes the backend and later starts it in slow start. All instances are notified of both at once.
 func (c slowStartReturn) replaceBackend(ctx context.Context, tb *Testbed, returning *backend.Fleet) error {
-	if !sleepUntil(ctx, tb, removedAt) {
+	if !tb.WaitUntil(ctx, removedAt) {
 		return nil
 	}
 	n, target := tb.backendAt(replacedBackend)
 	tb.stopBackend(replacedBackend)
 	target.State = "DELETED"
 	tb.registry.Set(target, true)
-	if !sleepUntil(ctx, tb, returnedAt) {
+	if !tb.WaitUntil(ctx, returnedAt) {
 		return nil
 	}
 	host, err := tb.nextHost()
@@ -171,18 +171,6 @@
 	return nil
 }
 
-// sleepUntil waits until a time after the start of the load. It returns false if the run ends before.
-func sleepUntil(ctx context.Context, tb *Testbed, at time.Duration) bool {
-	timer := time.NewTimer(tb.load.startedAt + at - tb.clock())
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // check computes the peak load of the returning backend in a sliding window, from its records. Each attempt counts as
 // the mean work of its class.
 func (c slowStartReturn) check(t *testing.T, tb *Testbed, returning *backend.Fleet) (slowstart.Peak, int) {
