The event loop reads the clock for each event, not for each batch

Cause: up to 256 events were handled with one reading of the clock; the process was held up for 0.133 s within a batch, and a request read after that was handled with the time from before.

Failing before: TestTimeOfAnEventIsNotBeforeIt, handled 50 ms before it was submitted.

--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -44,7 +44,9 @@
 			c.now = c.clock(wokenAt)
 			c.handle(ev)
 			for n := 1; n < maxEventBatch && len(c.events) > 0; n++ {
-				c.handle(<-c.events)
+				ev := <-c.events
+				c.now = c.clock(time.Now()) // the process may have been suspended since the last event
+				c.handle(ev)
 			}
 		case <-c.overrides.changed:
 			wokenAt = time.Now()
--- a/internal/core/timers_test.go
+++ b/internal/core/timers_test.go
@@ -1,8 +1,10 @@
 package core
 
 import (
+	"context"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -117,3 +119,40 @@
 		})
 	})
 }
+
+// slowSink delays the loop when it is asked whether its client is there.
+type slowSink struct {
+	recordingSink
+	asked chan struct{} // closed when the loop waits
+	delay time.Duration
+}
+
+// Disconnected implements ReplySink.
+func (s *slowSink) Disconnected() bool {
+	close(s.asked)
+	time.Sleep(s.delay)
+	return true
+}
+
+// Guards against a backend that is told more time than the client has left: the time of an event must not be that of an
+// earlier one, before which the process was held up.
+func TestTimeOfAnEventIsNotBeforeIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCore(t, testConfig(endpointsAt()), discardLogger)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go c.loop(ctx)
+		held := &slowSink{asked: make(chan struct{}), delay: 100 * time.Millisecond}
+		c.Submit(newRequest(c, 1, held))
+		<-held.asked
+		time.Sleep(50 * time.Millisecond)
+		second := newRequest(c, 2, &recordingSink{})
+		c.Submit(second)
+		time.Sleep(100 * time.Millisecond)
+		if waited := second.loopWait(c); waited != 50*time.Millisecond {
+			t.Errorf("the second request waited %v for the loop, want 50ms", waited)
+		}
+		stop()
+		<-c.stopped
+	})
+}
