--- a/internal/core/timers_test.go
+++ b/internal/core/timers_test.go
@@ -149,10 +149,10 @@
 		second := newRequest(c, 2, &recordingSink{})
 		c.Submit(second)
 		time.Sleep(100 * time.Millisecond)
+		stop()
+		<-c.stopped
 		if waited := second.loopWait(c); waited != 50*time.Millisecond {
 			t.Errorf("the second request waited %v for the loop, want 50ms", waited)
 		}
-		stop()
-		<-c.stopped
 	})
 }
