A test makes its requests before the loop runs

Seen with the race detector, in one of 20 runs: newRequest reads the core's time, which the loop writes. Change: both requests are made first. Measured: 60 runs with the race detector pass.

--- a/internal/core/timers_test.go
+++ b/internal/core/timers_test.go
@@ -141,12 +141,13 @@
 		c := newTestCore(t, testConfig(endpointsAt()), discardLogger)
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
-		go c.loop(ctx)
+		c.now = c.Now()
 		held := &slowSink{asked: make(chan struct{}), delay: 100 * time.Millisecond}
-		c.Submit(newRequest(c, 1, held))
+		first, second := newRequest(c, 1, held), newRequest(c, 2, &recordingSink{})
+		go c.loop(ctx)
+		c.Submit(first)
 		<-held.asked
 		time.Sleep(50 * time.Millisecond)
-		second := newRequest(c, 2, &recordingSink{})
 		c.Submit(second)
 		time.Sleep(100 * time.Millisecond)
 		stop()
