--- a/review/second/main.go
+++ b/review/second/main.go
@@ -20,9 +20,14 @@
 var cases = map[string]caseFunc{
 	"gone":  goneBehindBurst,
 	"drain": drainWithPipelining,
+	"flood": answersBesideFlood,
 }
 
 func main() {
+	if len(os.Args) == 3 && os.Args[1] == "flooders" {
+		flooders(os.Args[2])
+		return
+	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: second CASE ROOT RECORD")
 		os.Exit(2)
--- a/review/second/rig.go
+++ b/review/second/rig.go
@@ -426,6 +426,22 @@
 	err   error
 }
 
+// startProcess starts a process that the case ends at its end.
+func startProcess(cmd *exec.Cmd) (*Process, error) {
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	p := &Process{cmd: cmd, ended: make(chan struct{})}
+	started.mu.Lock()
+	started.all = append(started.all, p)
+	started.mu.Unlock()
+	go func() {
+		p.err = cmd.Wait()
+		close(p.ended)
+	}()
+	return p, nil
+}
+
 // Ended tells whether the process has ended.
 func (p *Process) Ended() bool {
 	select {
@@ -501,18 +517,11 @@
 		cmd.Env = append(cmd.Env, "ROUTER_SOCKET_FD=7")
 	}
 	cmd.Stdout, cmd.Stderr = logFile, logFile
-	if err := cmd.Start(); err != nil {
+	p, err := startProcess(cmd)
+	if err != nil {
 		return err
 	}
-	p := &Process{cmd: cmd, ended: make(chan struct{})}
-	started.mu.Lock()
-	started.all = append(started.all, p)
-	started.mu.Unlock()
-	go func() {
-		p.err = cmd.Wait()
-		logFile.Close()
-		close(p.ended)
-	}()
+	logFile.Close()
 	r.Ingress = p
 	for range 600 {
 		if p.Ended() {
