--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,4 +6,4 @@
     echo "build first: the line build of deploy/balancer.toml, then review/build-2.sh" >&2
     exit 2
 }
-exec "$root/review/second/bin/second" drain "$root" "$here/record.txt"
+exec "$root/review/second/bin/second" gone "$root" "$here/record.txt"
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -21,6 +21,7 @@
 	"gone":  goneBehindBurst,
 	"drain": drainWithPipelining,
 	"flood": answersBesideFlood,
+	"value": answersBehindBrokenValue,
 }
 
 func main() {
