--- a/review/second/main.go
+++ b/review/second/main.go
@@ -22,6 +22,7 @@
 	"drain": drainWithPipelining,
 	"flood": answersBesideFlood,
 	"value": answersBehindBrokenValue,
+	"head":  longValueInPieces,
 }
 
 func main() {
