--- a/review/second/rig.go
+++ b/review/second/rig.go
@@ -586,8 +586,10 @@
 	return resp.StatusCode, nil
 }
 
-var idMu sync.Mutex
-var lastID = uint64(time.Now().UnixNano()) &^ 0xfffff
+var (
+	idMu   sync.Mutex
+	lastID = uint64(time.Now().UnixNano()) &^ 0xfffff
+)
 
 func newID() string {
 	idMu.Lock()
