--- a/review/second/flood.go
+++ b/review/second/flood.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -50,11 +51,20 @@
 		}
 		cmd := exec.Command(self, "flooders", rig.Listen)
 		cmd.Env = append(os.Environ(), "GOMAXPROCS="+floodCores)
+		var sent bytes.Buffer
+		cmd.Stdout = &sent
 		p, err := startProcess(cmd)
 		if err != nil {
 			return false, err
 		}
-		defer p.Kill()
+		defer func() { // it ends by itself
+			select {
+			case <-p.ended:
+			case <-time.After(10 * time.Second):
+				p.Kill()
+			}
+			rec.Say("bad clients: %s", strings.TrimSpace(sent.String()))
+		}()
 	}
 	var f floodResult
 	f.counts = map[string]int{}
@@ -134,11 +144,11 @@
 			over := now.Sub(from) - r.d
 			switch {
 			case errors.Is(err, os.ErrDeadlineExceeded): // the connection is open, and the request has no answer
-				rec.LogAt(r.sent, "client %d sent %s with d=%v: NO ANSWER", number, r.id, r.d)
+				rec.Log("client %d: no answer to %s, sent %v ago with d=%v", number, r.id, now.Sub(r.sent), r.d)
 				f.record("no answer", over)
 				return
 			case err != nil: // it ended, maybe between requests: not judged
-				rec.Log("client %d: its connection ended: %v", number, err)
+				rec.Log("client %d: its connection ended before the answer to %s: %v", number, r.id, err)
 				f.count("connection ended")
 				return
 			}
@@ -146,13 +156,14 @@
 			if over > lateGrace+lateSlack {
 				mark = "LATE "
 			}
-			rec.LogAt(r.sent, "client %d sent %s with d=%v: %c%.20s after %v %s", number, r.id, r.d, kind, text, now.Sub(r.sent), mark)
+			rec.LogAt(now, "client %d answered %s with d=%v: %c%.20s after %v %s", number, r.id, r.d, kind, text, now.Sub(r.sent), mark)
 			f.record(fmt.Sprintf("%c%.5s", kind, text), over)
 		}
 	}()
 	body := strings.Repeat("b", usualBody)
 	for time.Now().Before(end) {
 		r := usualRequest{id: newID(), d: time.Duration(500+rand.IntN(500)) * time.Millisecond}
+		rec.Log("client %d sends %s", number, r.id)
 		_, err := nc.Write(encode("Q.ASK", fmt.Sprintf("%016x", rand.IntN(1<<30)), r.id,
 			fmt.Sprintf("c=guide-read,t=by,d=%d,units=1,spread=3,first=0", r.d.Milliseconds()), body))
 		r.sent = time.Now()
@@ -192,15 +203,37 @@
 		})
 	}
 	running.Wait()
+	for kind, what := range []string{"lines that can't be read", "bursts of requests", "bursts of PING", "commands of no class"} {
+		fmt.Printf("%s: %d connections, %d bytes sent; ", what, floodSent[kind].connections.Load(), floodSent[kind].bytes.Load())
+	}
+	fmt.Println()
+}
+
+// floodSent counts what the bad clients of each kind have sent.
+var floodSent [4]struct{ connections, bytes atomic.Int64 }
+
+// countingConn counts the bytes that are written.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Write implements io.Writer.
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
 }
 
 // floodOnce connects, sends what a bad client of a kind sends, reads what it is sent, and leaves.
 func floodOnce(addr string, kind int) {
-	nc, err := net.DialTimeout("tcp", addr, 3*time.Second)
+	conn, err := net.DialTimeout("tcp", addr, 3*time.Second)
 	if err != nil {
 		time.Sleep(5 * time.Millisecond)
 		return
 	}
+	floodSent[kind].connections.Add(1)
+	nc := countingConn{conn, &floodSent[kind].bytes}
 	defer nc.Close()
 	nc.SetDeadline(time.Now().Add(4 * time.Second))
 	go io.Copy(io.Discard, nc)
--- a/review/second/gone.go
+++ b/review/second/gone.go
@@ -52,6 +52,7 @@
 		for j := range burstCommands {
 			id := newID()
 			ids = append(ids, id)
+			rec.Log("client %d sends %s as command %d, unless it leaves before", i, id, j)
 			all = append(all, encode("Q.DO", fmt.Sprintf("%016x", 1000*i+j+1), id,
 				fmt.Sprintf("c=clip-publish,t=by,d=4000,k=%s,units=1,spread=3,first=0", id), body)...)
 		}
--- a/review/second/head.go
+++ b/review/second/head.go
@@ -65,7 +65,7 @@
 				ran++
 			}
 		}
-		rec.Say("client %d: %c%.20s (%d bytes, %v) after %v, %d attempts", i, max(kind, '-'), text, len(text), err,
+		rec.Say("client %d answered: %q %.20s (%d bytes, %v) after %v, %d attempts", i, kind, text, len(text), err,
 			time.Since(sent).Round(time.Millisecond)-headPause, ran)
 		switch {
 		case kind == '$' && text == long:
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -58,10 +58,11 @@
 	os.Exit(status)
 }
 
-// started has all processes that the case has started.
+// started has all processes that the case has started, and its temporary folders.
 var started struct {
-	mu  sync.Mutex
-	all []*Process
+	mu      sync.Mutex
+	all     []*Process
+	folders []string
 }
 
 // endEarly ends the case and its processes on a signal or at the limit.
@@ -78,6 +79,9 @@
 	for _, p := range started.all {
 		p.Kill()
 	}
+	for _, folder := range started.folders {
+		os.RemoveAll(folder)
+	}
 	rec.Close()
 	os.Exit(2)
 }
--- a/review/second/rig.go
+++ b/review/second/rig.go
@@ -388,6 +388,9 @@
 	if r.Dir, err = os.MkdirTemp("", "review-second-"); err != nil {
 		return nil, err
 	}
+	started.mu.Lock()
+	started.folders = append(started.folders, r.Dir)
+	started.mu.Unlock()
 	zones := []string{"hall-a", "hall-b", "hall-c"}
 	for i := range nodes {
 		b, err := newBackend(rec, fmt.Sprintf("s-%04x", i+1), zones[i/3%3], i/3)
@@ -428,13 +431,13 @@
 
 // startProcess starts a process that the case ends at its end.
 func startProcess(cmd *exec.Cmd) (*Process, error) {
+	started.mu.Lock()
+	defer started.mu.Unlock()
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
 	p := &Process{cmd: cmd, ended: make(chan struct{})}
-	started.mu.Lock()
 	started.all = append(started.all, p)
-	started.mu.Unlock()
 	go func() {
 		p.err = cmd.Wait()
 		close(p.ended)
@@ -557,9 +560,7 @@
 			r.Rec.Log("ingress log: %s", line)
 		}
 	}
-	if os.Getenv("KEEP") == "" {
-		os.RemoveAll(r.Dir)
-	}
+	os.RemoveAll(r.Dir)
 }
 
 // All returns all requests that have come whole to any node.
