A reply that comes in pieces is not cut off while its backend gives it

Cause: a connection gave each reply 0.2 s from its first byte until it was complete or known to be streamed, whatever came and whatever time was left. Values of up to 64 KiB, errors and rejections in pieces met the same limit. Where hedging is off, an attempt of a repeatable class was stopped early within the header as well. Found beside it: a connection with a part of an unsolicited reply counted as quiet, and the rest of that reply was taken for the reply to a command written meanwhile.

Change: silence within a reply is bounded by 1.5 s; the attempt's end ends it otherwise, and the client's time where it may be a long value. A reply belongs to the last command written when its first byte was read.

TestBackendFallsSilent- WithinAnswer passes with its bound of 2 s; its comments name the new wait.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -57,6 +57,12 @@
 // Assigned reports whether the attempt was assigned to a connection.
 func (a *Attempt) Assigned() bool { return a.conn != nil }
 
+// ValueMayFollow reports whether a part of the attempt's reply has arrived that may be the header of a large value. The
+// owner should not stop such an attempt while its client waits: the backend is giving the value.
+func (a *Attempt) ValueMayFollow() bool {
+	return a.conn != nil && a.conn.current == a && partialReply(a.conn.partial.Load()) == partialHeader
+}
+
 // Backend returns the backend as the endpoint list had it when the attempt started, and whether it serves now.
 func (a *Attempt) Backend() (entry policy.Backend, serves bool) {
 	return a.entry, a.backend != nil && a.backend.State == policy.Running
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -12,8 +12,9 @@
 	"hitchspring/internal/resp"
 )
 
-// partialReplyTimeout bounds the wait for the rest of a reply that has begun to arrive.
-const partialReplyTimeout = 200 * time.Millisecond
+// replyStallTimeout is how long a backend may send nothing within a reply whose value is not streamed, or not yet. The
+// deadline of the attempt ends a reply that never ends.
+const replyStallTimeout = 1500 * time.Millisecond
 
 // conn is a connection to a backend. Its goroutine run dials and reads, and starts a second goroutine that writes.
 // Both end when nc is closed: by the pool, after an error, or when the owner's context ends. They notify the pool only
@@ -32,6 +33,7 @@
 	writeMu       sync.Mutex              // held while a command is written, until lastWritten is set
 	lastWritten   atomic.Pointer[Attempt] // the last one whose command was written completely: it may have run
 	currentStream atomic.Pointer[Stream]  // the value being streamed
+	partial       atomic.Int32            // the partialReply that the reader has buffered
 
 	dialedAt     time.Duration // when the dial began
 	current      *Attempt      // the attempt in flight on it; nil: none
@@ -86,15 +88,14 @@
 func (c *conn) read(ctx context.Context, post func(Event)) {
 	in := resp.FrameBuffer{Budget: c.frameBudget}
 	defer in.Close()
-	deadlineSet := false
+	reply := incomingReply{conn: c}
 	for {
 		headerBytes, size, err := resp.ParseLargeValueHeader(in.Buffered())
 		if size > 0 {
 			in.Discard(headerBytes)
-			if !c.readLargeReply(ctx, &in, size, post) {
+			if !c.readLargeReply(ctx, &in, size, reply.takeOwner(), post) {
 				return
 			}
-			deadlineSet = false
 			continue
 		}
 		var frame []byte
@@ -105,46 +106,41 @@
 		case err != nil:
 			return
 		case frame != nil:
-			if !c.readReply(frame, in.Partial(), post) {
+			if !c.readReply(frame, in.Partial(), reply.takeOwner(), post) {
 				return
 			}
 			continue
-		case in.Partial() && !deadlineSet:
-			c.nc.SetReadDeadline(time.Now().Add(partialReplyTimeout))
-			deadlineSet = true
-		case deadlineSet && !in.Partial():
-			c.nc.SetReadDeadline(time.Time{})
-			deadlineSet = false
 		}
-		if in.Fill(c.nc.Read) != nil {
+		reply.recordPartial(in.Buffered())
+		if in.Fill(reply.read) != nil {
 			return
 		}
 	}
 }
 
-// readReply posts a reply that arrived as one frame, and reports whether the connection may be reused. It may not if
-// more bytes follow the reply: they may be a duplicate, which must never be taken for the reply to the next command.
-func (c *conn) readReply(frame []byte, trailing bool, post func(Event)) bool {
+// readReply posts a reply to owner that arrived as one frame, and reports whether the connection may be reused. It may
+// not if more bytes follow the reply: they may be a duplicate, which must never be taken for the reply to the next
+// command.
+func (c *conn) readReply(frame []byte, trailing bool, owner *Attempt, post func(Event)) bool {
 	reply := parseReply(frame)
 	reply.trailing = trailing
 	reply.reusable = reply.reusable && !trailing
-	c.writeMu.Lock()
-	attempt := c.lastWritten.Load()
-	c.writeMu.Unlock()
-	post(replyReceived{c, attempt, reply})
+	post(replyReceived{c, owner, reply})
 	return reply.reusable
 }
 
-// readLargeReply streams a value of size bytes whose header has been read, and posts the reply after its end. It
-// reports whether the connection may be reused.
-func (c *conn) readLargeReply(ctx context.Context, in *resp.FrameBuffer, size int, post func(Event)) bool {
-	reply, err := c.streamValue(ctx, in, size, post)
+// readLargeReply streams a value of size bytes to owner, whose header has been read, and posts the reply after its end.
+// It reports whether the connection may be reused.
+func (c *conn) readLargeReply(
+	ctx context.Context, in *resp.FrameBuffer, size int, owner *Attempt, post func(Event),
+) (reusable bool) {
+	reply, err := c.streamValue(ctx, in, size, owner, post)
 	if err != nil {
 		return false
 	}
 	reply.trailing = in.Partial()
 	reply.reusable = !reply.trailing
-	post(replyReceived{c, c.lastWritten.Load(), reply})
+	post(replyReceived{c, owner, reply})
 	return reply.reusable
 }
 
@@ -170,8 +166,12 @@
 	return "unknown"
 }
 
-// peek returns the state of the socket without consuming data.
+// peek returns the state of the socket without consuming data. A part of a reply that the reader has consumed counts as
+// unread data.
 func (c *conn) peek() socketState {
+	if partialReply(c.partial.Load()) != noPartialReply {
+		return socketReadable
+	}
 	if c.rawConn == nil {
 		return socketQuiet
 	}
--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -51,19 +51,18 @@
 // Close ends the attempt whose value is streamed, if it has not ended. It may be called at any time, more than once.
 func (s *Stream) Close() { s.reader.CloseWithError(ErrStreamClosed) }
 
-// streamValue streams a large value whose header has just been read, then reads the rest of the reply. The stream ends
-// without an error only if the complete reply has the expected form.
-func (c *conn) streamValue(ctx context.Context, in *resp.FrameBuffer, size int, post func(Event)) (Reply, error) {
+// streamValue streams a large value to owner, whose header has just been read, then reads the rest of the reply. The
+// stream ends without an error only if the complete reply has the expected form.
+func (c *conn) streamValue(
+	ctx context.Context, in *resp.FrameBuffer, size int, owner *Attempt, post func(Event),
+) (Reply, error) {
 	stream := newStream(size)
 	c.currentStream.Store(stream)
 	defer c.currentStream.Store(nil)
 	if ctx.Err() != nil { // if ctx ends later, run closes the stream
 		return Reply{}, ctx.Err()
 	}
-	c.writeMu.Lock()
-	attempt := c.lastWritten.Load()
-	c.writeMu.Unlock()
-	post(streamStarted{c, attempt, stream})
+	post(streamStarted{c, owner, stream})
 	defer stream.writer.CloseWithError(errTruncatedValue) // no effect after writer.Close
 	chunkSize := streamChunkSize
 	if c.frameBudget.Reserve(chunkSize) {
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -79,10 +79,20 @@
 	if attempt.Number == 0 {
 		c.shareID(r)
 	}
-	c.scheduleAt(attempt.Deadline, func() { c.backends.Abort(attempt, policy.TimedOut) })
+	c.scheduleAt(attempt.Deadline, func() { c.stopAttempt(r.GiveUpAt, attempt) })
 	c.backends.Start(attempt, to)
 }
 
+// stopAttempt stops an attempt at its deadline. If it may be about to stream a large value, and its client waits longer
+// than the attempt, it is stopped at giveUpAt instead.
+func (c *Core) stopAttempt(giveUpAt time.Duration, attempt *backend.Attempt) {
+	if c.now < giveUpAt && attempt.ValueMayFollow() {
+		c.scheduleAt(giveUpAt, func() { c.backends.Abort(attempt, policy.TimedOut) })
+		return
+	}
+	c.backends.Abort(attempt, policy.TimedOut)
+}
+
 // attemptEnded handles the end of an attempt or a health check and notifies the engine. The first attempt that succeeds
 // answers the client.
 func (c *Core) attemptEnded(attempt *backend.Attempt, outcome policy.Outcome, reply backend.Reply) {
--- a/internal/ingress/partial_test.go
+++ b/internal/ingress/partial_test.go
@@ -164,7 +164,7 @@
 }
 
 // A backend sends part of an answer, of any length, and then nothing more. The
-// ingress waits 0.2 s for the rest. Then the request is retried if that is safe, else
+// ingress waits 1.5 s for the rest. Then the request is retried if that is safe, else
 // it fails. The connection is closed, so that the rest is not taken for the answer to
 // another command.
 func TestBackendFallsSilentWithinAnswer(t *testing.T) {
@@ -188,7 +188,7 @@
 }
 
 func testSilenceWithinAnswer(t *testing.T, command, want string, cut, attempts int) {
-	const maxAnswerTime = 2 * time.Second // well above the 0.2 s wait, and far below the deadline of 50 s
+	const maxAnswerTime = 2 * time.Second // above the wait of 1.5 s, and far below the deadline of 50 s
 	backend := newObservedBackend(t, func(n int) string {
 		if n == 1 {
 			return servedReply[:cut]
--- a/internal/resp/frame.go
+++ b/internal/resp/frame.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"strconv"
+	"strings"
 )
 
 // lengthBound is the information on the length of an incomplete value.
@@ -116,17 +117,32 @@
 	return size, lengthBound{}, nil
 }
 
+// largeValueStart is what a reply with a large value begins with: an array of three
+// elements, the first of which is a string.
+const largeValueStart = "*3\r\n$"
+
+// MayBeLargeValueHeader reports whether b is the beginning of a header that
+// ParseLargeValueHeader would accept once the rest of it is there.
+func MayBeLargeValueHeader(b []byte) bool {
+	if len(b) <= len(largeValueStart) {
+		return strings.HasPrefix(largeValueStart, string(b))
+	}
+	digits, found := bytes.CutPrefix(b, []byte(largeValueStart))
+	digits = bytes.TrimSuffix(digits, []byte{'\r'})
+	return found && len(digits) < maxHeaderBytes && bytes.Trim(digits, "0123456789") == nil
+}
+
 // ParseLargeValueHeader checks whether b begins with an array of three elements
 // whose first is a string longer than MaxBytes, which is forwarded as it arrives.
 // It returns the number of bytes before the content of the string and the length
 // of the string, or 0 for both if b begins otherwise. A string longer than
 // MaxLargeValueBytes is ErrTooLong.
 func ParseLargeValueHeader(b []byte) (headerBytes, valueBytes int, err error) {
-	const start = "*3\r\n$"
-	if len(b) <= len(start) || string(b[:len(start)]) != start {
+	const start = len(largeValueStart)
+	if len(b) <= start || string(b[:start]) != largeValueStart {
 		return 0, 0, nil
 	}
-	rest := b[len(start):]
+	rest := b[start:]
 	end := bytes.IndexByte(rest[:min(len(rest), maxHeaderBytes)], '\n')
 	if end < 2 || rest[end-1] != '\r' {
 		return 0, 0, nil
@@ -138,5 +154,5 @@
 	case n > MaxLargeValueBytes:
 		return 0, 0, ErrTooLong
 	}
-	return len(start) + end + 1, n, nil
+	return start + end + 1, n, nil
 }
--- a/internal/resp/large_fuzz_test.go
+++ b/internal/resp/large_fuzz_test.go
@@ -37,3 +37,19 @@
 		}
 	})
 }
+
+// Each beginning of a large value's header may be one, and nothing else may: neither a
+// complete header nor the beginning of another reply.
+func TestMayBeLargeValueHeader(t *testing.T) {
+	const header = "*3\r\n$204800\r\n"
+	for cut := range len(header) {
+		if !MayBeLargeValueHeader([]byte(header[:cut])) {
+			t.Errorf("%q is not seen as the beginning of a header", header[:cut])
+		}
+	}
+	for _, other := range []string{header, "-", "+", "$", "*2", "*3\r\n:", "*3\r\n$-1", "*3\r\n$5\r\nva", "*3\r\n$x"} {
+		if MayBeLargeValueHeader([]byte(other)) {
+			t.Errorf("%q is seen as the beginning of a header", other)
+		}
+	}
+}
