Commands behind a long value that breaks off are answered

Cause: the header of a long value was written as it came. From then on only the rest of it may be written, so that a value which breaks off ends the connection, and with it every reply behind. Commands were submitted all the same, before the value and within it.

Change: a value without replies behind it is written as it comes, and no further command is submitted until it has been received.

--- a/internal/core/answer.go
+++ b/internal/core/answer.go
@@ -43,6 +43,7 @@
 	Kind       AnswerKind
 	Value      []byte          // set if Served, unless Stream is
 	Stream     *backend.Stream // replaces Value if Served: the front must read it to its end or close it
+	Remaining  time.Duration   // set with Stream: how long the client still waits for the first bytes
 	RetryAfter time.Duration   // set if Rejected; 0: the client may decide
 	Grant      Grant           // set if Granted
 	State      lease.State     // set if Concluded
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -137,7 +137,7 @@
 	r.streaming, r.finished = attempt, true
 	c.completeWork(r, Answer{Kind: Served, Stream: stream})
 	c.summary.addServed(c.now-r.arrivedAt, c.classes[r.Class].LatencyObjective)
-	c.deliverAnswer(r, Answer{Kind: Served, Stream: stream})
+	c.deliverAnswer(r, Answer{Kind: Served, Stream: stream, Remaining: r.GiveUpAt - c.now})
 	c.notifyAttemptEnded(r, policy.AttemptEnded{
 		ID:       r.ID,
 		Attempt:  attempt.Number,
--- a/internal/front/resp/connection.go
+++ b/internal/front/resp/connection.go
@@ -35,7 +35,7 @@
 	written           chan struct{} // closed when the writer has ended
 	protocolErrors    atomic.Int32  // number of protocol errors by the client
 	hasPartialCommand atomic.Bool   // part of a command has been read
-	awaitsMemory      atomic.Bool   // the reader waits for reply memory
+	awaitsSignal      atomic.Bool   // the reader waits for waitSignal
 	abortReason       atomic.Int32  // the metrics.CloseReason of abort plus 1; 0 if not aborted
 
 	mu              sync.Mutex      // guards the fields up to phase
@@ -49,11 +49,12 @@
 	hasSentCommand  bool            // the client has sent a complete command
 	closing         bool            // the connection is to end as soon as no reply is pending
 	endRequested    bool            // the reader is to end the connection unless more bytes have arrived
-	readInterrupted bool            // a reader that awaits memory is to check again
+	readInterrupted bool            // a reader that waits for a signal is to check again
+	relaying        bool            // a streamed value has been begun and not completely received
 	readDeadline    time.Time       // read deadline that applies while endRequested and readInterrupted are false
 	phase           connectionPhase // only increases
 
-	memorySignal chan struct{} // signals a reader that awaits reply memory to check again
+	waitSignal chan struct{} // signals a reader that waits for reply memory or the end of a relay to check again
 
 	stall stallTracker // used by the goroutine that closes idle connections
 
@@ -73,7 +74,7 @@
 		pipelineWindow: make(chan struct{}, maxPipelined),
 		wake:           make(chan struct{}, 1),
 		written:        make(chan struct{}),
-		memorySignal:   make(chan struct{}, 1),
+		waitSignal:     make(chan struct{}, 1),
 		lastActive:     time.Now(),
 		turn:           front.processor.NewAccount(),
 	}
--- a/internal/front/resp/memory_wait.go
+++ b/internal/front/resp/memory_wait.go
@@ -27,15 +27,15 @@
 func (c *connection) awaitReplyMemory() (bytes int, accepts bool) {
 	memory := c.front.replyMemory
 	c.front.metrics.CommandDelayed(metrics.DelayedReplyMemory)
-	c.awaitsMemory.Store(true)
-	wait := memory.wait(c.interruptMemoryWait)
+	c.awaitsSignal.Store(true)
+	wait := memory.wait(c.interruptWait)
 	writerEnded := false
 	c.waitWhileReading(func(maxWait time.Duration) bool {
-		writerEnded = c.awaitMemorySignal(maxWait)
+		writerEnded = c.awaitSignal(maxWait)
 		return writerEnded || memory.isGranted(wait) || c.allWritten()
 	})
 	granted := memory.stopWaiting(wait)
-	c.endMemoryWait()
+	c.endWait()
 	switch {
 	case writerEnded || c.peerClosed:
 		if granted {
@@ -53,59 +53,9 @@
 // one that the reader handles, which is in the pipeline window already.
 func (c *connection) allWritten() bool { return len(c.pipelineWindow) <= 1 }
 
-// awaitMemorySignal waits up to maxWait for a sign that the reader need not wait for
-// reply memory any more. It reports whether the writer has ended.
-func (c *connection) awaitMemorySignal(maxWait time.Duration) (writerEnded bool) {
-	timer := time.NewTimer(maxWait)
-	defer timer.Stop()
-	select {
-	case <-c.memorySignal:
-	case <-c.written:
-		return true
-	case <-timer.C:
-	}
-	select {
-	case <-c.written:
-		return true
-	default:
-		return false
-	}
-}
-
 // notifyAllWritten interrupts the reader's wait for memory if no earlier reply is left.
 func (c *connection) notifyAllWritten() {
-	if c.awaitsMemory.Load() && c.allWritten() {
-		c.interruptMemoryWait()
-	}
-}
-
-// interruptMemoryWait makes a reader that waits for reply memory check whether it still
-// has to. It never blocks and may be called from any goroutine.
-func (c *connection) interruptMemoryWait() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.awaitsMemory.Load() {
-		return
-	}
-	c.readInterrupted = true
-	c.interruptRead()
-	select {
-	case c.memorySignal <- struct{}{}:
-	default:
-	}
-}
-
-// endMemoryWait restores the read deadline after a wait for reply memory.
-func (c *connection) endMemoryWait() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.awaitsMemory.Store(false)
-	if c.readInterrupted && !c.endRequested {
-		c.conn.SetReadDeadline(c.readDeadline)
-	}
-	c.readInterrupted = false
-	select {
-	case <-c.memorySignal: // of an interruption that came too late
-	default:
+	if c.awaitsSignal.Load() && c.allWritten() {
+		c.interruptWait()
 	}
 }
--- a/internal/front/resp/pending.go
+++ b/internal/front/resp/pending.go
@@ -19,6 +19,7 @@
 	reserved int             // bytes of reply memory reserved for it; 0 once it is answered
 	encoded  []byte          // nil until answered; for a streamed value, only its RESP header
 	stream   *backend.Stream // value that follows the header; nil if encoded is the complete reply
+	beginBy  time.Time       // when the first bytes of stream must have been written
 }
 
 // addPending appends a pending reply for the next command. It may wait for the
@@ -31,40 +32,45 @@
 }
 
 func (c *connection) tryAddPending(request *core.Request) *pendingReply {
-	if !c.acquireWindow() {
-		return nil
-	}
-	reserved := 0
-	if request != nil {
-		var accepts bool
-		if reserved, accepts = c.reserveReply(); !accepts {
-			<-c.pipelineWindow
+	for {
+		if !c.awaitRelayEnd() || !c.acquireWindow() {
 			return nil
 		}
-	}
-	reply := c.appendPending(request, reserved)
-	if reply == nil {
+		reserved := 0
+		if request != nil {
+			var accepts bool
+			if reserved, accepts = c.reserveReply(); !accepts {
+				<-c.pipelineWindow
+				return nil
+			}
+		}
+		reply, relaying := c.appendPending(request, reserved)
+		if reply != nil {
+			return reply
+		}
 		if reserved > 0 {
 			c.front.replyMemory.adjust(-reserved)
 		}
 		<-c.pipelineWindow
+		if !relaying {
+			return nil
+		}
 	}
-	return reply
 }
 
-// appendPending appends a pending reply, or returns nil if the connection accepts no
-// more commands.
-func (c *connection) appendPending(request *core.Request, reserved int) *pendingReply {
+// appendPending appends a pending reply, or returns nil: if a value is relayed, or if
+// the connection accepts no more commands.
+func (c *connection) appendPending(request *core.Request, reserved int) (reply *pendingReply, relaying bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase >= finished {
-		return nil
+	if c.relaying || c.phase >= finished {
+		return nil, c.relaying
 	}
-	reply := &pendingReply{conn: c, request: request, reserved: reserved}
+	reply = &pendingReply{conn: c, request: request, reserved: reserved}
 	c.replyBytes += reserved
 	c.lastActive, c.hasSentCommand = time.Now(), true
 	c.pending = append(c.pending, reply)
-	return reply
+	return reply, false
 }
 
 // acquireWindow waits until the pipeline window has capacity for another command. It
@@ -115,7 +121,7 @@
 	switch a.Kind {
 	case core.Served:
 		if a.Stream != nil {
-			p.completeWithStream(a.Stream)
+			p.completeWithStream(a.Stream, a.Remaining)
 			return
 		}
 		p.complete(redcon.AppendBulk(make([]byte, 0, len(a.Value)+16), a.Value))
@@ -172,8 +178,9 @@
 }
 
 // completeWithStream sets a reply whose value is relayed as it arrives. The writer
-// reads the stream once all earlier replies are written.
-func (p *pendingReply) completeWithStream(v *backend.Stream) {
+// reads the stream once all earlier replies are written. The client waits for its first
+// bytes for the remaining time.
+func (p *pendingReply) completeWithStream(v *backend.Stream, remaining time.Duration) {
 	c := p.conn
 	c.mu.Lock()
 	if c.phase == released {
@@ -181,7 +188,7 @@
 		v.Close()
 		return
 	}
-	p.stream = v
+	p.stream, p.beginBy = v, time.Now().Add(min(remaining, maxValueHold))
 	p.encoded = append(strconv.AppendInt([]byte{'$'}, int64(v.Size), 10), '\r', '\n')
 	growth := p.chargeMemory(0) // only a chunk of the value is held, by the backend's connection
 	c.lastActive = time.Now()
@@ -190,6 +197,18 @@
 	c.wakeWriter()
 }
 
+// replaceStream replaces a streamed reply of which nothing was written by an encoded one.
+func (p *pendingReply) replaceStream(encoded []byte) {
+	c := p.conn
+	c.mu.Lock()
+	p.stream, p.encoded = nil, encoded
+	growth := p.chargeMemory(len(encoded))
+	c.collectReplies()
+	c.lastActive = time.Now()
+	c.mu.Unlock()
+	c.front.replyMemory.adjust(growth)
+}
+
 // collectReplies moves replies from the front of pending to outgoing, up to the first
 // that is unanswered or streamed. The caller must hold c.mu.
 func (c *connection) collectReplies() {
--- a/internal/front/resp/reply_memory.go
+++ b/internal/front/resp/reply_memory.go
@@ -43,15 +43,23 @@
 	return m.waiting.Load() == 0 && m.tryReserve()
 }
 
-// tryReserve doesn't change used if it fails, not even for a moment: another call
+// reserveSpare reserves a number of bytes if no connection waits for a reservation and
+// half of the memory is free afterwards.
+func (m *replyMemory) reserveSpare(bytes int) bool {
+	return m.waiting.Load() == 0 && m.tryReserveWithin(bytes, m.limit/2)
+}
+
+func (m *replyMemory) tryReserve() bool { return m.tryReserveWithin(maxReplyBytes, m.limit) }
+
+// tryReserveWithin doesn't change used if it fails, not even for a moment: another call
 // could fail for that, and would not be repeated.
-func (m *replyMemory) tryReserve() bool {
+func (m *replyMemory) tryReserveWithin(bytes int, limit int64) bool {
 	for {
 		used := m.used.Load()
-		if used+maxReplyBytes > m.limit {
+		if used+int64(bytes) > limit {
 			return false
 		}
-		if m.used.CompareAndSwap(used, used+maxReplyBytes) {
+		if m.used.CompareAndSwap(used, used+int64(bytes)) {
 			return true
 		}
 	}
--- a/internal/front/resp/writer.go
+++ b/internal/front/resp/writer.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"os"
 	"time"
 
@@ -11,48 +10,6 @@
 	"hitchspring/internal/socket"
 )
 
-// relayStream writes the first pending reply, whose value is streamed. If the stream
-// fails midway, it returns an error and the connection is closed, so that the client
-// can tell that the value is truncated.
-func (c *connection) relayStream(reply *pendingReply) error {
-	defer reply.stream.Close()
-	if err := c.sendStream(reply); err != nil {
-		return err
-	}
-	c.mu.Lock()
-	c.pending[0] = nil
-	c.pending = c.pending[1:]
-	c.collectReplies()
-	c.lastActive = time.Now()
-	c.mu.Unlock()
-	<-c.pipelineWindow
-	c.notifyAllWritten()
-	return nil
-}
-
-// sendStream writes a RESP bulk string: the header, the value as it arrives, and the
-// final CRLF.
-func (c *connection) sendStream(reply *pendingReply) error {
-	if err := c.send(reply.encoded); err != nil {
-		return err
-	}
-	buffer := make([]byte, relayBufferSize)
-	for {
-		n, err := reply.stream.Read(buffer)
-		if n > 0 {
-			if err := c.send(buffer[:n]); err != nil {
-				return err
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return c.send([]byte("\r\n"))
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
 // send writes all of b, however slowly the client reads. It fails if the connection
 // fails, or if there is no progress for writeStallTimeout. While nothing can be
 // written, acknowledged bytes count as progress, since the kernel accepts more data
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -33,6 +33,7 @@
 edge_router.connections_closed.shutdown_limit=0
 edge_router.commands_delayed.reply_memory=0
 edge_router.commands_delayed.processor_time=0
+edge_router.commands_delayed.streamed_value=0
 edge_router.timer_delay.up_to_1_ms=0
 edge_router.timer_delay.up_to_10_ms=0
 edge_router.timer_delay.up_to_100_ms=0
--- a/internal/metrics/reasons.go
+++ b/internal/metrics/reasons.go
@@ -92,10 +92,11 @@
 const (
 	DelayedReplyMemory   DelayReason = iota // all memory for replies is taken by some that wait for earlier ones
 	DelayedProcessorTime                    // the clients' share of the processor is used up
+	DelayedStreamedValue                    // a streamed value is being relayed on the connection
 	delayReasonCount
 )
 
-var delayReasonNames = [delayReasonCount]string{"reply_memory", "processor_time"}
+var delayReasonNames = [delayReasonCount]string{"reply_memory", "processor_time", "streamed_value"}
 
 // delayBuckets are the upper bounds of the counters of delays, except the last one, which has none.
 var delayBuckets = [...]time.Duration{time.Millisecond, 10 * time.Millisecond, 100 * time.Millisecond}
