No connection waits for processor time behind ever new ones

Cause: heavy connections take their turns later by 2,000 times their demand, without a bound, and demand is elapsed time: one turn of 5 ms, in which the process did other work, was 10 s of delay, while clients on new connections have used nothing and go first. A trial that printed long waits showed 3.2 s for connections with two turns, one of which counted 5 ms. Besides, each read ended a turn, so that a command of 30 KB waited five or six times.

Change: the delay is 1.5 rounds of the waiting connections at most; a turn that had to wait goes on with reads that do not block. Metric turn_delay.

--- a/cmd/hitchspring/program_test.go
+++ b/cmd/hitchspring/program_test.go
@@ -13,6 +13,10 @@
 var buildDir string
 
 func TestMain(m *testing.M) {
+	if addr := os.Getenv(mixedFloodVariable); addr != "" {
+		floodMixed(addr)
+		return
+	}
 	code := m.Run()
 	if buildDir != "" {
 		os.RemoveAll(buildDir)
--- a/internal/cputime/account.go
+++ b/internal/cputime/account.go
@@ -53,6 +53,9 @@
 // Overdrawn reports whether a turn that began now would have to wait.
 func (a *Account) Overdrawn() bool { return a.scheduler.overdrawn(time.Since(a.scheduler.start)) > 0 }
 
+// Waited reports whether the present turn had to wait. The next one probably has to as well.
+func (a *Account) Waited() bool { return a.active && a.prepaid }
+
 // EndIfExpired ends the present turn if it has used its quantum.
 func (a *Account) EndIfExpired() {
 	if a.active && time.Since(a.scheduler.start)-a.began+a.added >= quantum {
--- a/internal/cputime/cputime.go
+++ b/internal/cputime/cputime.go
@@ -31,9 +31,14 @@
 	maxGrantInterval = 5 * time.Millisecond
 	// lightDemand is the demand up to which accounts take their turns in FIFO order.
 	lightDemand = 100 * time.Microsecond
-	// delayPerDemand is how much later than accounts with a light demand others take their turns, per demand. It bounds
-	// the wait of accounts with a heavy demand.
+	// delayPerDemand is how much later than accounts with a light demand others take their turns, per demand.
 	delayPerDemand = 2000
+	// maxDelayRounds bounds by how much later they take them, in rounds: the time in which each waiting account gets a
+	// turn. Accounts that ask again at once are then still served behind light ones, but one with a heavy turn now and
+	// then does not wait behind ever new accounts, which have used nothing yet.
+	maxDelayRounds = 1.5
+	// grantIntervalWeight is the weight of one interval in the moving average of those between two waiting turns.
+	grantIntervalWeight = 0.05
 	// meanTurnWeight is the weight of one turn in an account's moving average of costs.
 	meanTurnWeight = 0.25
 	// recentPeriod is the time in which an account's recent use decays to 1/e.
@@ -52,15 +57,18 @@
 	mu        sync.Mutex // guards the fields below
 	waiting   turnQueue
 	grantedAt time.Duration // when the last waiting turn began, or when the first one began to wait, since start
+	interval  time.Duration // moving average of the time between two waiting turns
 	timer     *time.Timer   // calls wake; nil before the first wait
 	wakeAt    time.Duration // when the timer is due, since start
 }
 
 // NewScheduler returns a scheduler for a process that uses so many cores.
 func NewScheduler(cores int) *Scheduler {
+	spread := 1 / (shareOfCore * float64(cores))
 	return &Scheduler{
-		spread:    1 / (shareOfCore * float64(cores)),
+		spread:    spread,
 		tolerance: time.Duration(float64(burst) / shareOfCore),
+		interval:  time.Duration(spread * float64(quantum)),
 		start:     time.Now(),
 	}
 }
@@ -107,14 +115,13 @@
 
 // wait waits until a turn of an account with the given demand may begin. quantum has been charged for it then.
 func (s *Scheduler) wait(now, demand time.Duration) {
-	turn := &waitingTurn{
-		order: now + delayPerDemand*max(0, demand-lightDemand),
-		ready: make(chan struct{}),
-	}
+	turn := &waitingTurn{ready: make(chan struct{})}
 	s.mu.Lock()
 	if len(s.waiting) == 0 {
 		s.grantedAt = now
 	}
+	round := time.Duration(len(s.waiting)+1) * s.interval
+	turn.order = now + min(delayPerDemand*max(0, demand-lightDemand), time.Duration(maxDelayRounds*float64(round)))
 	heap.Push(&s.waiting, turn)
 	s.grantLocked()
 	s.mu.Unlock()
@@ -145,6 +152,7 @@
 	s.charge(now, quantum)
 	turn := heap.Pop(&s.waiting).(*waitingTurn)
 	close(turn.ready)
+	s.interval += time.Duration(grantIntervalWeight * float64(now-s.grantedAt-s.interval))
 	s.grantedAt = now
 }
 
--- a/internal/front/resp/reader.go
+++ b/internal/front/resp/reader.go
@@ -71,7 +71,9 @@
 // fillInbox reads more input. It returns errEnded if the end of the connection was
 // requested and the connection has ended.
 func (c *connection) fillInbox() error {
-	c.turn.End()
+	if !c.mayReadInTurn() {
+		c.turn.End()
+	}
 	err := c.inbox.Fill(c.receive)
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		return err
@@ -87,6 +89,18 @@
 	}
 }
 
+// mayReadInTurn reports whether the next read belongs to the present turn, since it does
+// not block. A command that arrives in several segments would otherwise wait for a turn
+// with each read of it.
+func (c *connection) mayReadInTurn() bool {
+	c.turn.EndIfExpired()
+	if !c.turn.Waited() {
+		return false
+	}
+	arrived, _ := socket.Peek(c.conn)
+	return arrived
+}
+
 // beginTurn waits until the connection may use processor time, unless it does already.
 // Bytes that arrive meanwhile may count as arrived when the wait began. If it waits, it
 // sets peerClosed if the client has disconnected, whatever it has sent before.
@@ -95,8 +109,10 @@
 	if !c.turn.Begin() {
 		return
 	}
-	c.receipts.recordDelay(began, time.Now())
+	now := time.Now()
+	c.receipts.recordDelay(began, now)
 	c.front.metrics.CommandDelayed(metrics.DelayedProcessorTime)
+	c.front.metrics.TurnWaited(now.Sub(began))
 	c.peerClosed = c.peerClosed || socket.HungUp(c.conn)
 }
 
--- a/internal/metrics/groups.go
+++ b/internal/metrics/groups.go
@@ -22,6 +22,7 @@
 	delayedGroup
 	timerDelayGroup
 	arrivalDelayGroup
+	turnDelayGroup
 	groupCount
 )
 
@@ -37,6 +38,7 @@
 
 		timerDelayGroup:   {name: "timer_delay", names: delayBucketNames[:]},
 		arrivalDelayGroup: {name: "arrival_delay", names: delayBucketNames[:]},
+		turnDelayGroup:    {name: "turn_delay", names: delayBucketNames[:]},
 	}
 	for i := range groups {
 		groups[i].counts = make([]atomic.Int64, len(groups[i].names))
@@ -75,6 +77,9 @@
 // ArrivalHandled counts a request by how long it waited for the event loop.
 func (s *Set) ArrivalHandled(waited time.Duration) { s.count(arrivalDelayGroup, delayBucket(waited)) }
 
+// TurnWaited counts a turn of a client's connection that had to wait for processor time, by how long it waited.
+func (s *Set) TurnWaited(waited time.Duration) { s.count(turnDelayGroup, delayBucket(waited)) }
+
 // Each calls visit for each counter that has a reason or an outcome.
 func (s *Set) Each(visit func(group, name string, value int64)) {
 	for i := range s.groups {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -42,6 +42,10 @@
 edge_router.arrival_delay.up_to_10_ms=0
 edge_router.arrival_delay.up_to_100_ms=0
 edge_router.arrival_delay.longer=0
+edge_router.turn_delay.up_to_1_ms=0
+edge_router.turn_delay.up_to_10_ms=0
+edge_router.turn_delay.up_to_100_ms=0
+edge_router.turn_delay.longer=0
 `
 	if got := string(New([]string{"b", "a"}, []string{"quota"}, []string{"done"}).Text()); got != want {
 		t.Errorf("got initial text:\n%s\nwant:\n%s", got, want)
