Nothing is sent for a client whose close can't be seen

Callers' rule: no attempt begins over 0.1 s after its client's close.

Cause: a close comes behind all that was sent. With our kernel's buffer full it is still on the client's side and no question finds it; that the kernel told of no close was taken for a client that is there.

Nothing is sent for an unseen one; its request is refused, or failed where an attempt may have run. The core keeps a sink's state for an event, and no longer takes the second question for connected.

--- a/internal/core/answer.go
+++ b/internal/core/answer.go
@@ -49,11 +49,21 @@
 	State      lease.State     // set if Concluded
 }
 
+// ClientState is what a front knows about the client of a request.
+type ClientState uint8
+
+// The states of a client.
+const (
+	Connected    ClientState = iota
+	Disconnected             // it has closed its connection
+	Unseen                   // it may have: more has arrived than was read, and its end may be behind that
+)
+
 // ReplySink receives the final answer to one request on behalf of a front.
 type ReplySink interface {
 	// Deliver passes the final answer to the front. It is called once and never blocks.
 	Deliver(Answer)
-	// Disconnected reports whether the client is known to have disconnected. It may make a system call, since the
-	// front's reader may not have seen the end of the connection yet. It never blocks.
-	Disconnected() bool
+	// Client returns the present state of the client. It may make system calls, since the front's reader may not have
+	// seen the end of the connection yet. It never blocks.
+	Client() ClientState
 }
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -34,8 +34,7 @@
 	if c.zones != nil {
 		c.zones.AttemptSent(c.now, s.Backend)
 	}
-	c.dropIfDisconnected(r)
-	if r.finished || attempt.Deadline <= c.now || attempt.Number >= c.cfg.Settings.MaxAttempts ||
+	if !c.mayAttempt(r, attempt) || attempt.Deadline <= c.now || attempt.Number >= c.cfg.Settings.MaxAttempts ||
 		r.Delegated && !c.grantLease(r, attempt, s.Backend) {
 		c.backends.CancelUnsent(attempt, s.Backend)
 		return
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -20,7 +20,8 @@
 	answer           Answer // the last one
 	answers          int    // number of answers
 	disconnected     bool   // the client has disconnected, and no front has reported it yet
-	disconnectChecks int    // number of calls to Disconnected
+	unseen           bool   // the client may have disconnected
+	disconnectChecks int    // number of calls to Client
 }
 
 func (s *recordingSink) Deliver(a Answer) {
@@ -28,9 +29,16 @@
 	s.answers++
 }
 
-func (s *recordingSink) Disconnected() bool {
+func (s *recordingSink) Client() ClientState {
 	s.disconnectChecks++
-	return s.disconnected
+	switch {
+	case s.disconnected:
+		return Disconnected
+	case s.unseen:
+		return Unseen
+	default:
+		return Connected
+	}
 }
 
 // testCommand is a command whose encoded form no test examines.
--- a/internal/core/disconnect_test.go
+++ b/internal/core/disconnect_test.go
@@ -93,7 +93,7 @@
 	})
 }
 
-// The sink's Disconnected is called once per event, even if the event causes several checks.
+// The sink's Client is called once per event, even if the event causes several checks.
 func TestDisconnectIsCheckedOncePerEvent(t *testing.T) {
 	c := newIdleCore(t, testConfig(newBackends(t, 1)))
 	sink := &recordingSink{}
@@ -132,3 +132,58 @@
 		t.Errorf("next call: got %v, want a grant", connectedSink.answer)
 	}
 }
+
+// Guards against attempts for a client that may have closed its connection behind what is
+// not read yet. The request is answered at once, since the client may as well be there.
+func TestNoAttemptForUnseenClients(t *testing.T) {
+	newUnseenCore := func(t *testing.T, effect policy.Effect) *Core {
+		t.Helper()
+		cfg := testConfig(newBackends(t, 2))
+		cfg.Settings.MaxAttempts = 3
+		for i := range cfg.Settings.Classes {
+			cfg.Settings.Classes[i].Effect = effect
+		}
+		return newIdleCore(t, cfg)
+	}
+	t.Run("first attempt", func(t *testing.T) {
+		c := newUnseenCore(t, policy.Unsafe)
+		sink := &recordingSink{unseen: true}
+		r := submitRequest(c, 1, sink)
+		if sink.answers != 1 || sink.answer.Kind != Rejected || c.backends.Dials() != 0 || len(c.requests) != 0 {
+			t.Errorf("got %d answers, %v, %d dials, %d open requests, want one rejection and nothing else",
+				sink.answers, sink.answer.Kind, c.backends.Dials(), len(c.requests))
+		}
+		if !r.finished {
+			t.Error("the request is open")
+		}
+	})
+	t.Run("waiting for a connection", func(t *testing.T) {
+		c := newUnseenCore(t, policy.Unsafe)
+		sink := &recordingSink{}
+		r := submitRequest(c, 1, sink)
+		attempt := r.attempts[0]
+		c.now += time.Millisecond
+		sink.unseen = true
+		if (poolOwner{c}).AttemptWanted(attempt) {
+			t.Fatal("the attempt would be sent, want it withheld")
+		}
+		c.flushEvents()
+		if sink.answers != 1 || sink.answer.Kind != Rejected || !attempt.NeverRan() || len(c.requests) != 0 {
+			t.Errorf("got %d answers, %v, %d open requests, want one rejection and none open",
+				sink.answers, sink.answer.Kind, len(c.requests))
+		}
+	})
+	t.Run("retry", func(t *testing.T) {
+		c := newUnseenCore(t, policy.Safe)
+		sink := &recordingSink{}
+		r := submitRequest(c, 1, sink)
+		c.now += time.Millisecond
+		sink.unseen = true
+		c.attemptEnded(r.attempts[0], policy.NoConnect, backend.Reply{})
+		c.flushEvents()
+		if sink.answers != 1 || sink.answer.Kind != Rejected || len(c.requests) != 0 {
+			t.Errorf("got %d answers, %v, %d open requests, want one rejection and none open",
+				sink.answers, sink.answer.Kind, len(c.requests))
+		}
+	})
+}
--- a/internal/core/leases.go
+++ b/internal/core/leases.go
@@ -185,15 +185,18 @@
 	l.notifyWaiters(a)
 }
 
-// Disconnected reports whether there are waiting callers and all of them have disconnected. Without waiting callers it
-// returns false, since the decision is then returned to a report of an outcome or to a later call.
-func (l *leasedRequest) Disconnected() bool {
+// Client returns Disconnected if there are waiting callers and all of them have disconnected. Without waiting callers
+// it returns Connected, since the decision is then returned to a report of an outcome or to a later call.
+func (l *leasedRequest) Client() ClientState {
 	for _, sink := range l.waiters {
-		if !sink.Disconnected() {
-			return false
+		if sink.Client() != Disconnected {
+			return Connected
 		}
 	}
-	return len(l.waiters) > 0
+	if len(l.waiters) > 0 {
+		return Disconnected
+	}
+	return Connected
 }
 
 // notifyWaiters delivers an answer to all waiting callers.
--- a/internal/core/pool.go
+++ b/internal/core/pool.go
@@ -52,8 +52,7 @@
 	if !ok { // a health check
 		return true
 	}
-	o.core.dropIfDisconnected(r)
-	return !r.finished && o.core.maySend(r, attempt)
+	return o.core.mayAttempt(r, attempt) && o.core.maySend(r, attempt)
 }
 
 // AttemptBegan handles a streamed value whose first bytes have arrived, and reports whether it is still wanted.
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -26,17 +26,18 @@
 	ReceivedAt     time.Time // when its last byte arrived, as far as the front can tell; zero: unknown
 	MemoryReserved bool      // ReserveMemory was called for Size bytes
 
-	submittedAt         time.Time // when Submit was called
-	attempts            []*backend.Attempt
-	arrivedAt           time.Duration
-	disconnectCheckedAt time.Duration    // when Sink.Disconnected was last called
-	streaming           *backend.Attempt // attempt whose value is being streamed to the client; nil: none
-	inFlight            int              // attempts that have not ended
-	finished            bool             // it has its final answer, or its client has disconnected
-	mayHaveRun          bool             // an attempt may have run; set when it is released
-	reason              policy.Reason    // of its rejection or failure
-	pending             *pendingWork     // state of its replication; nil: it is not replicated
-	deadlineTimer       *timer           // fires after its deadline; nil: not scheduled, or canceled
+	submittedAt     time.Time // when Submit was called
+	attempts        []*backend.Attempt
+	arrivedAt       time.Duration
+	clientCheckedAt time.Duration    // when Sink.Client was last called
+	client          ClientState      // what it returned
+	streaming       *backend.Attempt // attempt whose value is being streamed to the client; nil: none
+	inFlight        int              // attempts that have not ended
+	finished        bool             // it has its final answer, or its client has disconnected
+	mayHaveRun      bool             // an attempt may have run; set when it is released
+	reason          policy.Reason    // of its rejection or failure
+	pending         *pendingWork     // state of its replication; nil: it is not replicated
+	deadlineTimer   *timer           // fires after its deadline; nil: not scheduled, or canceled
 }
 
 // The events of a front that submits requests.
--- a/internal/core/takeover_actions.go
+++ b/internal/core/takeover_actions.go
@@ -153,7 +153,7 @@
 }
 
 // Disconnected returns false, since the client may still retry.
-func (takenOverSink) Disconnected() bool { return false }
+func (takenOverSink) Client() ClientState { return Connected }
 
 // resumeWork continues the work of an instance that has ended. Work that can't be continued is completed as failed.
 func (c *Core) resumeWork(work takeover.TakenWork) {
--- a/internal/core/timers_test.go
+++ b/internal/core/timers_test.go
@@ -127,11 +127,11 @@
 	delay time.Duration
 }
 
-// Disconnected implements ReplySink.
-func (s *slowSink) Disconnected() bool {
+// Client implements ReplySink.
+func (s *slowSink) Client() ClientState {
 	close(s.asked)
 	time.Sleep(s.delay)
-	return true
+	return Disconnected
 }
 
 // Guards against a backend that is told more time than the client has left: the time of an event must not be that of an
--- a/internal/front/forwardauth/authorize.go
+++ b/internal/front/forwardauth/authorize.go
@@ -21,10 +21,13 @@
 // Deliver implements core.ReplySink.
 func (s *callSink) Deliver(a core.Answer) { s.answer <- a }
 
-// Disconnected reports whether the caller has disconnected, even if the HTTP server
-// has not noticed yet.
-func (s *callSink) Disconnected() bool {
-	return s.ctx.Err() != nil || s.conn != nil && socket.HungUp(s.conn)
+// Client returns Disconnected if the caller has disconnected, even if the HTTP server
+// has not noticed yet. A caller sends nothing behind its call.
+func (s *callSink) Client() core.ClientState {
+	if s.ctx.Err() != nil || s.conn != nil && socket.HungUp(s.conn) {
+		return core.Disconnected
+	}
+	return core.Connected
 }
 
 // connectionKey is the context key of a call's connection.
--- a/internal/front/resp/connection.go
+++ b/internal/front/resp/connection.go
@@ -37,6 +37,8 @@
 	hasPartialCommand atomic.Bool   // part of a command has been read
 	awaitsSignal      atomic.Bool   // the reader waits for waitSignal
 	abortReason       atomic.Int32  // the metrics.CloseReason of abort plus 1; 0 if not aborted
+	drainedAt         atomic.Int64  // when all that had arrived was read, in nanoseconds after acceptedAt
+	acceptedAt        time.Time
 
 	mu              sync.Mutex      // guards the fields up to phase
 	pending         []*pendingReply // replies not moved to outgoing yet, in command order
@@ -68,14 +70,16 @@
 }
 
 func newConnection(front *Front, conn net.Conn) *connection {
+	now := time.Now()
 	return &connection{
 		front:          front,
+		acceptedAt:     now,
 		conn:           conn,
 		pipelineWindow: make(chan struct{}, maxPipelined),
 		wake:           make(chan struct{}, 1),
 		written:        make(chan struct{}),
 		waitSignal:     make(chan struct{}, 1),
-		lastActive:     time.Now(),
+		lastActive:     now,
 		turn:           front.processor.NewAccount(),
 	}
 }
--- a/internal/front/resp/pending.go
+++ b/internal/front/resp/pending.go
@@ -136,10 +136,19 @@
 	}
 }
 
-// Disconnected reports whether the client has closed its connection, even if the
-// reader has not noticed yet: a command and the close may arrive together, and the
-// reader may be waiting. It asks the kernel and never blocks.
-func (p *pendingReply) Disconnected() bool { return socket.HungUp(p.conn.conn) }
+// Client returns whether the client has closed its connection, even if the reader has
+// not noticed yet: a command and the close may arrive together, and the reader may be
+// waiting. It asks the kernel and never blocks.
+func (p *pendingReply) Client() core.ClientState {
+	switch {
+	case socket.HungUp(p.conn.conn):
+		return core.Disconnected
+	case p.conn.mayHideEnd():
+		return core.Unseen
+	default:
+		return core.Connected
+	}
+}
 
 // complete sets the encoded reply. It never blocks.
 func (p *pendingReply) complete(encoded []byte) {
--- a/internal/front/resp/reader.go
+++ b/internal/front/resp/reader.go
@@ -170,6 +170,9 @@
 func (c *connection) receive(b []byte) (int, error) {
 	began := time.Now()
 	n, err := c.conn.Read(b)
+	if n < len(b) {
+		c.drainedAt.Store(int64(time.Since(c.acceptedAt)))
+	}
 	if n > 0 {
 		c.turn.Add(readCost + time.Duration(n)*readByteCost)
 		now := time.Now()
@@ -290,6 +293,15 @@
 	}
 }
 
+// mayHideEnd reports whether the client may have closed the connection although the
+// kernel does not tell. The end comes behind all that the client has sent: while the
+// kernel has no room for the rest of that, the end is still on the client's side. Until
+// unseenAfter from when everything had been read, the client counts as there.
+func (c *connection) mayHideEnd() bool {
+	drained := time.Duration(c.drainedAt.Load())
+	return time.Since(c.acceptedAt)-drained > unseenAfter && socket.HalfFull(c.conn)
+}
+
 // mayReadAhead reports whether more may be read while a command waits. The end of the
 // connection can only be seen behind all that was sent before it.
 func (c *connection) mayReadAhead() bool {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -26,6 +26,7 @@
 edge_router.failed.quota=0
 edge_router.attempts.done=0
 edge_router.attempts_held_back.time_over=0
+edge_router.attempts_held_back.client_unseen=0
 edge_router.connections_closed.by_client=0
 edge_router.connections_closed.by_protocol=0
 edge_router.connections_closed.by_server=0
--- a/internal/metrics/reasons.go
+++ b/internal/metrics/reasons.go
@@ -56,10 +56,11 @@
 // The reasons for withholding an attempt.
 const (
 	DeadlinePassed WithheldReason = iota // the deadline of the request had passed
+	ClientUnseen                         // the client had sent so much more that its close could not be seen
 	withheldReasonCount
 )
 
-var withheldReasonNames = [withheldReasonCount]string{"time_over"}
+var withheldReasonNames = [withheldReasonCount]string{"time_over", "client_unseen"}
 
 // CloseReason is the reason for the end of a client's connection.
 type CloseReason uint8
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -62,6 +62,26 @@
 	return unsent
 }
 
+// memoryInfoFields is the number of 32-bit fields of SO_MEMINFO, of which the first is the
+// memory in use for received data, and the second the size of the receive buffer.
+const memoryInfoFields = 9
+
+// HalfFull reports whether unread data takes half of the memory of a connection's receive
+// buffer or more. Until then the kernel accepts more from the peer, so that a close by
+// the peer has arrived once the peer's data has. It is false if the kernel does not tell.
+func HalfFull(conn net.Conn) bool {
+	halfFull := false
+	control(conn, func(fd int) {
+		var info [memoryInfoFields]uint32
+		size := uint32(unsafe.Sizeof(info))
+		_, _, errno := syscall.Syscall6(syscall.SYS_GETSOCKOPT, uintptr(fd), unix.SOL_SOCKET, unix.SO_MEMINFO,
+			uintptr(unsafe.Pointer(&info)), uintptr(unsafe.Pointer(&size)), 0)
+		used, capacity := info[0], info[1]
+		halfFull = errno == 0 && capacity > 0 && used >= capacity/2
+	})
+	return halfFull
+}
+
 // SinceReceived returns the time since data last arrived on a connection, whether
 // or not it was read. It is 0 if the kernel does not provide it.
 func SinceReceived(conn net.Conn) time.Duration {
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -95,3 +95,25 @@
 		t.Error("got a hang-up for a pipe, which has no file descriptor")
 	}
 }
+
+// Until unread data takes half of the receive buffer, a close that follows has arrived
+// with it and is reported by HungUp.
+func TestCloseIsSeenUntilHalfFull(t *testing.T) {
+	for _, size := range []int{0, 1, 1000, 30_000, 1 << 20, 16 << 20} {
+		client, server := connect(t)
+		client.SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+		client.Write(make([]byte, size))
+		client.Close()
+		time.Sleep(20 * time.Millisecond)
+		if !HungUp(server) && !HalfFull(server) {
+			t.Errorf("%d bytes and a close: neither the close nor that it may be hidden is seen", size)
+		}
+		if size <= 30_000 && HalfFull(server) {
+			t.Errorf("%d bytes make the receive buffer half full", size)
+		}
+	}
+	pipe, _ := net.Pipe()
+	if HalfFull(pipe) {
+		t.Error("a connection without a file descriptor is half full")
+	}
+}
