A drain by an operator ends connections with pipelined commands

Cause: a connection ends in a moment in which no reply is pending, and commands went on being served. With some under way at any time there is no such moment. A shutdown refuses commands from 0.7 s on; this drain did not.

Change: it does too, on connections that were open for as long; one that leaves no moment even so ends behind a complete command after 3 s.

--- a/internal/front/resp/dispatch.go
+++ b/internal/front/resp/dispatch.go
@@ -28,7 +28,7 @@
 			c.protocolError(err.Error())
 			return
 		}
-		if c.front.terminating.Load() && c.front.drainingFor() > drainRejectAfter {
+		if c.rejectsCommands() {
 			c.rejectOverloaded()
 			return
 		}
--- a/internal/front/resp/limits.go
+++ b/internal/front/resp/limits.go
@@ -27,7 +27,7 @@
 	lingerTime          = 250 * time.Millisecond  // for the client to close its side of the connection
 
 	lingerPollInterval     = 25 * time.Millisecond // for the client's close of a connection that the front has ended
-	unseenAfter            = 80 * time.Millisecond // without a sign of the client; attempts may begin 0.1 s after its close
+	unseenAfter            = 80 * time.Millisecond // without a sign of the client, whose close may be hidden
 	peerClosedPollInterval = 50 * time.Millisecond // for the disconnect of a client whose commands are not being read
 )
 
--- a/internal/front/resp/reader.go
+++ b/internal/front/resp/reader.go
@@ -44,7 +44,7 @@
 			progress = commandProgress{}
 			c.handle(command, c.receipts.consumeCommand(in.BufferedBytes()))
 			c.turn.EndIfExpired()
-			if result, ended := c.checkProtocolErrors(); ended {
+			if result, ended := c.mayEndAfterCommand(); ended {
 				return result
 			}
 			continue
@@ -116,9 +116,9 @@
 	c.peerClosed = c.peerClosed || socket.HungUp(c.conn)
 }
 
-// checkProtocolErrors is called after each command and reports whether reading must
+// mayEndAfterCommand is called after each command and reports whether reading must
 // stop. It pauses after a protocol error that was detected by the core.
-func (c *connection) checkProtocolErrors() (result readResult, ended bool) {
+func (c *connection) mayEndAfterCommand() (result readResult, ended bool) {
 	count := c.protocolErrors.Load()
 	switch {
 	case c.peerClosed || c.acceptsNoMore:
@@ -126,6 +126,8 @@
 	case count >= maxProtocolErrors:
 		c.rejectBuffered()
 		return protocolFailed, true
+	case c.endIfDrained():
+		return endedByServer, true
 	case count > c.errorsBackedOff:
 		c.backOff()
 	}
