An agent that is reachable for a moment between two silences is heard

Cause: a call that began in a silence gets no response. It was given 1 s, and up to 0.6 s of backoff followed, in which no other call began.

Change: while an agent has not responded, another call begins each 0.4 s, and the first response counts. Discovery itself is called as before.

--- a/internal/discovery/fetch.go
+++ b/internal/discovery/fetch.go
@@ -65,7 +65,7 @@
 	}()
 	responseTimer := time.AfterFunc(w.responseTimeout(), func() { cancel(errNoResponse) })
 	defer responseTimer.Stop()
-	body, err := w.get(ctx, fmt.Sprintf("%s?follow=1&since=%d", w.url, w.rev))
+	body, err := w.openWatch(ctx)
 	if err != nil {
 		return false, err
 	}
