--- a/internal/ingress/broken_value_test.go
+++ b/internal/ingress/broken_value_test.go
@@ -43,6 +43,24 @@
 	return reply[c.begun:]
 }
 
+// send starts an ingress, and sends all commands to it at once; fields are those of the
+// first one.
+func (c brokenValueCase) send(t *testing.T, fields string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	backend := scripted.NewBackend(t, func(_ int, args []string, nc net.Conn) string {
+		return c.reply(requestID(args), nc)
+	})
+	list := endpointList(slices.Repeat([]string{backend.Addr}, 4)...)
+	addr, _ := startInstance(t, testConfig(scripted.Registry(t, list, nil), list))
+	nc, in := dial(t, addr)
+	all := encodeRead(0, fields)
+	for id := 1; id < c.count; id++ {
+		all += encodeRead(id, readFields)
+	}
+	io.WriteString(nc, all)
+	return nc, in
+}
+
 // Guards against commands that have run and are never answered, since an earlier value on
 // their connection broke off. The value's own request has failed.
 func TestCommandsBehindBrokenValueAreAnswered(t *testing.T) {
@@ -58,17 +76,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			backend := scripted.NewBackend(t, func(_ int, args []string, nc net.Conn) string {
-				return c.reply(requestID(args), nc)
-			})
-			list := endpointList(slices.Repeat([]string{backend.Addr}, 4)...)
-			addr, _ := startInstance(t, testConfig(scripted.Registry(t, list, nil), list))
-			nc, in := dial(t, addr)
-			all := ""
-			for id := range c.count {
-				all += encodeRead(id, readFields)
-			}
-			io.WriteString(nc, all)
+			nc, in := c.send(t, readFields)
 			for id := range c.count {
 				c.requireAnswer(t, in, id)
 			}
@@ -81,17 +89,7 @@
 // Guards against the same loss where the value breaks off later than it can be held back.
 func TestCommandsBehindLateBrokenValueAreAnswered(t *testing.T) {
 	c := brokenValueCase{long: []int{0}, broken: []int{0}, count: 9, begun: 150_000, pause: 2500 * time.Millisecond}
-	backend := scripted.NewBackend(t, func(_ int, args []string, nc net.Conn) string {
-		return c.reply(requestID(args), nc)
-	})
-	list := endpointList(slices.Repeat([]string{backend.Addr}, 4)...)
-	addr, _ := startInstance(t, testConfig(scripted.Registry(t, list, nil), list))
-	nc, in := dial(t, addr)
-	all := ""
-	for id := range c.count {
-		all += encodeRead(id, readFields)
-	}
-	io.WriteString(nc, all)
+	_, in := c.send(t, readFields)
 	if got, err := readValue(in); err == nil {
 		t.Fatalf("a truncated value was answered as one of %d bytes", len(got))
 	}
@@ -212,16 +210,9 @@
 	} {
 		t.Run(c.wait, func(t *testing.T) {
 			t.Parallel()
-			value := brokenValueCase{long: []int{0}, begun: 150_000, pause: pause}
-			backend := scripted.NewBackend(t, func(_ int, args []string, nc net.Conn) string {
-				return value.reply(requestID(args), nc)
-			})
-			list := endpointList(slices.Repeat([]string{backend.Addr}, 2)...)
-			addr, _ := startInstance(t, testConfig(scripted.Registry(t, list, nil), list))
-			nc, in := dial(t, addr)
+			value := brokenValueCase{long: []int{0}, count: 2, begun: 150_000, pause: pause}
+			_, in := value.send(t, strings.Replace(readFields, "d=50000", c.wait, 1))
 			began := time.Now()
-			fields := strings.Replace(readFields, "d=50000", c.wait, 1)
-			io.WriteString(nc, encodeRead(0, fields)+encodeRead(1, readFields))
 			if _, err := in.Peek(1); err != nil {
 				t.Fatal(err)
 			}
