Light and heavy connections wait for turns in a queue each

Cause: turns went on with reads for a whole quantum, and the first turns of new connections count as light, so that a light one waited behind 500 of them; heavy ones whose delay was over came before it as well.

Change: after five light turns in a row a heavy one is next; a turn reads on for 0.1 ms at most.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -65,6 +65,16 @@
 	return 0
 }
 
+// stopAttempt stops an attempt at its deadline. If it may be about to stream a large value, and its client waits longer
+// than the attempt, it is stopped at giveUpAt instead.
+func (c *Core) stopAttempt(giveUpAt time.Duration, attempt *backend.Attempt) {
+	if c.now < giveUpAt && attempt.ValueMayFollow() {
+		c.scheduleAt(giveUpAt, func() { c.backends.Abort(attempt, policy.TimedOut) })
+		return
+	}
+	c.backends.Abort(attempt, policy.TimedOut)
+}
+
 // startAttempt passes an attempt to the connection pool, which sends it.
 func (c *Core) startAttempt(r *Request, attempt *backend.Attempt, to policy.BackendID) {
 	c.summary.addAttempt(attempt.Number, c.now-r.arrivedAt)
@@ -82,16 +92,6 @@
 	c.backends.Start(attempt, to)
 }
 
-// stopAttempt stops an attempt at its deadline. If it may be about to stream a large value, and its client waits longer
-// than the attempt, it is stopped at giveUpAt instead.
-func (c *Core) stopAttempt(giveUpAt time.Duration, attempt *backend.Attempt) {
-	if c.now < giveUpAt && attempt.ValueMayFollow() {
-		c.scheduleAt(giveUpAt, func() { c.backends.Abort(attempt, policy.TimedOut) })
-		return
-	}
-	c.backends.Abort(attempt, policy.TimedOut)
-}
-
 // attemptEnded handles the end of an attempt or a health check and notifies the engine. The first attempt that succeeds
 // answers the client.
 func (c *Core) attemptEnded(attempt *backend.Attempt, outcome policy.Outcome, reply backend.Reply) {
--- a/internal/cputime/account.go
+++ b/internal/cputime/account.go
@@ -53,8 +53,11 @@
 // Overdrawn reports whether a turn that began now would have to wait.
 func (a *Account) Overdrawn() bool { return a.scheduler.overdrawn(time.Since(a.scheduler.start)) > 0 }
 
-// Waited reports whether the present turn had to wait. The next one probably has to as well.
-func (a *Account) Waited() bool { return a.active && a.prepaid }
+// MayReadOn reports whether the present turn had to wait, as the next one probably has to, and was light so far. It is
+// worth the while then to go on with it.
+func (a *Account) MayReadOn() bool {
+	return a.active && a.prepaid && time.Since(a.scheduler.start)-a.began+a.added < lightDemand
+}
 
 // EndIfExpired ends the present turn if it has used its quantum.
 func (a *Account) EndIfExpired() {
--- a/internal/cputime/cputime.go
+++ b/internal/cputime/cputime.go
@@ -31,11 +31,13 @@
 	maxGrantInterval = 5 * time.Millisecond
 	// lightDemand is the demand up to which accounts take their turns in FIFO order.
 	lightDemand = 100 * time.Microsecond
-	// delayPerDemand is how much later than accounts with a light demand others take their turns, per demand.
+	// lightTurnsInARow is how many turns of accounts with a light demand may begin in a row while others wait. An account
+	// with a heavy turn now and then would else wait behind ever new accounts, which have used nothing yet.
+	lightTurnsInARow = 5
+	// delayPerDemand is by how much an account with a heavy demand takes its turns later than others with one, per demand
+	// beyond the light one.
 	delayPerDemand = 2000
-	// maxDelayRounds bounds by how much later they take them, in rounds: the time in which each waiting account gets a
-	// turn. Accounts that ask again at once are then still served behind light ones, but one with a heavy turn now and
-	// then does not wait behind ever new accounts, which have used nothing yet.
+	// maxDelayRounds bounds that delay, in rounds: the time in which each waiting account gets a turn.
 	maxDelayRounds = 1.5
 	// grantIntervalWeight is the weight of one interval in the moving average of those between two waiting turns.
 	grantIntervalWeight = 0.05
@@ -54,8 +56,10 @@
 	paidAt  atomic.Int64 // nanoseconds after start at which the share covers all time used so far
 	stopped atomic.Bool  // turns begin at once
 
-	mu        sync.Mutex // guards the fields below
-	waiting   turnQueue
+	mu        sync.Mutex    // guards the fields below
+	light     turnQueue     // waiting turns of accounts with a light demand
+	heavy     turnQueue     // those of the others
+	lightRun  int           // turns of light that have begun in a row
 	grantedAt time.Duration // when the last waiting turn began, or when the first one began to wait, since start
 	interval  time.Duration // moving average of the time between two waiting turns
 	timer     *time.Timer   // calls wake; nil before the first wait
@@ -117,12 +121,17 @@
 func (s *Scheduler) wait(now, demand time.Duration) {
 	turn := &waitingTurn{ready: make(chan struct{})}
 	s.mu.Lock()
-	if len(s.waiting) == 0 {
+	if s.waitingTurns() == 0 {
 		s.grantedAt = now
 	}
-	round := time.Duration(len(s.waiting)+1) * s.interval
-	turn.order = now + min(delayPerDemand*max(0, demand-lightDemand), time.Duration(maxDelayRounds*float64(round)))
-	heap.Push(&s.waiting, turn)
+	turn.order = now
+	if demand <= lightDemand {
+		heap.Push(&s.light, turn)
+	} else {
+		round := time.Duration(s.waitingTurns()+1) * s.interval
+		turn.order += min(delayPerDemand*(demand-lightDemand), time.Duration(maxDelayRounds*float64(round)))
+		heap.Push(&s.heavy, turn)
+	}
 	s.grantLocked()
 	s.mu.Unlock()
 	<-turn.ready
@@ -136,7 +145,7 @@
 }
 
 func (s *Scheduler) grantLocked() {
-	for len(s.waiting) > 0 {
+	for s.waitingTurns() > 0 {
 		now := time.Since(s.start)
 		limit := s.grantedAt + maxGrantInterval
 		if wait := s.overdrawn(now); wait > 0 && now < limit {
@@ -150,12 +159,27 @@
 // grantNext lets the first waiting turn begin. The caller must hold s.mu.
 func (s *Scheduler) grantNext(now time.Duration) {
 	s.charge(now, quantum)
-	turn := heap.Pop(&s.waiting).(*waitingTurn)
+	turn := s.popNext()
 	close(turn.ready)
 	s.interval += time.Duration(grantIntervalWeight * float64(now-s.grantedAt-s.interval))
 	s.grantedAt = now
 }
 
+// waitingTurns returns the number of waiting turns. The caller must hold s.mu.
+func (s *Scheduler) waitingTurns() int { return len(s.light) + len(s.heavy) }
+
+// popNext removes and returns the waiting turn that is to begin next: a light one, unless a heavy one has waited for
+// lightTurnsInARow of them. The caller must hold s.mu.
+func (s *Scheduler) popNext() *waitingTurn {
+	queue := &s.light
+	s.lightRun++
+	if len(s.light) == 0 || len(s.heavy) > 0 && s.lightRun > lightTurnsInARow {
+		queue = &s.heavy
+		s.lightRun = 0
+	}
+	return heap.Pop(queue).(*waitingTurn)
+}
+
 // wakeAfter arranges for a call of wake. The caller must hold s.mu.
 func (s *Scheduler) wakeAfter(now, wait time.Duration) {
 	s.wakeAt = now + wait
--- a/internal/front/resp/reader.go
+++ b/internal/front/resp/reader.go
@@ -93,8 +93,7 @@
 // not block. A command that arrives in several segments would otherwise wait for a turn
 // with each read of it.
 func (c *connection) mayReadInTurn() bool {
-	c.turn.EndIfExpired()
-	if !c.turn.Waited() {
+	if !c.turn.MayReadOn() {
 		return false
 	}
 	arrived, _ := socket.Peek(c.conn)
