--- a/internal/cputime/cputime.go
+++ b/internal/cputime/cputime.go
@@ -31,11 +31,11 @@
 	maxGrantInterval = 5 * time.Millisecond
 	// lightDemand is the demand up to which accounts take their turns in FIFO order.
 	lightDemand = 100 * time.Microsecond
-	// lightTurnsInARow is how many turns of accounts with a light demand may begin in a row while others wait. An account
-	// with a heavy turn now and then would else wait behind ever new accounts, which have used nothing yet.
+	// lightTurnsInARow is how many turns of accounts with a light demand may begin in a row while others wait. An
+	// account with a heavy turn now and then would else wait behind ever new ones, which have used nothing yet.
 	lightTurnsInARow = 5
-	// delayPerDemand is by how much an account with a heavy demand takes its turns later than others with one, per demand
-	// beyond the light one.
+	// delayPerDemand is by how much an account with a heavy demand takes its turns later than others with one, per
+	// demand beyond the light one.
 	delayPerDemand = 2000
 	// maxDelayRounds bounds that delay, in rounds: the time in which each waiting account gets a turn.
 	maxDelayRounds = 1.5
